--- /dev/null
+++ b/thistlelever/__init__.py
@@ -0,0 +1,1 @@
+"""thistlelever: an admission controller for batches on a pool of query engines."""
--- /dev/null
+++ b/thistlelever/admission/decide.py
@@ -0,0 +1,557 @@
+"""All decisions of one front: when, where and on what terms each batch is dispatched.
+
+    front = Front(manifest, seed)           # once, from what is read at start
+    actions = front.handle(now, events)     # all events of one moment, answered in order
+
+The types of the manifest, the events and the actions are in `interface.py`; `docs/design.md` says
+what follows the paper and what departs from it. A batch's own course, from being taken to its one
+final answer, is the generator `Front.course`; read that first, then `release` and `draw`.
+"""
+
+from __future__ import annotations
+
+from bisect import bisect_left, insort
+from collections import deque
+from math import exp, log
+from statistics import median
+from zlib import crc32
+
+from thistlelever.admission.interface import (
+    Action, AskList, BatchTaken, Cancel, ClientLeft, Dispatch, DispatchEnded, Error, Event, Fate, FollowList, ListKind,
+    ListTold, Manifest, Probe, ProbeEnded, ProgressNote, PushBack, Repeat, Reports, Scope, Shortage, Standing,
+    Terms, Tidings, Timer,
+)
+
+# The design's own figures: busy share that halves a bound, threads a core, places in a k-sequence.
+BUSY, THREADS_A_CORE, PLACES = 0.85, 2.0, 20
+# An average follows its samples at this pace: eight of them outweigh what was there before.
+PACE = 0.125
+# How sharply the draw prefers the engine that looks least loaded: too sharp and all fronts herd
+# onto one engine between two reports, too flat and reports go unheeded. In shares of an engine.
+SPREAD = 0.1
+# What one place further down a table group's own order of engines costs, in shares of an engine.
+STEP = 0.08
+HOLD, WAIT = "hold", "wait"
+NEVER_RAN = frozenset((Fate.FULL, Fate.UNREACHABLE, Fate.UNSENT))
+MAY_RUN_ON = frozenset((Fate.TIMED_OUT, Fate.RESET, Fate.CANCELLED))
+
+
+class Sent:
+    """One dispatch that is out."""
+
+    __slots__ = ("batch", "number", "engine", "at", "work", "width", "memory", "share")
+
+    def __init__(self, batch: Batch, engine: int, now: float, work: float) -> None:
+        self.batch, self.number, self.engine, self.at = batch, batch.dispatches, engine, now
+        self.work, self.width, self.memory, self.share = work, batch.width, batch.memory, 0.0
+
+
+class Batch:
+    """One batch that this front holds or has out."""
+
+    __slots__ = ("id", "group", "key", "width", "work", "memory", "tables", "taken", "goal_at", "limit_at", "run",
+                 "dispatches", "out", "may_have_run", "course", "held", "answered", "over")
+
+    def __init__(self, told: BatchTaken, width: int, now: float) -> None:
+        self.id, self.group, self.key, self.tables = told.batch, told.group, told.key, told.tables
+        self.width, self.taken, self.limit_at = width, now, now + told.time_limit
+        self.dispatches, self.out = 0, {}
+        self.may_have_run: list[tuple[int, int, float]] = []
+        self.held = self.answered = self.over = False
+
+    def __lt__(self, other: Batch) -> bool:
+        return (self.goal_at, self.taken, self.id) < (other.goal_at, other.taken, other.id)
+
+
+class Front:
+    """The decisions of one front. It knows its own events and nothing else."""
+
+    def __init__(self, manifest: Manifest, seed: int) -> None:
+        m, groups = manifest, manifest.tariffs
+        self.seed, self.draws, self.now = seed, 0, 0.0
+        self.actions: list[Action] = []
+        self.fronts, self.tick, self.groups = m.fronts, m.tick, groups
+        top = max(t.utility for t in groups)
+        self.top = max(range(len(groups)), key=lambda g: groups[g].utility)
+        steps = sorted({t.utility for t in groups}, reverse=True)
+        self.priority = [max(3 - steps.index(t.utility), 0) for t in groups]
+        # The paper asks that the top group's m/k lies distinctly above the others': half of k for
+        # what is worth nothing, all of it for the top.
+        self.wanted = [min(PLACES, round(PLACES * (1 + t.utility / top) / 2)) for t in groups]
+        self.most = [1 + round((m.most_dispatches - 1) * max(t.utility / top, 0.5)) for t in groups]
+        self.success = [deque([0] * PLACES, PLACES) for _ in groups]
+        self.queues: list[list[Batch]] = [[] for _ in groups]
+        self.any_yields = any(t.yields_to_loads for t in groups)
+        self.loads_shun = [t.holds_tables or t.yields_to_loads for t in groups]
+        self.narrow = max(t.width for t in groups)
+        self.usual = [t.goal * t.width / (2 + 2 * t.goal_stretch) for t in groups]
+        self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
+        self.kind_cores, self.kind_memory, self.most_grant = m.kind_cores, m.kind_memory, m.most_grant
+        self.grants, self.priorities, self.tells_cost = m.grants, m.priorities, m.tells_cost
+        self.pages, self.cancel, self.copies = m.shortage is Shortage.PAGE, m.cancel, m.copies
+        self.longest_return = m.longest_return if m.names_return else 0.0
+        self.connect_limit, self.key_rest, self.allowance = m.connect_limit, m.key_rest, m.allowance
+        self.cold_share, self.warm_after = m.cold_share, m.warm_after
+        self.fall_window, self.fall_multiple = m.fall_window, m.fall_multiple
+        fields = m.report_fields
+        self.fields = [fields.index(f) if f in fields else -1 for f in ("util", "queue", "inflight", "x1", "x0")]
+        self.probing = m.probes and m.reports is Reports.WHEN_PROBED
+        self.open: dict[int, Batch] = {}
+        self.sent: dict[tuple[int, int], Sent] = {}
+        self.keys: dict[int, list[Batch]] = {}
+        self.key_free: dict[int, float] = {}
+        self.took: deque[float] = deque()
+        self.extra: deque[float] = deque()
+        self.alarm = False
+        self.asks, self.ask_within, self.asked_at = m.asks_for_list, m.ask_within, -1e9
+        # Engines, all under one dense index.
+        self.index: dict[bytes, int] = {}
+        self.id, self.zone, self.cell, self.kind, self.listed, self.started = [], [], [], [], [], []
+        self.cores, self.memory, self.bound, self.last, self.reported, self.gap = [], [], [], [], [], []
+        self.busy, self.line, self.granted, self.fresh, self.fresh_memory, self.faded = [], [], [], [], [], []
+        self.slow, self.slow_at, self.shun, self.doubt, self.full_till, self.probe_at = [], [], [], [], [], []
+        self.own: list[dict[tuple[int, int], Sent]] = []
+        self.cold: list[deque[tuple[float, float]]] = []
+        self.ranks: dict[float, list[int]] = {}
+        self.handlers = {
+            BatchTaken: self.taken, DispatchEnded: self.ended, ProgressNote: self.noted, ClientLeft: self.left,
+            ProbeEnded: self.probed, ListTold: self.listed_anew,
+        }
+
+    def handle(self, now: float, events: list[Event]) -> list[Action]:
+        self.now, self.actions = now, []
+        for event in events:
+            known = self.handlers.get(type(event))
+            if known:
+                known(event)
+            else:
+                self.alarm = False
+        self.release()
+        self.upkeep()
+        return self.actions
+
+    # A batch, from being taken to its one final answer.
+
+    def course(self, b: Batch):
+        while True:
+            engine = yield HOLD
+            if engine is None:
+                break
+            said = yield engine
+            while b.out:
+                if type(said) is ProgressNote and self.behind(b, said):
+                    said = yield Cancel(b.id, said.number)
+                else:
+                    said = yield WAIT
+            if said.complete:
+                return
+            if not self.may_go_again(b):
+                break
+        yield self.farewell(b)
+
+    def advance(self, b: Batch, told) -> None:
+        """Resume the batch's course and carry out what it yields."""
+        try:
+            wish = b.course.send(told)
+        except StopIteration:
+            self.close(b, self.now <= b.goal_at)
+            return
+        if wish is HOLD:
+            b.held = True
+            insort(self.queues[b.group], b)
+        elif type(wish) is int:
+            self.dispatch(b, wish)
+        elif type(wish) is Cancel:
+            self.actions.append(wish)
+        elif wish is not WAIT:
+            self.actions.append(wish)
+            self.close(b, False)
+
+    def close(self, b: Batch, in_time: bool) -> None:
+        b.answered = True
+        self.open.pop(b.id, None)
+        self.success[b.group].append(1 if in_time else 0)
+        self.clear_key(b)
+
+    def farewell(self, b: Batch) -> Action:
+        t = self.groups[b.group]
+        harmless = not b.may_have_run and not b.out or t.repeat is Repeat.REPEATABLE
+        if harmless or t.repeat is Repeat.REFERENCED and t.scope is Scope.ALL:
+            return PushBack(b.id, min(self.longest_return, b.run))
+        return Error(b.id)
+
+    def may_go_again(self, b: Batch) -> bool:
+        if b.dispatches >= self.most[b.group] or self.now + b.run >= b.limit_at or not self.affords(b):
+            return False
+        return not b.may_have_run or self.groups[b.group].repeat is not Repeat.ONCE_ONLY
+
+    def affords(self, b: Batch) -> bool:
+        """Whether the budget of further dispatches has room for one of this batch's."""
+        if not b.dispatches or not self.allowance:
+            return True
+        a = self.allowance
+        since = self.now - a.window
+        while self.took and self.took[0] <= since:
+            self.took.popleft()
+        # Kept a tick longer than what was taken, so that rounding never frees a place early.
+        while self.extra and self.extra[0] < since - self.tick:
+            self.extra.popleft()
+        return len(self.extra) + 1 <= a.floor + a.share * len(self.took)
+
+    def behind(self, b: Batch, note: ProgressNote) -> bool:
+        """A bad plan: the rest of this dispatch would outlast a fresh one of a batch that may run again."""
+        if not self.cancel or note.tidings is not Tidings.PROGRESS or self.groups[b.group].repeat is not Repeat.REPEATABLE:
+            return False
+        s = self.sent[b.id, note.number]
+        elapsed = self.now - s.at
+        rest = elapsed * (1 - note.value) / max(note.value, 1e-3)
+        # Told from a slow engine by comparison: the same pace as the engine's others is no bad plan.
+        usual = b.run * max(self.slow[s.engine], 1.0)
+        return rest > 2 * usual and elapsed > 1.5 * usual and self.may_go_again(b)
+
+    # What is told.
+
+    def taken(self, told: BatchTaken) -> None:
+        g, t = told.group, self.groups[told.group]
+        b = Batch(told, t.width, self.now)
+        b.work = told.work * self.cost_bias[g] if told.work else self.usual[g]
+        if told.work:
+            self.usual[g] += PACE * (b.work - self.usual[g])
+        b.memory = told.memory * self.memory_bias[g]
+        b.run = b.work / t.width
+        b.goal_at = min(self.now + t.goal + t.goal_stretch * b.run, b.limit_at)
+        self.open[b.id] = b
+        self.took.append(self.now)
+        if t.in_order and b.key:
+            self.keys.setdefault(b.key, []).append(b)
+        b.course = self.course(b)
+        self.advance(b, None)
+
+    def ended(self, told: DispatchEnded) -> None:
+        s = self.sent.pop((told.batch, told.number))
+        b, i = s.batch, s.engine
+        b.out.pop(s.number, None)
+        self.own[i].pop((told.batch, told.number), None)
+        fade = exp(-(self.now - s.at) / self.gap[i])
+        self.fade(i)
+        self.fresh[i] = max(self.fresh[i] - s.width * fade, 0.0)
+        self.fresh_memory[i] = max(self.fresh_memory[i] - s.memory * fade, 0.0)
+        self.report(i, told.report, s.width)
+        if told.fate in NEVER_RAN:
+            if s.number in [n for n, _, _ in b.may_have_run]:
+                b.may_have_run = [r for r in b.may_have_run if r[0] != s.number]
+        if told.fate is Fate.FULL:
+            self.halve(i)
+            self.full_till[i] = self.now + self.gap[i]
+        elif told.fate in (Fate.UNREACHABLE, Fate.RESET):
+            self.failed(i)
+        elif told.fate is Fate.RETURNED or told.fate is Fate.ERRORED:
+            self.lives(i)
+        if told.fate is Fate.RETURNED:
+            g = b.group
+            if self.tells_cost and told.true_work:
+                self.cost_bias[g] *= 1 + PACE / 4 * (min(max(told.true_work / s.work, 0.25), 4.0) - 1)
+                if s.memory:
+                    self.memory_bias[g] *= 1 + PACE / 4 * (min(told.true_memory * 1.15 / s.memory, 2.0) - 1)
+            self.paced(i, told.took * s.width / (told.true_work or s.work))
+        if b.key and told.fate in MAY_RUN_ON and self.groups[b.group].in_order:
+            self.key_free[b.key] = self.now + self.key_rest
+        if not b.answered:
+            self.advance(b, told)
+        else:
+            self.clear_key(b)
+
+    def noted(self, told: ProgressNote) -> None:
+        s = self.sent.get((told.batch, told.number))
+        if s is None:
+            return
+        if told.tidings is Tidings.PROGRESS:
+            s.share = told.value
+        elif told.tidings is Tidings.SPILL and s.memory:
+            self.memory_bias[s.batch.group] *= min(1 + PACE * told.value / s.memory, 1.1)
+        if not s.batch.answered:
+            self.advance(s.batch, told)
+
+    def left(self, told: ClientLeft) -> None:
+        b = self.open.pop(told.batch, None)
+        if b is None:
+            return
+        # A client that leaves writes nothing: a zero would let its group crowd out those that wait.
+        b.answered = True
+        self.unhold(b)
+        b.course.close()
+        self.clear_key(b)
+
+    def probed(self, told: ProbeEnded) -> None:
+        i = self.index[told.engine]
+        if told.fate is Fate.RETURNED:
+            self.lives(i)
+            self.report(i, told.report, 1)
+        elif told.fate in (Fate.UNREACHABLE, Fate.RESET, Fate.TIMED_OUT):
+            self.failed(i)
+
+    def listed_anew(self, told: ListTold) -> None:
+        if told.kind is ListKind.FAILED:
+            return
+        if told.kind is not ListKind.CHANGES:
+            self.listed = [False] * len(self.listed)
+        for e in told.engines:
+            i = self.index.get(e.id)
+            if i is None:
+                i = self.index[e.id] = len(self.id)
+                cores = self.kind_cores[e.kind]
+                for row, first in (
+                    (self.id, e.id), (self.zone, e.zone), (self.cell, e.cell), (self.kind, e.kind), (self.listed, False),
+                    (self.started, e.started or -1e9), (self.cores, cores), (self.memory, self.kind_memory[e.kind]),
+                    (self.bound, max(cores * THREADS_A_CORE / self.fronts, self.narrow)), (self.last, ()),
+                    (self.reported, self.now), (self.gap, 0.5), (self.busy, 0.0), (self.line, 0.0), (self.granted, 0.0),
+                    (self.fresh, 0.0), (self.fresh_memory, 0.0), (self.faded, self.now), (self.slow, 1.0),
+                    (self.slow_at, self.now), (self.shun, 0.0), (self.doubt, 0.0), (self.full_till, 0.0),
+                    (self.probe_at, 0.0), (self.own, {}), (self.cold, deque()),
+                ):
+                    row.append(first)
+            elif e.started > self.started[i]:
+                self.started[i] = e.started
+                self.shun[i] = self.doubt[i] = 0.0
+            self.listed[i] = e.standing is Standing.READY
+        self.ranks.clear()
+
+    # Engines.
+
+    def report(self, i: int, values: tuple[float, ...], width: int) -> None:
+        if not values or values == self.last[i]:
+            return
+        self.fade(i)
+        if self.last[i]:
+            self.gap[i] += PACE * (min(self.now - self.reported[i], 2.0) - self.gap[i])
+        self.last[i], self.reported[i] = values, self.now
+        busy, line, held, disk, granted = (values[f] if 0 <= f < len(values) else -1.0 for f in self.fields)
+        if busy < 0:
+            busy = sum(s.width for s in self.own[i].values()) * self.fronts / self.cores[i]
+        self.busy[i], self.line[i], self.granted[i] = busy, max(line, 0.0), max(granted, 0.0)
+        if busy < BUSY:
+            self.bound[i] = min(self.bound[i] + width, self.cores[i] * THREADS_A_CORE)
+        else:
+            self.halve(i)
+
+    def halve(self, i: int) -> None:
+        self.bound[i] = max(self.bound[i] / 2, self.narrow)
+
+    def fade(self, i: int) -> None:
+        """Own sends count on top of a report until reports have had the time to show them."""
+        if self.now > self.faded[i]:
+            part = exp(-(self.now - self.faded[i]) / self.gap[i])
+            self.fresh[i] *= part
+            self.fresh_memory[i] *= part
+            self.faded[i] = self.now
+
+    def paced(self, i: int, sample: float) -> None:
+        self.slow[i] *= exp(PACE * log(min(max(sample, 0.1), 30.0) / self.slow[i]))
+        self.slow_at[i] = self.now
+
+    def failed(self, i: int) -> None:
+        self.doubt[i] = min(max(self.doubt[i] * 2, self.connect_limit), 8 * self.connect_limit)
+        self.shun[i] = self.now + self.doubt[i]
+
+    def lives(self, i: int) -> None:
+        if self.doubt[i]:
+            # It was down and answers: it may be cold before the list says so.
+            self.started[i] = max(self.started[i], self.now)
+            self.doubt[i] = self.shun[i] = 0.0
+
+    def warmth(self, i: int) -> float:
+        """The share of its capacity that the engine surely has."""
+        age = max(self.now - self.started[i], 0.0)
+        return 1.0 if age >= self.warm_after else self.cold_share + (1 - self.cold_share) * age / self.warm_after
+
+    def pressed(self, i: int) -> bool:
+        self.fade(i)
+        if self.line[i] >= 1 or self.now < self.full_till[i]:
+            return True
+        if self.pages and self.granted[i] + self.fresh_memory[i] / self.memory[i] > BUSY:
+            return True
+        return self.busy[i] + self.fresh[i] / (self.cores[i] * self.warmth(i)) >= BUSY
+
+    def takes(self, b: Batch, i: int) -> bool:
+        """The rules and the bound, for one more dispatch of this batch to this engine."""
+        t = self.groups[b.group]
+        if not self.listed[i] or self.now < self.shun[i] or not self.placed(t, i):
+            return False
+        if b.may_have_run:
+            _, first, at = b.may_have_run[0]
+            if t.repeat is Repeat.ONCE_ONLY:
+                return False
+            if t.repeat is Repeat.REFERENCED and (self.now - at >= t.window or not self.same(t.scope, first, i)):
+                return False
+        if self.warmth(i) < 1.0 and not self.cold_room(b, i):
+            return False
+        threads = sum(s.width for s in self.own[i].values())
+        return threads + b.width <= self.bound[i] or not self.pressed(i)
+
+    def placed(self, t, i: int) -> bool:
+        return (t.zones is None or self.zone[i] in t.zones) and (t.kinds is None or self.kind[i] in t.kinds)
+
+    def same(self, scope: Scope, i: int, j: int) -> bool:
+        return scope is Scope.ALL or (self.zone if scope is Scope.ZONE else self.cell)[i] == (
+            self.zone if scope is Scope.ZONE else self.cell)[j]
+
+    def cold_room(self, b: Batch, i: int) -> bool:
+        """A fresh engine gets a thin slice of the keys, and never more than this front's share."""
+        if crc32(b"%a %b" % (b.tables, self.id[i])) / 2**32 > self.warmth(i):
+            return False
+        sent = self.cold[i]
+        while sent and sent[0][0] < self.now - self.fall_window - self.connect_limit:
+            sent.popleft()
+        room = self.fall_multiple * self.warmth(i) * self.cores[i] * BUSY * self.fall_window / self.fronts / 2
+        return sum(w for _, w in sent) + max(self.usual[b.group], b.work) <= room
+
+    def order(self, tables: float) -> list[int]:
+        """Every front agrees without a word on which engines keep a table group warm."""
+        if tables not in self.ranks:
+            if len(self.ranks) > 4096:
+                self.ranks.clear()
+            ready = sorted((crc32(b"%a %b" % (tables, self.id[i])), i) for i in range(len(self.id)) if self.listed[i])
+            ranks = [len(ready)] * len(self.id)
+            for rank, (_, i) in enumerate(ready):
+                ranks[i] = rank
+            self.ranks[tables] = ranks
+        return self.ranks[tables]
+
+    def draw(self, b: Batch) -> int | None:
+        can = [i for i in range(len(self.id)) if self.takes(b, i)]
+        if not can:
+            return None
+        usual = median(self.slow[i] for i in range(len(self.id)) if self.listed[i]) if any(self.listed) else 1.0
+        ranks, loads = self.order(b.tables), self.groups[b.group].holds_tables
+        best, choice = 1e9, can[0]
+        for i in can:
+            self.fade(i)
+            load = self.busy[i] + (self.fresh[i] + self.line[i]) / (self.cores[i] * self.warmth(i))
+            cost = (0.5 + load) * max(self.slow[i] / usual, 1.0)
+            if not loads:
+                cost += STEP * ranks[i]
+            elif self.any_yields:
+                cost -= STEP * ranks[i]
+            cost -= SPREAD * -log(-log(self.chance()))
+            if cost < best:
+                best, choice = cost, i
+        return choice
+
+    def chance(self) -> float:
+        self.draws += 1
+        return (crc32(b"%d %d" % (self.seed, self.draws)) + 0.5) / 2**32
+
+    # The release.
+
+    def distance(self, g: int) -> int:
+        left = self.wanted[g]
+        for position, one in enumerate(reversed(self.success[g]), 1):
+            left -= one
+            if not left:
+                return PLACES - position + 1
+        return 0
+
+    def release(self) -> None:
+        for queue in self.queues:
+            for b in [b for b in queue if self.now + b.run > b.goal_at]:
+                self.unhold(b)
+                self.advance(b, None)
+        while True:
+            waiting = sorted((self.distance(g), q[0], g) for g, q in enumerate(self.queues) if q)
+            if not any(self.release_from(g) for _, _, g in waiting):
+                return
+
+    def release_from(self, g: int) -> bool:
+        for b in self.queues[g]:
+            if self.key_busy(b):
+                continue
+            i = self.draw(b)
+            if i is None:
+                if b.may_have_run:
+                    continue
+                return False
+            if self.conflict(b, i):
+                continue
+            if not self.guarded(b, i):
+                return False
+            self.unhold(b)
+            self.advance(b, i)
+            return True
+        return False
+
+    def conflict(self, b: Batch, i: int) -> bool:
+        if not self.loads_shun[b.group]:
+            return False
+        return any(s.batch.tables == b.tables and self.groups[s.batch.group].holds_tables for s in self.own[i].values())
+
+    def guarded(self, b: Batch, i: int) -> bool:
+        if b.group == self.top or not self.queues[self.top]:
+            return True
+        head = next((h for h in self.queues[self.top] if not self.key_busy(h)), None)
+        if head is None or not self.placed(self.groups[self.top], i):
+            return True
+        rest = sum(s.work * (1 - s.share) for s in self.own[i].values()) / self.cores[i]
+        return head.goal_at - self.now - head.run > b.run + rest
+
+    def key_busy(self, b: Batch) -> bool:
+        """Batches of one key go one at a time, in the order taken, with a rest after one that may run on."""
+        line = self.keys.get(b.key) if b.key and self.groups[b.group].in_order else None
+        return bool(line) and (line[0] is not b or not b.dispatches and self.now < self.key_free.get(b.key, 0.0))
+
+    def clear_key(self, b: Batch) -> None:
+        line = self.keys.get(b.key) if b.key and self.groups[b.group].in_order else None
+        if line and b.answered and not b.out and b in line:
+            line.remove(b)
+            if not line:
+                del self.keys[b.key]
+
+    def unhold(self, b: Batch) -> None:
+        if b.held:
+            b.held = False
+            queue = self.queues[b.group]
+            del queue[bisect_left(queue, b)]
+
+    def dispatch(self, b: Batch, i: int) -> None:
+        if not self.affords(b):
+            self.advance(b, None)
+            return
+        if b.dispatches:
+            self.extra.append(self.now)
+        s = Sent(b, i, self.now, b.work)
+        grant = min(b.memory, self.most_grant * self.memory[i]) if self.grants else 0.0
+        s.memory = b.memory
+        if not b.dispatches and (self.grants or self.priorities):
+            self.actions.append(Terms(b.id, grant, self.priority[b.group]))
+        self.actions.append(Dispatch(b.id, self.id[i], 0.0))
+        self.sent[b.id, s.number] = b.out[s.number] = self.own[i][b.id, s.number] = s
+        b.may_have_run.append((s.number, i, self.now))
+        b.dispatches += 1
+        self.fade(i)
+        self.fresh[i] += b.width
+        self.fresh_memory[i] += b.memory
+        if self.warmth(i) < 1.0:
+            self.cold[i].append((self.now, max(self.usual[b.group], b.work)))
+        if self.doubt[i]:
+            # In doubt it gets one trial at a time, not all that waits.
+            self.shun[i] = self.now + 2 * self.connect_limit
+
+    # Upkeep.
+
+    def upkeep(self) -> None:
+        if self.asks and self.now - self.asked_at > self.ask_within / 2:
+            self.asked_at = self.now
+            self.actions += [FollowList(), AskList()]
+        if self.probing and self.open:
+            rate = max(len(self.took), 1)
+            while self.took and self.took[0] < self.now - 1 and not self.allowance:
+                self.took.popleft()
+            every = max(2 * sum(self.listed) / rate, 2 * self.tick)
+            for i in range(len(self.id)):
+                if self.listed[i] and self.now - self.probe_at[i] >= every and self.now >= self.shun[i]:
+                    self.probe_at[i] = self.now
+                    self.actions.append(Probe(self.id[i]))
+        elif not self.allowance:
+            self.took.clear()
+        if not self.alarm and (any(self.queues) or self.probing and self.open):
+            self.alarm = True
+            self.actions.append(Timer(4 * self.tick, 0))
--- /dev/null
+++ b/thistlelever/admission/interface.py
@@ -0,0 +1,298 @@
+"""What passes between a front's decisions and whatever carries them: types only.
+
+A carrier reads a `Manifest` when a front starts, hands `Front` the events of one moment, and
+carries out the actions it gets back in their order. Times are seconds, memory is megabytes,
+ids are whatever the carrier uses and come back unchanged.
+"""
+
+from __future__ import annotations
+
+from enum import Enum, IntEnum
+from typing import NamedTuple
+
+EngineId = bytes
+
+
+class Repeat(Enum):
+    """What a service group says of running a batch again."""
+
+    REPEATABLE = "repeatable"
+    REFERENCED = "referenced"
+    ONCE_ONLY = "once-only"
+
+
+class Scope(Enum):
+    """Which engines drop the repeats of a referenced batch."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Reports(Enum):
+    """How load reports reach a front."""
+
+    WITH_ANSWERS = "with answers"
+    WHEN_PROBED = "when probed"
+    NEVER = "never"
+
+
+class Shortage(Enum):
+    """What an engine does once the memory granted passes what it has."""
+
+    LINE = "line"
+    SHRINK = "shrink"
+    PAGE = "page"
+
+
+class Fate(IntEnum):
+    """How a dispatch ended."""
+
+    ERRORED = 0
+    RETURNED = 1
+    FULL = 2
+    TIMED_OUT = 3
+    UNREACHABLE = 4
+    RESET = 5
+    CANCELLED = 6
+    UNSENT = 7
+
+
+class Tidings(IntEnum):
+    """What a progress note tells."""
+
+    PROGRESS = 1
+    SPILL = 2
+    WAITING = 3
+
+
+class Standing(IntEnum):
+    """What the list says of an engine."""
+
+    GONE = 0
+    READY = 1
+    DRAINING = 2
+
+
+class ListKind(IntEnum):
+    """How a list relates to the one before it."""
+
+    FAILED = 0
+    WHOLE = 1
+    CHANGES = 2
+    CACHED = 3
+
+
+class Tariff(NamedTuple):
+    """The terms of one service group."""
+
+    name: str
+    utility: float
+    late_share: float
+    goal: float
+    goal_stretch: float
+    time_limit: float
+    repeat: Repeat
+    scope: Scope
+    window: float
+    width: int
+    holds_tables: bool
+    yields_to_loads: bool
+    in_order: bool
+    zones: frozenset[int] | None
+    kinds: frozenset[int] | None
+
+
+class Consignor(NamedTuple):
+    """A customer and its share."""
+
+    name: str
+    per_second: float
+
+
+class Allowance(NamedTuple):
+    """The budget of further dispatches: `floor` plus `share` of what was taken in `window`."""
+
+    floor: float
+    share: float
+    window: float
+
+
+class Manifest(NamedTuple):
+    """All that a front is told when it starts."""
+
+    fronts: int
+    zone: int
+    tariffs: tuple[Tariff, ...]
+    consignors: tuple[Consignor, ...]
+    over_share_worth: float
+    kind_cores: tuple[int, ...]
+    kind_memory: tuple[float, ...]
+    most_grant: float
+    grants: bool
+    priorities: bool
+    shortage: Shortage
+    note_every: float
+    tells_cost: bool
+    reports: Reports
+    report_fields: tuple[str, ...]
+    sized: bool
+    asks_for_list: bool
+    ask_within: float
+    tick: float
+    probes: bool
+    probe_price: float
+    cross_price: float
+    cancel: bool
+    copies: bool
+    names_return: bool
+    longest_return: float
+    most_dispatches: int
+    connect_limit: float
+    drain_grace: float
+    cold_share: float
+    warm_after: float
+    fall_multiple: float
+    fall_window: float
+    key_rest: float
+    allowance: Allowance | None
+
+
+# What a front is told.
+
+
+class BatchTaken(NamedTuple):
+    batch: int
+    group: int
+    consignor: int
+    key: int
+    time_limit: float
+    work: float | None
+    memory: float
+    tables: float
+    repeat: bool
+
+
+class DispatchEnded(NamedTuple):
+    batch: int
+    number: int
+    engine: EngineId
+    fate: Fate
+    took: float
+    complete: bool
+    true_work: float
+    true_memory: float
+    report: tuple[float, ...]
+
+
+class ResponseStarted(NamedTuple):
+    batch: int
+    number: int
+    engine: EngineId
+
+
+class ProgressNote(NamedTuple):
+    batch: int
+    number: int
+    engine: EngineId
+    tidings: Tidings
+    value: float
+
+
+class ClientLeft(NamedTuple):
+    batch: int
+
+
+class TimerDue(NamedTuple):
+    token: int
+
+
+class ProbeEnded(NamedTuple):
+    engine: EngineId
+    fate: Fate
+    took: float
+    report: tuple[float, ...]
+
+
+class Engine(NamedTuple):
+    """An entry of the list."""
+
+    id: EngineId
+    zone: int
+    cell: int
+    kind: int
+    standing: Standing
+    started: float
+    size: float
+
+
+class ListTold(NamedTuple):
+    kind: ListKind
+    version: int
+    engines: tuple[Engine, ...]
+
+
+class PeerNote(NamedTuple):
+    peer: int
+    text: bytes
+
+
+Event = (
+    BatchTaken | DispatchEnded | ResponseStarted | ProgressNote | ClientLeft | TimerDue | ProbeEnded | ListTold
+    | PeerNote
+)
+
+
+# What a front asks for.
+
+
+class Dispatch(NamedTuple):
+    batch: int
+    engine: EngineId
+    time_out: float
+
+
+class Terms(NamedTuple):
+    """Memory and priority for the batch's further dispatches; the priority holds at once."""
+
+    batch: int
+    grant: float
+    priority: int
+
+
+class PushBack(NamedTuple):
+    batch: int
+    return_in: float
+
+
+class Error(NamedTuple):
+    batch: int
+
+
+class Cancel(NamedTuple):
+    batch: int
+    number: int
+
+
+class Probe(NamedTuple):
+    engine: EngineId
+
+
+class Timer(NamedTuple):
+    delay: float
+    token: int
+
+
+class AskList(NamedTuple):
+    """Ask for the whole list once."""
+
+
+class FollowList(NamedTuple):
+    """Ask for changes from now on."""
+
+
+class Remark(NamedTuple):
+    text: str
+
+
+Action = Dispatch | Terms | PushBack | Error | Cancel | Probe | Timer | AskList | FollowList | Remark
--- /dev/null
+++ b/thistlelever/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts fronts on the bench's wire: codec, settings reading and the host loop. It decides nothing."""
--- /dev/null
+++ b/thistlelever/wirehost/reading.py
@@ -0,0 +1,143 @@
+"""Reads the wire's settings into a Manifest: its names end here."""
+
+from __future__ import annotations
+
+from thistlelever.admission import interface as it
+
+REPEATS = {
+    "repeatable": it.Repeat.REPEATABLE, "by_key": it.Repeat.REFERENCED, "once": it.Repeat.ONCE_ONLY,
+}
+SHORTAGES = {"queue": it.Shortage.LINE, "trim": it.Shortage.SHRINK, "swap": it.Shortage.PAGE}
+REPORTS = {
+    "piggyback": it.Reports.WITH_ANSWERS, "pull": it.Reports.WHEN_PROBED, "silent": it.Reports.NEVER,
+}
+
+
+class Unreadable(Exception):
+    """A setting is missing or says what the wire's page does not know."""
+
+
+class Conf:
+    """The settings' lines, looked up by path."""
+
+    def __init__(self, text: str) -> None:
+        self.pairs = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+
+    def word(self, path: str) -> str:
+        if path not in self.pairs:
+            raise Unreadable(f"setting {path} is missing")
+        return self.pairs[path]
+
+    def number(self, path: str) -> float:
+        word = self.word(path)
+        try:
+            return float(word)
+        except ValueError:
+            raise Unreadable(f"setting {path} is no number: {word}") from None
+
+    def whole(self, path: str) -> int:
+        return int(self.number(path))
+
+    def seconds(self, path: str) -> float:
+        return self.number(path) / 1e6
+
+    def truth(self, path: str) -> bool:
+        return self.among(path, {"true": True, "false": False})
+
+    def among(self, path: str, known: dict):
+        word = self.word(path)
+        if word not in known:
+            raise Unreadable(f"setting {path} says {word}")
+        return known[word]
+
+    def words(self, path: str) -> list[str]:
+        return [word for word in self.word(path).split(",") if word]
+
+    def places(self, path: str) -> frozenset[int] | None:
+        return frozenset(map(int, self.words(path))) if path in self.pairs else None
+
+
+def manifest(text: str) -> it.Manifest:
+    """The Manifest that the settings' text describes."""
+    conf = Conf(text)
+    try:
+        return read(conf)
+    except ValueError as why:
+        raise Unreadable(f"settings: {why}") from None
+
+
+def read(conf: Conf) -> it.Manifest:
+    groups = range(conf.whole("Classes.count"))
+    widths = [int(float(w)) for w in conf.words("FamilyInfo.WidthByClass")]
+    holds = [w == "true" for w in conf.words("FamilyInfo.HoldsTables")]
+    yields = [w == "true" for w in conf.words("FamilyInfo.YieldsToLoads")]
+    for name, row in (("WidthByClass", widths), ("HoldsTables", holds), ("YieldsToLoads", yields)):
+        if len(row) != len(groups):
+            raise Unreadable(f"setting FamilyInfo.{name} has {len(row)} values for {len(groups)} classes")
+    rationed = "Invariants.LookBack" in conf.pairs
+    asked = conf.among("RegistryMode", {"pushed": False, "on_request": True})
+    parties = range(conf.whole("Parties.count")) if "Parties.count" in conf.pairs else range(0)
+    return it.Manifest(
+        fronts=conf.whole("Balancers"),
+        zone=conf.whole("MyZone"),
+        tariffs=tuple(tariff(conf, f"Classes.{g}.", widths[g], holds[g], yields[g]) for g in groups),
+        consignors=tuple(
+            it.Consignor(conf.word(f"Parties.{p}.Name"), conf.number(f"Parties.{p}.QuotaPerS")) for p in parties
+        ),
+        over_share_worth=conf.number("OverShareWorth") if parties else 1.0,
+        kind_cores=tuple(int(float(w)) for w in conf.words("FamilyInfo.KindCores")),
+        kind_memory=tuple(float(w) for w in conf.words("FamilyInfo.MemoryByKindMb")),
+        most_grant=conf.number("FamilyInfo.GrantCap"),
+        grants=conf.truth("FamilyInfo.MemoryHeeded"),
+        priorities=conf.truth("FamilyInfo.RanksHeeded"),
+        shortage=conf.among("FamilyInfo.OutOfMemory", SHORTAGES),
+        note_every=conf.seconds("FamilyInfo.NotePeriod"),
+        tells_cost=conf.truth("FamilyInfo.SaysCost"),
+        reports=conf.among("Telemetry.How", REPORTS),
+        report_fields=tuple(conf.words("Telemetry.Fields")) if "Telemetry.Fields" in conf.pairs else (),
+        sized=conf.word("Weights") != "silent",
+        asks_for_list=asked,
+        ask_within=conf.seconds("Invariants.MustAskIn") if asked else 0.0,
+        tick=conf.seconds("Tick"),
+        probes=conf.truth("Limits.Probes"),
+        probe_price=conf.number("Prices.Probe"),
+        cross_price=conf.number("Prices.CrossZone"),
+        cancel=conf.truth("Limits.Cancelling"),
+        copies=conf.truth("Limits.ParallelTries"),
+        names_return=conf.truth("Limits.RetryAfter"),
+        longest_return=conf.seconds("Limits.MaxRetryAfter"),
+        most_dispatches=conf.whole("Limits.MaxAttempts"),
+        connect_limit=conf.seconds("Limits.ConnectTimeout"),
+        drain_grace=conf.seconds("Invariants.DrainGrace"),
+        cold_share=conf.number("Invariants.ColdShare"),
+        warm_after=conf.seconds("Invariants.WarmAfter"),
+        fall_multiple=conf.number("Invariants.FallMultiple"),
+        fall_window=conf.seconds("Invariants.Fall"),
+        key_rest=conf.seconds("Invariants.KeyRest") if "Invariants.KeyRest" in conf.pairs else 0.0,
+        allowance=it.Allowance(
+            conf.number("Invariants.ExtraFloor"), conf.number("Invariants.ResendRatio"),
+            conf.seconds("Invariants.LookBack"),
+        ) if rationed else None,
+    )
+
+
+def tariff(conf: Conf, at: str, width: int, holds: bool, yields: bool) -> it.Tariff:
+    repeat = conf.among(at + "Idempotency", REPEATS)
+    referenced = repeat is it.Repeat.REFERENCED
+    return it.Tariff(
+        name=conf.word(at + "Name"),
+        utility=conf.number(at + "Value"),
+        late_share=conf.number(at + "LateShare"),
+        goal=conf.seconds(at + "Slo"),
+        goal_stretch=conf.number(at + "AimStretch") if at + "AimStretch" in conf.pairs else 0.0,
+        time_limit=conf.seconds(at + "Deadline"),
+        repeat=repeat,
+        scope=conf.among(at + "DedupScope", {s.value: s for s in it.Scope}) if referenced else it.Scope.ALL,
+        window=conf.seconds(at + "Window") if referenced else 0.0,
+        width=width,
+        holds_tables=holds,
+        yields_to_loads=yields,
+        in_order=conf.truth(at + "Sequential") if at + "Sequential" in conf.pairs else False,
+        zones=conf.places(at + "RunsIn"),
+        kinds=conf.places(at + "KindsOnly"),
+    )
