Pressure also counts batches held and busy disks

The busy figure is now the highest of cores, disks and batches held against the cap. Should also cover engines stuck on a lock or on slow storage; may hurt where disks are busy without being the limit.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -330,6 +330,9 @@
         busy, line, held, disk, granted = (values[f] if 0 <= f < len(values) else -1.0 for f in self.fields)
         if busy < 0:
             busy = sum(s.width for s in self.own[i].values()) * self.fronts / self.cores[i]
+        # Batches that stand still behind a load or a disk leave the cores idle: risk, an engine that is
+        # jammed reports no work and is sent ever more. What it holds and its disks count as well.
+        busy = max(busy, disk, held / (self.cores[i] * THREADS_A_CORE))
         self.busy[i], self.line[i], self.granted[i] = busy, max(line, 0.0), max(granted, 0.0)
         if busy < BUSY:
             self.bound[i] = min(self.bound[i] + width, self.cores[i] * THREADS_A_CORE)
