Dispatches time out while another still meets the goal

Told from slow engines by p50 staying at 75 ms, from dead ones by connections being made. A dispatch now times out at the last moment from which a usual run still meets the goal, never under four usual runs; the time without an answer counts as the engine's pace. Should also cover lossy links and engines that stall. May hurt where time-outs do not stop the work and all tips over together.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -86,6 +86,7 @@
         self.narrow = max(t.width for t in groups)
         self.usual = [t.goal * t.width / (2 + 2 * t.goal_stretch) for t in groups]
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
+        self.pace = [1.0] * len(groups)
         self.kind_cores, self.kind_memory, self.most_grant = m.kind_cores, m.kind_memory, m.most_grant
         self.grants, self.priorities, self.tells_cost = m.grants, m.priorities, m.tells_cost
         self.pages, self.cancel, self.copies = m.shortage is Shortage.PAGE, m.cancel, m.copies
@@ -254,6 +255,10 @@
                 self.cost_bias[g] *= 1 + PACE / 4 * (min(max(told.true_work / s.work, 0.25), 4.0) - 1)
                 if s.memory:
                     self.memory_bias[g] *= 1 + PACE / 4 * (min(told.true_memory * 1.15 / s.memory, 2.0) - 1)
+            self.pace[g] += PACE * (min(told.took * s.width / s.work, 30.0) - self.pace[g])
+        if told.fate is Fate.RETURNED or told.fate is Fate.TIMED_OUT:
+            # Risk: an engine that swallows some of what it gets looks well by its answers alone, so
+            # the time that a dispatch went without one counts as its pace.
             self.paced(i, told.took * s.width / (told.true_work or s.work))
         if b.key and told.fate in MAY_RUN_ON and self.groups[b.group].in_order:
             self.key_free[b.key] = self.now + self.key_rest
@@ -532,7 +537,7 @@
         s.memory = b.memory
         if not b.dispatches and (self.grants or self.priorities):
             self.actions.append(Terms(b.id, grant, self.priority[b.group]))
-        self.actions.append(Dispatch(b.id, self.id[i], 0.0))
+        self.actions.append(Dispatch(b.id, self.id[i], self.patience(b)))
         self.sent[b.id, s.number] = b.out[s.number] = self.own[i][b.id, s.number] = s
         b.may_have_run.append((s.number, i, self.now))
         b.dispatches += 1
@@ -545,6 +550,17 @@
             # In doubt it gets one trial at a time, not all that waits.
             self.shun[i] = self.now + 2 * self.connect_limit
 
+    def patience(self, b: Batch) -> float:
+        """How long a dispatch may go unanswered before another is tried; 0: to the time limit.
+
+        Against dispatches that vanish, whatever swallows them: the next one still meets the goal.
+        Never under four times the group's usual, so that it does not trip while all are slow.
+        """
+        if b.dispatches + 1 >= self.most[b.group] or self.groups[b.group].repeat is Repeat.ONCE_ONLY:
+            return 0.0
+        usual = b.run * max(self.pace[b.group], 1.0)
+        return max(b.goal_at - self.now - usual, 4 * usual)
+
     # Upkeep.
 
     def upkeep(self) -> None:
