--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -71,6 +71,7 @@
         self.seed, self.draws, self.now = seed, 0, 0.0
         self.actions: list[Action] = []
         self.fronts, self.tick, self.groups = m.fronts, m.tick, groups
+        self.home, self.crossing = m.zone, 10 * m.cross_price
         top = max(t.utility for t in groups)
         self.top = max(range(len(groups)), key=lambda g: groups[g].utility)
         steps = sorted({t.utility for t in groups}, reverse=True)
@@ -444,6 +445,8 @@
                 cost += STEP * ranks[i]
             elif self.any_yields:
                 cost -= STEP * ranks[i]
+            if self.zone[i] != self.home:
+                cost += self.crossing
             cost -= SPREAD * -log(-log(self.chance()))
             if cost < best:
                 best, choice = cost, i
@@ -465,7 +468,7 @@
 
     def release(self) -> None:
         for queue in self.queues:
-            for b in [b for b in queue if self.now + b.run > b.goal_at]:
+            for b in [b for b in queue if self.hopeless(b)]:
                 self.unhold(b)
                 self.advance(b, None)
         while True:
@@ -473,6 +476,11 @@
             if not any(self.release_from(g) for _, _, g in waiting):
                 return
 
+    def hopeless(self, b: Batch) -> bool:
+        """Held so long that it cannot finish in time, at the pace that its group has been seen to run."""
+        pace = self.pace[b.group] if b.taken < self.now else 1.0
+        return self.now + b.run * pace > b.goal_at
+
     def release_from(self, g: int) -> bool:
         for b in self.queues[g]:
             if self.key_busy(b):
