A paging engine takes nothing that would pass its memory

The memory granted by its last report, own sends since and the batch itself must now fit. Should cover any memory jam where reports show it; may hurt where reports are so old that memory has long been freed.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -379,8 +379,6 @@
         self.fade(i)
         if self.line[i] >= 1 or self.now < self.full_till[i]:
             return True
-        if self.pages and self.granted[i] + self.fresh_memory[i] / self.memory[i] > BUSY:
-            return True
         return self.busy[i] + self.fresh[i] / (self.cores[i] * self.warmth(i)) >= BUSY
 
     def takes(self, b: Batch, i: int) -> bool:
@@ -397,6 +395,9 @@
                 return False
         if self.warmth(i) < 1.0 and not self.cold_room(b, i):
             return False
+        if self.pages and self.granted[i] + (self.fresh_memory[i] + b.memory) / self.memory[i] > 1:
+            # Past its memory such an engine slows all that it holds, so this bound has no floor.
+            return False
         threads = sum(s.width for s in self.own[i].values())
         return threads + b.width <= self.bound[i] or not self.pressed(i)
 
