Silent engines are left alone; errors and time-outs count as an engine's pace

Only an engine that was out of reach counts as cold when it answers again. A time-out leaves its retry the time that giving up asks for, half as much again as the seen pace. Should cover partitions, stuck processes, bad releases and stalls; may hurt where probes are lost but work is not.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -25,6 +25,7 @@
 
 def value(name, word):
     if name in ENUMS:
+        word = word.replace("_", " ")
         return ENUMS[name](word)
     if name in ("zones", "kinds"):
         return frozenset(map(int, word.split("+")))
--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -39,7 +39,7 @@
 class Sent:
     """One dispatch that is out."""
 
-    __slots__ = ("batch", "number", "engine", "at", "work", "width", "memory", "share")
+    __slots__ = ("batch", "number", "engine", "at", "work", "width", "memory", "share", "mark")
 
     def __init__(self, batch: Batch, engine: int, now: float, work: float) -> None:
         self.batch, self.number, self.engine, self.at = batch, batch.dispatches, engine, now
@@ -87,7 +87,7 @@
         self.narrow = max(t.width for t in groups)
         self.usual = [t.goal * t.width / (2 + 2 * t.goal_stretch) for t in groups]
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
-        self.pace = [1.0] * len(groups)
+        self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
         self.kind_cores, self.kind_memory, self.most_grant = m.kind_cores, m.kind_memory, m.most_grant
         self.grants, self.priorities, self.tells_cost = m.grants, m.priorities, m.tells_cost
         self.pages, self.cancel, self.copies = m.shortage is Shortage.PAGE, m.cancel, m.copies
@@ -111,6 +111,7 @@
         self.id, self.zone, self.cell, self.kind, self.listed, self.started = [], [], [], [], [], []
         self.cores, self.memory, self.bound, self.last, self.reported, self.gap = [], [], [], [], [], []
         self.busy, self.line, self.granted, self.fresh, self.fresh_memory, self.faded = [], [], [], [], [], []
+        self.heard, self.down = [], []
         self.slow, self.slow_at, self.shun, self.doubt, self.full_till, self.probe_at = [], [], [], [], [], []
         self.own: list[dict[tuple[int, int], Sent]] = []
         self.cold: list[deque[tuple[float, float]]] = []
@@ -236,10 +237,9 @@
         b, i = s.batch, s.engine
         b.out.pop(s.number, None)
         self.own[i].pop((told.batch, told.number), None)
-        fade = exp(-(self.now - s.at) / self.gap[i])
-        self.fade(i)
-        self.fresh[i] = max(self.fresh[i] - s.width * fade, 0.0)
-        self.fresh_memory[i] = max(self.fresh_memory[i] - s.memory * fade, 0.0)
+        left = exp(s.mark - self.faded[i])
+        self.fresh[i] = max(self.fresh[i] - s.width * left, 0.0)
+        self.fresh_memory[i] = max(self.fresh_memory[i] - s.memory * left, 0.0)
         self.report(i, told.report, s.width)
         if told.fate in NEVER_RAN:
             b.may_have_run = [r for r in b.may_have_run if r[0] != s.number]
@@ -247,8 +247,9 @@
             self.halve(i)
             self.full_till[i] = self.now + self.gap[i]
         elif told.fate in (Fate.UNREACHABLE, Fate.RESET):
+            self.down[i] = True
             self.failed(i)
-        elif told.fate is Fate.RETURNED or told.fate is Fate.ERRORED:
+        elif told.fate is Fate.RETURNED:
             self.lives(i)
         if told.fate is Fate.RETURNED:
             g = b.group
@@ -257,10 +258,12 @@
                 if s.memory:
                     self.memory_bias[g] *= 1 + PACE / 4 * (min(told.true_memory * 1.15 / s.memory, 2.0) - 1)
             self.pace[g] += PACE * (min(told.took * s.width / s.work, 30.0) - self.pace[g])
+        # Risk: an engine that swallows some of what it gets, or errs in no time, looks well by its
+        # answers alone. A time-out counts for the time it took, an error for the goal that it cost.
         if told.fate is Fate.RETURNED or told.fate is Fate.TIMED_OUT:
-            # Risk: an engine that swallows some of what it gets looks well by its answers alone, so
-            # the time that a dispatch went without one counts as its pace.
             self.paced(i, told.took * s.width / (told.true_work or s.work))
+        elif told.fate is Fate.ERRORED:
+            self.paced(i, (b.goal_at - b.taken) / b.run)
         if b.key and told.fate in MAY_RUN_ON and self.groups[b.group].in_order:
             self.key_free[b.key] = self.now + self.key_rest
         if not b.answered:
@@ -295,6 +298,7 @@
             self.lives(i)
             self.report(i, told.report, 1)
         elif told.fate in (Fate.UNREACHABLE, Fate.RESET, Fate.TIMED_OUT):
+            self.down[i] |= told.fate is not Fate.TIMED_OUT
             self.failed(i)
 
     def listed_anew(self, told: ListTold) -> None:
@@ -313,7 +317,8 @@
                     (self.listed, False), (self.started, e.started or -1e9), (self.cores, cores),
                     (self.memory, self.kind_memory[e.kind]), (self.bound, bound), (self.last, ()),
                     (self.reported, self.now), (self.gap, 0.5), (self.busy, 0.0), (self.line, 0.0),
-                    (self.granted, 0.0), (self.fresh, 0.0), (self.fresh_memory, 0.0), (self.faded, self.now),
+                    (self.granted, 0.0), (self.fresh, 0.0), (self.fresh_memory, 0.0), (self.faded, 0.0),
+                    (self.heard, self.now), (self.down, False),
                     (self.slow, 1.0), (self.slow_at, self.now), (self.shun, 0.0), (self.doubt, 0.0),
                     (self.full_till, 0.0), (self.probe_at, 0.0), (self.own, {}), (self.cold, deque()),
                 ):
@@ -327,9 +332,16 @@
     # Engines.
 
     def report(self, i: int, values: tuple[float, ...], width: int) -> None:
-        if not values or values == self.last[i]:
+        if not values:
+            return
+        # Own sends count on top of a report until reports have had the time to show them. Risk: an
+        # engine that has fallen silent looks ever emptier, so without reports nothing fades.
+        age, self.heard[i] = (self.now - self.heard[i]) / self.gap[i], self.now
+        self.faded[i] += age
+        self.fresh[i] *= exp(-age)
+        self.fresh_memory[i] *= exp(-age)
+        if values == self.last[i]:
             return
-        self.fade(i)
         if self.last[i]:
             self.gap[i] += PACE * (min(self.now - self.reported[i], 2.0) - self.gap[i])
         self.last[i], self.reported[i] = values, self.now
@@ -348,27 +360,24 @@
     def halve(self, i: int) -> None:
         self.bound[i] = max(self.bound[i] / 2, self.narrow)
 
-    def fade(self, i: int) -> None:
-        """Own sends count on top of a report until reports have had the time to show them."""
-        if self.now > self.faded[i]:
-            part = exp(-(self.now - self.faded[i]) / self.gap[i])
-            self.fresh[i] *= part
-            self.fresh_memory[i] *= part
-            self.faded[i] = self.now
-
     def paced(self, i: int, sample: float) -> None:
+        self.slow[i] = self.pace_of(i)
         self.slow[i] *= exp(PACE * log(min(max(sample, 0.1), 30.0) / self.slow[i]))
         self.slow_at[i] = self.now
 
+    def pace_of(self, i: int) -> float:
+        """An engine's pace, forgotten over the longest goal without news: it is then tried again."""
+        return self.slow[i] ** exp((self.slow_at[i] - self.now) / self.forget)
+
     def failed(self, i: int) -> None:
         self.doubt[i] = min(max(self.doubt[i] * 2, self.connect_limit), 8 * self.connect_limit)
         self.shun[i] = self.now + self.doubt[i]
 
     def lives(self, i: int) -> None:
-        if self.doubt[i]:
+        if self.down[i]:
             # It was down and answers: it may be cold before the list says so.
             self.started[i] = max(self.started[i], self.now)
-            self.doubt[i] = self.shun[i] = 0.0
+        self.doubt[i], self.shun[i], self.down[i] = 0.0, 0.0, False
 
     def warmth(self, i: int) -> float:
         """The share of its capacity that the engine surely has."""
@@ -376,7 +385,6 @@
         return 1.0 if age >= 1 else self.cold_share + (1 - self.cold_share) * age
 
     def pressed(self, i: int) -> bool:
-        self.fade(i)
         if self.line[i] >= 1 or self.now < self.full_till[i]:
             return True
         return self.busy[i] + self.fresh[i] / (self.cores[i] * self.warmth(i)) >= BUSY
@@ -384,7 +392,11 @@
     def takes(self, b: Batch, i: int) -> bool:
         """The rules and the bound, for one more dispatch of this batch to this engine."""
         t = self.groups[b.group]
-        if not self.listed[i] or self.now < self.shun[i] or not self.placed(t, i):
+        # Where it can be probed, an engine in doubt is tried by probes alone: what is sent to an engine
+        # that takes all and answers nothing piles up there, and each trial costs a batch its goal.
+        if not self.listed[i] or self.now < self.shun[i] or self.doubt[i] and self.probing:
+            return False
+        if not self.placed(t, i):
             return False
         if b.may_have_run:
             _, first, at = b.may_have_run[0]
@@ -435,13 +447,13 @@
         can = [i for i in range(len(self.id)) if self.takes(b, i)]
         if not can:
             return None
-        usual = median(slow for slow, listed in zip(self.slow, self.listed, strict=True) if listed)
+        slow = [self.pace_of(j) for j in range(len(self.id))]
+        usual = median(slow[j] for j in can)
         ranks, loads = self.order(b.tables), self.groups[b.group].holds_tables
         best, choice = 1e9, can[0]
         for i in can:
-            self.fade(i)
             load = self.busy[i] + (self.fresh[i] + self.line[i]) / (self.cores[i] * self.warmth(i))
-            cost = (0.5 + load) * max(self.slow[i] / usual, 1.0)
+            cost = (0.5 + load) * max(slow[i] / usual, 1.0)
             if not loads:
                 cost += STEP * ranks[i]
             elif self.any_yields:
@@ -478,9 +490,15 @@
                 return
 
     def hopeless(self, b: Batch) -> bool:
-        """Held so long that it cannot finish in time, at the pace that its group has been seen to run."""
-        pace = self.pace[b.group] if b.taken < self.now else 1.0
-        return self.now + b.run * pace > b.goal_at
+        """Held so long that it cannot finish in time; one just taken may still unlearn a bad pace."""
+        return self.now + (self.needs(b) if b.taken < self.now else b.run) > b.goal_at
+
+    def needs(self, b: Batch) -> float:
+        """The time to set aside for one run, at the pace that its group has been seen to run.
+
+        Half as much again, as a mean leaves too many of them to end late.
+        """
+        return 1.5 * b.run * max(self.pace[b.group], 0.5)
 
     def release_from(self, g: int) -> bool:
         for b in self.queues[g]:
@@ -550,7 +568,7 @@
         self.sent[b.id, s.number] = b.out[s.number] = self.own[i][b.id, s.number] = s
         b.may_have_run.append((s.number, i, self.now))
         b.dispatches += 1
-        self.fade(i)
+        s.mark = self.faded[i]
         self.fresh[i] += b.width
         self.fresh_memory[i] += b.memory
         if self.warmth(i) < 1.0:
@@ -567,8 +585,7 @@
         """
         if b.dispatches + 1 >= self.most[b.group] or self.groups[b.group].repeat is Repeat.ONCE_ONLY:
             return 0.0
-        usual = b.run * max(self.pace[b.group], 1.0)
-        return max(b.goal_at - self.now - usual, 4 * usual)
+        return max(b.goal_at - self.now - self.needs(b), 4 * b.run * max(self.pace[b.group], 1.0))
 
     # Upkeep.
 
@@ -582,7 +599,7 @@
                 self.took.popleft()
             every = max(2 * sum(self.listed) / rate, 2 * self.tick)
             for i in range(len(self.id)):
-                if self.listed[i] and self.now - self.probe_at[i] >= every and self.now >= self.shun[i]:
+                if self.listed[i] and self.now - self.probe_at[i] >= every:
                     self.probe_at[i] = self.now
                     self.actions.append(Probe(self.id[i]))
         elif not self.allowance:
