A bad plan is stopped at the first note that shows it

The rest against twice a usual run tells enough. Should cover any dispatch far slower than its engine's others; may hurt where the first note's share is very rough.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -212,7 +212,7 @@
         rest = elapsed * (1 - note.value) / max(note.value, 1e-3)
         # Told from a slow engine by comparison: the same pace as the engine's others is no bad plan.
         usual = b.run * max(self.slow[s.engine], 1.0)
-        return rest > 2 * usual and elapsed > 1.5 * usual and self.may_go_again(b)
+        return rest > 2 * usual and self.may_go_again(b)
 
     # What is told.
 
