--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -324,8 +324,7 @@
                 ):
                     row.append(first)
             elif e.started > self.started[i]:
-                self.started[i] = e.started
-                self.shun[i] = self.doubt[i] = 0.0
+                self.restarted(i, e.started)
             self.listed[i] = e.standing is Standing.READY
         self.ranks.clear()
 
@@ -376,9 +375,15 @@
     def lives(self, i: int) -> None:
         if self.down[i]:
             # It was down and answers: it may be cold before the list says so.
-            self.started[i] = max(self.started[i], self.now)
+            self.restarted(i, self.now)
         self.doubt[i], self.shun[i], self.down[i] = 0.0, 0.0, False
 
+    def restarted(self, i: int, when: float) -> None:
+        """Back to the start: a bound that it earned before it went down lets all fronts flood it."""
+        self.started[i] = max(self.started[i], when)
+        self.bound[i] = max(self.cores[i] * THREADS_A_CORE / self.fronts, self.narrow)
+        self.doubt[i], self.shun[i], self.down[i], self.slow[i] = 0.0, 0.0, False, 1.0
+
     def warmth(self, i: int) -> float:
         """The share of its capacity that the engine surely has."""
         age = max(self.now - self.started[i], 0.0) / self.warm_after
