--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -50,14 +50,15 @@
     """One batch that this front holds or has out."""
 
     __slots__ = ("id", "group", "key", "width", "work", "memory", "tables", "taken", "goal_at", "limit_at",
-                 "run", "dispatches", "out", "may_have_run", "course", "held", "answered", "over")
+                 "run", "dispatches", "out", "may_have_run", "course", "held", "answered", "tried")
 
     def __init__(self, told: BatchTaken, width: int, now: float) -> None:
         self.id, self.group, self.key, self.tables = told.batch, told.group, told.key, told.tables
         self.width, self.taken, self.limit_at = width, now, now + told.time_limit
         self.dispatches, self.out = 0, {}
         self.may_have_run: list[tuple[int, int, float]] = []
-        self.held = self.answered = self.over = False
+        self.held = self.answered = False
+        self.tried: set[int] = set()
 
     def __lt__(self, other: Batch) -> bool:
         return (self.goal_at, self.taken, self.id) < (other.goal_at, other.taken, other.id)
@@ -468,6 +469,8 @@
                 cost -= STEP * ranks[i]
             if self.zone[i] != self.home:
                 cost += self.crossing
+            if i in b.tried:
+                cost += 1
             cost -= SPREAD * -log(-log(self.chance()))
             if cost < best:
                 best, choice = cost, i
@@ -576,6 +579,8 @@
         self.sent[b.id, s.number] = b.out[s.number] = self.own[i][b.id, s.number] = s
         b.may_have_run.append((s.number, i, self.now))
         b.dispatches += 1
+        # Whatever ailed the one before, a whole engine's load away is the better place to try again.
+        b.tried.add(i)
         s.mark = self.faded[i]
         self.fresh[i] += b.width
         self.fresh_memory[i] += b.memory
