Time-outs spare late shares and copies; a group's pace is of sums; loads shun warm places

Loads of all fronts sought the same far engine and stood still behind each other; and a mean of ratios, ruled by batches whose cost was put too low, gave the rest up at once. A time-out now comes at the goal where a late answer earns, none is set where copies may be sent, a retry needs its bare run, a pace is a ratio of sums, and loads only shun the first places of their table order. May hurt where answers are lost and neither probes nor notes show it.

A list entry with no start time no longer counts as a restart.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -19,7 +19,7 @@
 from thistlelever.admission.interface import (
     Action, AskList, BatchTaken, Cancel, ClientLeft, Dispatch, DispatchEnded, Error, Event, Fate, FollowList,
     ListKind, ListTold, Manifest, Probe, ProbeEnded, ProgressNote, PushBack, Repeat, Reports, Scope, Shortage,
-    Standing, Terms, Tidings, Timer,
+    Standing, Terms, Tidings, Timer, TimerDue,
 )
 
 # The design's own figures: busy share that halves a bound, threads a core, places in a k-sequence.
@@ -89,6 +89,8 @@
         self.usual = [t.goal * t.width / (2 + 2 * t.goal_stretch) for t in groups]
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
         self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
+        self.spent = [work / t.width for work, t in zip(self.usual, groups, strict=True)]
+        self.meant = self.spent[:]
         self.kind_cores, self.kind_memory, self.most_grant = m.kind_cores, m.kind_memory, m.most_grant
         self.grants, self.priorities, self.tells_cost = m.grants, m.priorities, m.tells_cost
         self.pages, self.cancel, self.copies = m.shortage is Shortage.PAGE, m.cancel, m.copies
@@ -103,8 +105,8 @@
         self.sent: dict[tuple[int, int], Sent] = {}
         self.keys: dict[int, list[Batch]] = {}
         self.key_free: dict[int, float] = {}
-        self.took: deque[float] = deque()
-        self.extra: deque[float] = deque()
+        self.took, self.extra = deque(), deque()
+        self.window = m.allowance.window if m.allowance else 1.0
         self.alarm = False
         self.asks, self.ask_within, self.asked_at = m.asks_for_list, m.ask_within, -1e9
         # Engines, all under one dense index.
@@ -119,7 +121,7 @@
         self.ranks: dict[float, list[int]] = {}
         self.handlers = {
             BatchTaken: self.taken, DispatchEnded: self.ended, ProgressNote: self.noted,
-            ClientLeft: self.left, ProbeEnded: self.probed, ListTold: self.listed_anew,
+            ClientLeft: self.left, ProbeEnded: self.probed, ListTold: self.listed_anew, TimerDue: self.woken,
         }
 
     def handle(self, now: float, events: list[Event]) -> list[Action]:
@@ -128,12 +130,13 @@
             known = self.handlers.get(type(event))
             if known:
                 known(event)
-            else:
-                self.alarm = False
         self.release()
         self.upkeep()
         return self.actions
 
+    def woken(self, _: TimerDue) -> None:
+        self.alarm = False
+
     # A batch, from being taken to its one final answer.
 
     def course(self, b: Batch):
@@ -179,10 +182,9 @@
 
     def farewell(self, b: Batch) -> Action:
         t = self.groups[b.group]
-        harmless = not b.may_have_run and not b.out or t.repeat is Repeat.REPEATABLE
-        if harmless or t.repeat is Repeat.REFERENCED and t.scope is Scope.ALL:
-            return PushBack(b.id, min(self.longest_return, b.run))
-        return Error(b.id)
+        drops = t.repeat is Repeat.REFERENCED and t.scope is Scope.ALL
+        harmless = not b.may_have_run or t.repeat is Repeat.REPEATABLE or drops
+        return PushBack(b.id, min(self.longest_return, b.run)) if harmless else Error(b.id)
 
     def may_go_again(self, b: Batch) -> bool:
         if b.dispatches >= self.most[b.group] or self.now + b.run >= b.limit_at or not self.affords(b):
@@ -193,14 +195,14 @@
         """Whether the budget of further dispatches has room for one of this batch's."""
         if not b.dispatches or not self.allowance:
             return True
-        a = self.allowance
-        since = self.now - a.window
-        while self.took and self.took[0] <= since:
-            self.took.popleft()
         # Kept a tick longer than what was taken, so that rounding never frees a place early.
-        while self.extra and self.extra[0] < since - self.tick:
-            self.extra.popleft()
-        return len(self.extra) + 1 <= a.floor + a.share * len(self.took)
+        self.trim(self.extra, self.window + self.tick)
+        self.trim(self.took, self.window)
+        return len(self.extra) + 1 <= self.allowance.floor + self.allowance.share * len(self.took)
+
+    def trim(self, times: deque[float], window: float) -> None:
+        while times and times[0] <= self.now - window:
+            times.popleft()
 
     def behind(self, b: Batch, note: ProgressNote) -> bool:
         """A bad plan: the rest of this dispatch would outlast a fresh one of a batch that may run again."""
@@ -258,7 +260,10 @@
                 self.cost_bias[g] *= 1 + PACE / 4 * (min(max(told.true_work / s.work, 0.25), 4.0) - 1)
                 if s.memory:
                     self.memory_bias[g] *= 1 + PACE / 4 * (min(told.true_memory * 1.15 / s.memory, 2.0) - 1)
-            self.pace[g] += PACE * (min(told.took * s.width / s.work, 30.0) - self.pace[g])
+            # Of sums, as a mean of ratios is ruled by the batches whose cost was put too low.
+            self.spent[g] += PACE * (told.took - self.spent[g])
+            self.meant[g] += PACE * (b.run - self.meant[g])
+            self.pace[g] = self.spent[g] / self.meant[g]
         # Risk: an engine that swallows some of what it gets, or errs in no time, looks well by its
         # answers alone. A time-out counts for the time it took, an error for the goal that it cost.
         if told.fate is Fate.RETURNED or told.fate is Fate.TIMED_OUT:
@@ -324,7 +329,7 @@
                     (self.full_till, 0.0), (self.probe_at, 0.0), (self.own, {}), (self.cold, deque()),
                 ):
                     row.append(first)
-            elif e.started > self.started[i]:
+            elif e.started > max(self.started[i], 0.0):
                 self.restarted(i, e.started)
             self.listed[i] = e.standing is Standing.READY
         self.ranks.clear()
@@ -361,8 +366,8 @@
         self.bound[i] = max(self.bound[i] / 2, self.narrow)
 
     def paced(self, i: int, sample: float) -> None:
-        self.slow[i] = self.pace_of(i)
-        self.slow[i] *= exp(PACE * log(min(max(sample, 0.1), 30.0) / self.slow[i]))
+        old = self.pace_of(i)
+        self.slow[i] = old * (min(max(sample, 0.1), 30.0) / old) ** PACE
         self.slow_at[i] = self.now
 
     def pace_of(self, i: int) -> float:
@@ -458,7 +463,7 @@
         slow = [self.pace_of(j) for j in range(len(self.id))]
         usual = median(slow[j] for j in can)
         ranks, loads = self.order(b.tables), self.groups[b.group].holds_tables
-        best, choice = 1e9, can[0]
+        costs = []
         for i in can:
             sent = self.fresh[i] * self.fronts + self.line[i]
             load = self.busy[i] + sent / (self.cores[i] * self.warmth(i))
@@ -466,15 +471,12 @@
             if not loads:
                 cost += STEP * ranks[i]
             elif self.any_yields:
-                cost -= STEP * ranks[i]
-            if self.zone[i] != self.home:
-                cost += self.crossing
-            if i in b.tried:
-                cost += 1
-            cost -= SPREAD * -log(-log(self.chance()))
-            if cost < best:
-                best, choice = cost, i
-        return choice
+                cost += 1 / (1 + ranks[i])
+            cost += self.crossing * (self.zone[i] != self.home)
+            # Whatever ailed the dispatch before, it is worth an engine's load to go elsewhere.
+            cost += i in b.tried
+            costs.append((cost + SPREAD * log(-log(self.chance())), i))
+        return min(costs)[1]
 
     def chance(self) -> float:
         self.draws += 1
@@ -502,7 +504,7 @@
 
     def hopeless(self, b: Batch) -> bool:
         """Held so long that it cannot finish in time; one just taken may still unlearn a bad pace."""
-        return self.now + (self.needs(b) if b.taken < self.now else b.run) > b.goal_at
+        return self.now + (b.run if b.dispatches or b.taken == self.now else self.needs(b)) > b.goal_at
 
     def needs(self, b: Batch) -> float:
         """The time to set aside for one run, at the pace that its group has been seen to run.
@@ -525,7 +527,8 @@
             if not self.guarded(b, i):
                 return False
             self.unhold(b)
-            self.advance(b, i)
+            # Risk: the budget that it had when it asked again may have run out while it was held.
+            self.advance(b, i if self.affords(b) else None)
             return True
         return False
 
@@ -565,9 +568,6 @@
             del queue[bisect_left(queue, b)]
 
     def dispatch(self, b: Batch, i: int) -> None:
-        if not self.affords(b):
-            self.advance(b, None)
-            return
         if b.dispatches:
             self.extra.append(self.now)
         s = Sent(b, i, self.now, b.work)
@@ -579,7 +579,6 @@
         self.sent[b.id, s.number] = b.out[s.number] = self.own[i][b.id, s.number] = s
         b.may_have_run.append((s.number, i, self.now))
         b.dispatches += 1
-        # Whatever ailed the one before, a whole engine's load away is the better place to try again.
         b.tried.add(i)
         s.mark = self.faded[i]
         self.fresh[i] += b.width
@@ -594,11 +593,16 @@
         """How long a dispatch may go unanswered before another is tried; 0: to the time limit.
 
         Against dispatches that vanish, whatever swallows them: the next one still meets the goal.
-        Never under four times the group's usual, so that it does not trip while all are slow.
+        Never under four times the group's usual, so that it does not trip while all are slow. None where
+        copies are allowed: work that a time-out does not stop costs more there, and probes find silence.
         """
-        if b.dispatches + 1 >= self.most[b.group] or self.groups[b.group].repeat is Repeat.ONCE_ONLY:
+        once = self.groups[b.group].repeat is Repeat.ONCE_ONLY
+        if self.copies or once or b.dispatches + 1 >= self.most[b.group]:
             return 0.0
-        return max(b.goal_at - self.now - self.needs(b), 4 * b.run * max(self.pace[b.group], 1.0))
+        left = b.goal_at - self.now
+        # Where a late answer earns too, one that only runs long must not be cut off for a swallowed one.
+        left -= 0.0 if self.groups[b.group].late_share else self.needs(b)
+        return max(left, 4 * b.run * max(self.pace[b.group], 1.0))
 
     # Upkeep.
 
@@ -607,16 +611,13 @@
             self.asked_at = self.now
             self.actions += [FollowList(), AskList()]
         if self.probing and self.open:
-            rate = max(len(self.took), 1)
-            while self.took and self.took[0] < self.now - 1 and not self.allowance:
-                self.took.popleft()
-            every = max(2 * sum(self.listed) / rate, 2 * self.tick)
+            # One probe for two batches: reports stay as fresh as the traffic that needs them.
+            self.trim(self.took, self.window)
+            every = max(2 * sum(self.listed) * self.window / max(len(self.took), 1), 2 * self.tick)
             for i in range(len(self.id)):
                 if self.listed[i] and self.now - self.probe_at[i] >= every:
                     self.probe_at[i] = self.now
                     self.actions.append(Probe(self.id[i]))
-        elif not self.allowance:
-            self.took.clear()
         if not self.alarm and (any(self.queues) or self.probing and self.open):
             self.alarm = True
             self.actions.append(Timer(4 * self.tick, 0))
