--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -254,22 +254,22 @@
             self.failed(i)
         elif told.fate is Fate.RETURNED:
             self.lives(i)
-        if told.fate is Fate.RETURNED:
-            g = b.group
-            if self.tells_cost and told.true_work:
-                self.cost_bias[g] *= 1 + PACE / 4 * (min(max(told.true_work / s.work, 0.25), 4.0) - 1)
-                if s.memory:
-                    self.memory_bias[g] *= 1 + PACE / 4 * (min(told.true_memory * 1.15 / s.memory, 2.0) - 1)
-            # Of sums, as a mean of ratios is ruled by the batches whose cost was put too low.
+        g = b.group
+        if told.fate is Fate.RETURNED or told.fate is Fate.TIMED_OUT:
+            # Of sums, as a mean of ratios is ruled by the batches whose cost was put too low. Time-outs
+            # count, or a day on which all are slow would cut off just the dispatches that show it.
             self.spent[g] += PACE * (told.took - self.spent[g])
             self.meant[g] += PACE * (b.run - self.meant[g])
             self.pace[g] = self.spent[g] / self.meant[g]
-        # Risk: an engine that swallows some of what it gets, or errs in no time, looks well by its
-        # answers alone. A time-out counts for the time it took, an error for the goal that it cost.
-        if told.fate is Fate.RETURNED or told.fate is Fate.TIMED_OUT:
+            # Risk: an engine that swallows some of what it gets, or errs in no time, looks well by its
+            # answers alone. A time-out counts for the time it took, an error for the goal that it cost.
             self.paced(i, told.took * s.width / (told.true_work or s.work))
         elif told.fate is Fate.ERRORED:
             self.paced(i, (b.goal_at - b.taken) / b.run)
+        if told.fate is Fate.RETURNED and self.tells_cost and told.true_work:
+            self.cost_bias[g] *= 1 + PACE / 4 * (min(max(told.true_work / s.work, 0.25), 4.0) - 1)
+            if s.memory:
+                self.memory_bias[g] *= 1 + PACE / 4 * (min(told.true_memory * 1.15 / s.memory, 2.0) - 1)
         if b.key and told.fate in MAY_RUN_ON and self.groups[b.group].in_order:
             self.key_free[b.key] = self.now + self.key_rest
         if not b.answered:
