--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -413,8 +413,6 @@
             return False
         if b.may_have_run:
             _, first, at = b.may_have_run[0]
-            if t.repeat is Repeat.ONCE_ONLY:
-                return False
             forgotten = self.now - at >= t.window
             if t.repeat is Repeat.REFERENCED and (forgotten or not self.same(t.scope, first, i)):
                 return False
