--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -113,6 +113,7 @@
         self.index: dict[bytes, int] = {}
         self.id, self.zone, self.cell, self.kind, self.listed, self.started = [], [], [], [], [], []
         self.cores, self.memory, self.bound, self.last, self.reported, self.gap = [], [], [], [], [], []
+        self.least, self.turn = [], []
         self.busy, self.line, self.granted, self.fresh, self.fresh_memory, self.faded = [], [], [], [], [], []
         self.heard, self.down = [], []
         self.slow, self.slow_at, self.shun, self.doubt, self.full_till, self.probe_at = [], [], [], [], [], []
@@ -317,11 +318,12 @@
             if i is None:
                 i = self.index[e.id] = len(self.id)
                 cores = self.kind_cores[e.kind]
-                bound = max(cores * THREADS_A_CORE / self.fronts, self.narrow)
+                share = cores * THREADS_A_CORE / self.fronts
                 for row, first in (
                     (self.id, e.id), (self.zone, e.zone), (self.cell, e.cell), (self.kind, e.kind),
                     (self.listed, False), (self.started, e.started or -1e9), (self.cores, cores),
-                    (self.memory, self.kind_memory[e.kind]), (self.bound, bound), (self.last, ()),
+                    (self.memory, self.kind_memory[e.kind]), (self.bound, share), (self.last, ()),
+                    (self.least, min(share, self.narrow)), (self.turn, 0.0),
                     (self.reported, self.now), (self.gap, 0.5), (self.busy, 0.0), (self.line, 0.0),
                     (self.granted, 0.0), (self.fresh, 0.0), (self.fresh_memory, 0.0), (self.faded, 0.0),
                     (self.heard, self.now), (self.down, False),
@@ -358,12 +360,13 @@
         busy = max(busy, disk, held / (self.cores[i] * THREADS_A_CORE))
         self.busy[i], self.line[i], self.granted[i] = busy, max(line, 0.0), max(granted, 0.0)
         if busy < BUSY:
-            self.bound[i] = min(self.bound[i] + width, self.cores[i] * THREADS_A_CORE)
+            step = width * self.least[i] / self.narrow
+            self.bound[i] = min(self.bound[i] + step, self.cores[i] * THREADS_A_CORE)
         else:
             self.halve(i)
 
     def halve(self, i: int) -> None:
-        self.bound[i] = max(self.bound[i] / 2, self.narrow)
+        self.bound[i] = max(self.bound[i] / 2, self.least[i])
 
     def paced(self, i: int, sample: float) -> None:
         old = self.pace_of(i)
@@ -387,7 +390,7 @@
     def restarted(self, i: int, when: float) -> None:
         """Back to the start: a bound that it earned before it went down lets all fronts flood it."""
         self.started[i] = max(self.started[i], when)
-        self.bound[i] = max(self.cores[i] * THREADS_A_CORE / self.fronts, self.narrow)
+        self.bound[i] = self.cores[i] * THREADS_A_CORE / self.fronts
         self.doubt[i], self.shun[i], self.down[i], self.slow[i] = 0.0, 0.0, False, 1.0
 
     def warmth(self, i: int) -> float:
@@ -422,7 +425,19 @@
             # Past its memory such an engine slows all that it holds, so this bound has no floor.
             return False
         threads = sum(s.width for s in self.own[i].values())
-        return threads + b.width <= self.bound[i] or not self.pressed(i)
+        return threads + b.width <= self.bound[i] or not self.pressed(i) or self.its_turn(b, i)
+
+    def its_turn(self, b: Batch, i: int) -> bool:
+        """Where a front's share of a pressed engine is less than a batch, it gets one now and then.
+
+        Risk: a floor of one batch for each front is, with many fronts, several engines' worth. Turns
+        come by chance, at the rate at which the share would be used on average, and lapse unused.
+        """
+        if self.own[i] or self.bound[i] >= b.width:
+            return False
+        if self.turn[i] + b.run < self.now:
+            self.turn[i] = self.now - log(self.chance()) * b.work / self.bound[i]
+        return self.turn[i] <= self.now
 
     def placed(self, t, i: int) -> bool:
         return (t.zones is None or self.zone[i] in t.zones) and (t.kinds is None or self.kind[i] in t.kinds)
@@ -578,6 +593,7 @@
         b.may_have_run.append((s.number, i, self.now))
         b.dispatches += 1
         b.tried.add(i)
+        self.turn[i] = 0.0
         s.mark = self.faded[i]
         self.fresh[i] += b.width
         self.fresh_memory[i] += b.memory
