--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -87,6 +87,7 @@
         self.loads_shun = [t.holds_tables or t.yields_to_loads for t in groups]
         self.narrow = max(t.width for t in groups)
         self.usual = [t.goal * t.width / (2 + 2 * t.goal_stretch) for t in groups]
+        self.mean_work = min(self.usual)
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
         self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
         self.spent = [work / t.width for work, t in zip(self.usual, groups, strict=True)]
@@ -226,6 +227,7 @@
         b.work = told.work * self.cost_bias[g] if told.work else self.usual[g]
         if told.work:
             self.usual[g] += PACE * (b.work - self.usual[g])
+        self.mean_work += PACE * (b.work - self.mean_work)
         b.memory = told.memory * self.memory_bias[g]
         b.run = b.work / t.width
         b.goal_at = min(self.now + t.goal + t.goal_stretch * b.run, b.limit_at)
@@ -401,9 +403,18 @@
     def pressed(self, i: int) -> bool:
         if self.line[i] >= 1 or self.now < self.full_till[i]:
             return True
-        # What the other fronts have sent since the report is not known: they act on like reports, so they
-        # are taken to have sent as much. Risk: all fronts pour at once onto an engine that looks free.
-        return self.busy[i] + self.fresh[i] * self.fronts / (self.cores[i] * self.warmth(i)) >= BUSY
+        return self.load_of(i) >= BUSY
+
+    def load_of(self, i: int) -> float:
+        """The busy share reported, and what all fronts are taken to have sent since.
+
+        The others act on like reports, so each is taken to have sent as much. Risk: all pour at once onto
+        an engine that looks free. All together no more than it turns over between two reports. Risk:
+        with many fronts a single send makes this one flee an engine that nobody else has found.
+        """
+        turnover = self.cores[i] * self.gap[i] / self.mean_work
+        alike = self.fronts * turnover / (self.fronts + turnover)
+        return self.busy[i] + self.fresh[i] * max(alike, 1.0) / (self.cores[i] * self.warmth(i))
 
     def takes(self, b: Batch, i: int) -> bool:
         """The rules and the bound, for one more dispatch of this batch to this engine."""
@@ -478,8 +489,7 @@
         ranks, loads = self.order(b.tables), self.groups[b.group].holds_tables
         costs = []
         for i in can:
-            sent = self.fresh[i] * self.fronts + self.line[i]
-            load = self.busy[i] + sent / (self.cores[i] * self.warmth(i))
+            load = self.load_of(i) + self.line[i] / (self.cores[i] * self.warmth(i))
             cost = (0.5 + load) * max(slow[i] / usual, 1.0)
             if not loads:
                 cost += STEP * ranks[i]
