--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -31,6 +31,9 @@
 SPREAD = 0.05
 # What one place further down a table group's own order of engines costs, in shares of an engine.
 STEP = 0.2
+# How many engines a draw looks at: the first of the order that may take the batch, and some at random.
+# Fewer, and a hot table group finds no way out; more, and all engines read all table groups.
+NEAR, FAR = 8, 2
 HOLD, WAIT = "hold", "wait"
 NEVER_RAN = frozenset((Fate.FULL, Fate.UNREACHABLE, Fate.UNSENT))
 MAY_RUN_ON = frozenset((Fate.TIMED_OUT, Fate.RESET, Fate.CANCELLED))
@@ -82,12 +85,14 @@
         self.wanted = [min(PLACES, round(PLACES * (1 + t.utility / top) / 2)) for t in groups]
         self.most = [1 + round((m.most_dispatches - 1) * max(t.utility / top, 0.5)) for t in groups]
         self.success = [deque([0] * PLACES, PLACES) for _ in groups]
+        self.far = [-1] * len(groups)
         self.queues: list[list[Batch]] = [[] for _ in groups]
         self.any_yields = any(t.yields_to_loads for t in groups)
         self.loads_shun = [t.holds_tables or t.yields_to_loads for t in groups]
         self.narrow = max(t.width for t in groups)
         self.usual = [t.goal * t.width / (2 + 2 * t.goal_stretch) for t in groups]
-        self.mean_work = min(self.usual)
+        self.turn = 0.0
+        self.mean_work, self.mean_busy = min(self.usual), 0.0
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
         self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
         self.spent = [work / t.width for work, t in zip(self.usual, groups, strict=True)]
@@ -114,7 +119,7 @@
         self.index: dict[bytes, int] = {}
         self.id, self.zone, self.cell, self.kind, self.listed, self.started = [], [], [], [], [], []
         self.cores, self.memory, self.bound, self.last, self.reported, self.gap = [], [], [], [], [], []
-        self.least, self.turn = [], []
+        self.least, self.told_at, self.threads = [], [], []
         self.busy, self.line, self.granted, self.fresh, self.fresh_memory, self.faded = [], [], [], [], [], []
         self.heard, self.down = [], []
         self.slow, self.slow_at, self.shun, self.doubt, self.full_till, self.probe_at = [], [], [], [], [], []
@@ -180,6 +185,7 @@
         b.answered = True
         self.open.pop(b.id, None)
         self.success[b.group].append(1 if in_time else 0)
+        self.far[b.group] = -1
         self.clear_key(b)
 
     def farewell(self, b: Batch) -> Action:
@@ -232,7 +238,9 @@
         b.run = b.work / t.width
         b.goal_at = min(self.now + t.goal + t.goal_stretch * b.run, b.limit_at)
         self.open[b.id] = b
-        self.took.append(self.now)
+        if self.allowance:
+            self.trim(self.took, self.window)
+            self.took.append(self.now)
         if t.in_order and b.key:
             self.keys.setdefault(b.key, []).append(b)
         b.course = self.course(b)
@@ -243,6 +251,7 @@
         b, i = s.batch, s.engine
         b.out.pop(s.number, None)
         self.own[i].pop((told.batch, told.number), None)
+        self.threads[i] -= s.width
         left = exp(s.mark - self.faded[i])
         self.fresh[i] = max(self.fresh[i] - s.width * left, 0.0)
         self.fresh_memory[i] = max(self.fresh_memory[i] - s.memory * left, 0.0)
@@ -303,6 +312,7 @@
 
     def probed(self, told: ProbeEnded) -> None:
         i = self.index[told.engine]
+        self.probe_at[i] = -1e9
         if told.fate is Fate.RETURNED:
             self.lives(i)
             self.report(i, told.report, 1)
@@ -325,12 +335,12 @@
                     (self.id, e.id), (self.zone, e.zone), (self.cell, e.cell), (self.kind, e.kind),
                     (self.listed, False), (self.started, e.started or -1e9), (self.cores, cores),
                     (self.memory, self.kind_memory[e.kind]), (self.bound, share), (self.last, ()),
-                    (self.least, min(share, self.narrow)), (self.turn, 0.0),
+                    (self.least, min(share, self.narrow)), (self.told_at, -1e9), (self.threads, 0),
                     (self.reported, self.now), (self.gap, 0.5), (self.busy, 0.0), (self.line, 0.0),
                     (self.granted, 0.0), (self.fresh, 0.0), (self.fresh_memory, 0.0), (self.faded, 0.0),
                     (self.heard, self.now), (self.down, False),
                     (self.slow, 1.0), (self.slow_at, self.now), (self.shun, 0.0), (self.doubt, 0.0),
-                    (self.full_till, 0.0), (self.probe_at, 0.0), (self.own, {}), (self.cold, deque()),
+                    (self.full_till, 0.0), (self.probe_at, -1e9), (self.own, {}), (self.cold, deque()),
                 ):
                     row.append(first)
             elif e.started > max(self.started[i], 0.0):
@@ -349,6 +359,7 @@
         self.faded[i] += age
         self.fresh[i] *= exp(-age)
         self.fresh_memory[i] *= exp(-age)
+        self.told_at[i] = self.now
         if values == self.last[i]:
             return
         if self.last[i]:
@@ -356,11 +367,12 @@
         self.last[i], self.reported[i] = values, self.now
         busy, line, held, disk, granted = (values[f] if 0 <= f < len(values) else -1.0 for f in self.fields)
         if busy < 0:
-            busy = sum(s.width for s in self.own[i].values()) * self.fronts / self.cores[i]
+            busy = self.threads[i] * self.fronts / self.cores[i]
         # Batches that stand still behind a load or a disk leave the cores idle: risk, an engine that is
         # jammed reports no work and is sent ever more. What it holds and its disks count as well.
         busy = max(busy, disk, held / (self.cores[i] * THREADS_A_CORE))
         self.busy[i], self.line[i], self.granted[i] = busy, max(line, 0.0), max(granted, 0.0)
+        self.mean_busy += PACE * (busy - self.mean_busy)
         if busy < BUSY:
             step = width * self.least[i] / self.narrow
             self.bound[i] = min(self.bound[i] + step, self.cores[i] * THREADS_A_CORE)
@@ -414,14 +426,21 @@
         """
         turnover = self.cores[i] * self.gap[i] / self.mean_work
         alike = self.fronts * turnover / (self.fronts + turnover)
-        return self.busy[i] + self.fresh[i] * max(alike, 1.0) / (self.cores[i] * self.warmth(i))
+        # An old report tells ever less of this engine, so it gives way to what all were last heard to be.
+        # Risk: at a front that hears seldom, whatever it has not heard of lately looks idle, and is fled to.
+        trust = self.forget / (self.forget + self.now - self.told_at[i])
+        busy = self.mean_busy + trust * (self.busy[i] - self.mean_busy)
+        return busy + self.fresh[i] * max(alike, 1.0) / (self.cores[i] * self.warmth(i))
 
     def takes(self, b: Batch, i: int) -> bool:
         """The rules and the bound, for one more dispatch of this batch to this engine."""
         t = self.groups[b.group]
         # Where it can be probed, an engine in doubt is tried by probes alone: what is sent to an engine
         # that takes all and answers nothing piles up there, and each trial costs a batch its goal.
-        if not self.listed[i] or self.now < self.shun[i] or self.doubt[i] and self.probing:
+        if not self.listed[i] or self.now < self.shun[i]:
+            return False
+        if self.doubt[i] and self.probing:
+            self.ask(i)
             return False
         if not self.placed(t, i):
             return False
@@ -435,20 +454,19 @@
         if self.pages and self.granted[i] + (self.fresh_memory[i] + b.memory) / self.memory[i] > 1:
             # Past its memory such an engine slows all that it holds, so this bound has no floor.
             return False
-        threads = sum(s.width for s in self.own[i].values())
-        return threads + b.width <= self.bound[i] or not self.pressed(i) or self.its_turn(b, i)
+        return True
 
-    def its_turn(self, b: Batch, i: int) -> bool:
-        """Where a front's share of a pressed engine is less than a batch, it gets one now and then.
+    def within(self, b: Batch, i: int) -> bool:
+        """The bound, which binds only under pressure."""
+        return self.threads[i] + b.width <= self.bound[i] or not self.pressed(i)
 
-        Risk: a floor of one batch for each front is, with many fronts, several engines' worth. Turns
-        come by chance, at the rate at which the share would be used on average, and lapse unused.
+    def in_turn(self) -> bool:
+        """Where a front's share of an engine is less than a batch, it has its share of all instead.
+
+        Risk: a floor of one batch for each front and engine is, with many fronts, several engines' worth
+        on each. So a pressed fleet takes a batch for each time that the shares would have run one.
         """
-        if self.own[i] or self.bound[i] >= b.width:
-            return False
-        if self.turn[i] + b.run < self.now:
-            self.turn[i] = self.now - log(self.chance()) * b.work / self.bound[i]
-        return self.turn[i] <= self.now
+        return self.now >= self.turn
 
     def placed(self, t, i: int) -> bool:
         return (t.zones is None or self.zone[i] in t.zones) and (t.kinds is None or self.kind[i] in t.kinds)
@@ -472,34 +490,73 @@
         if tables not in self.ranks:
             if len(self.ranks) > 4096:
                 self.ranks.clear()
-            known = [(crc32(b"%a %b" % (tables, e)), i) for i, e in enumerate(self.id)]
-            ready = sorted(place for place in known if self.listed[place[1]])
-            ranks = [len(ready)] * len(self.id)
-            for rank, (_, i) in enumerate(ready):
-                ranks[i] = rank
-            self.ranks[tables] = ranks
+            ready = (i for i, listed in enumerate(self.listed) if listed)
+            self.ranks[tables] = sorted(ready, key=lambda i: (crc32(b"%a %b" % (tables, self.id[i])), i))
         return self.ranks[tables]
 
+    def sample(self, b: Batch, loads: bool) -> list[tuple[int, int]]:
+        """The engines to draw from, each with its place: the first of the order, and some far down it.
+
+        Looking at all for each batch costs a large fleet's fronts their time, and scatters the reading.
+        """
+        order = self.order(b.tables)
+        places = list(enumerate(order))
+        if loads and self.any_yields:
+            places.reverse()
+        can: list[tuple[int, int]] = []
+        for at, (rank, i) in enumerate(places):
+            if self.takes(b, i):
+                can.append((rank, i))
+                if len(can) == NEAR:
+                    rest = places[at + 1:]
+                    far = {int(self.chance() * len(rest)) for _ in range(FAR)} if rest else ()
+                    return can + [rest[k] for k in sorted(far) if self.takes(b, rest[k][1])]
+        return can
+
     def draw(self, b: Batch) -> int | None:
-        can = [i for i in range(len(self.id)) if self.takes(b, i)]
-        if not can:
-            return None
-        slow = [self.pace_of(j) for j in range(len(self.id))]
-        usual = median(slow[j] for j in can)
-        ranks, loads = self.order(b.tables), self.groups[b.group].holds_tables
+        loads = self.groups[b.group].holds_tables
+        can = self.sample(b, loads)
+        free = [place for place in can if self.within(b, place[1])]
+        if not free:
+            free = [(r, i) for r, i in can if self.least[i] < self.narrow and not self.own[i]]
+            if not free or not self.in_turn():
+                return None
+        slow = [self.pace_of(i) for _, i in free]
+        usual = median(slow)
         costs = []
-        for i in can:
+        for (rank, i), pace in zip(free, slow, strict=True):
             load = self.load_of(i) + self.line[i] / (self.cores[i] * self.warmth(i))
-            cost = (0.5 + load) * max(slow[i] / usual, 1.0)
+            cost = (0.5 + load) * max(pace / usual, 1.0)
             if not loads:
-                cost += STEP * ranks[i]
+                cost += STEP * rank
             elif self.any_yields:
-                cost += 1 / (1 + ranks[i])
+                cost += 1 / (1 + rank)
             cost += self.crossing * (self.zone[i] != self.home)
             # Whatever ailed the dispatch before, it is worth an engine's load to go elsewhere.
             cost += i in b.tried
             costs.append((cost + SPREAD * log(-log(self.chance())), i))
-        return min(costs)[1]
+        return min(costs)[1] if self.informed(costs) else None
+
+    def informed(self, costs: list[tuple[float, int]]) -> bool:
+        """Whether the best of the drawn is known well enough; if not, it and the next are asked.
+
+        Risk: fronts that carry little hear of an engine once in many seconds, and all send blindly. The
+        fuller the fleet, the newer a report must be; a fleet with room is not worth the questions.
+        """
+        if not self.probing:
+            return True
+        known = True
+        for place, (_, i) in enumerate(sorted(costs)[:2]):
+            old = max(self.gap[i], self.forget * (1 - self.mean_busy))
+            if self.now - self.told_at[i] > old and (place == 0 or not known):
+                known = False
+                self.ask(i)
+        return known
+
+    def ask(self, i: int) -> None:
+        if self.now - self.probe_at[i] > 2 * self.connect_limit:
+            self.probe_at[i] = self.now
+            self.actions.append(Probe(self.id[i]))
 
     def chance(self) -> float:
         self.draws += 1
@@ -508,14 +565,19 @@
     # The release.
 
     def distance(self, g: int) -> int:
-        left = self.wanted[g]
+        if self.far[g] >= 0:
+            return self.far[g]
+        self.far[g], left = 0, self.wanted[g]
         for position, one in enumerate(reversed(self.success[g]), 1):
             left -= one
             if not left:
-                return PLACES - position + 1
-        return 0
+                self.far[g] = PLACES - position + 1
+                break
+        return self.far[g]
 
     def release(self) -> None:
+        if not any(self.queues):
+            return
         for queue in self.queues:
             for b in [b for b in queue if self.hopeless(b)]:
                 self.unhold(b)
@@ -603,8 +665,12 @@
         b.may_have_run.append((s.number, i, self.now))
         b.dispatches += 1
         b.tried.add(i)
-        self.turn[i] = 0.0
+        if self.least[i] < self.narrow:
+            pool = sum(bound for bound, listed in zip(self.bound, self.listed, strict=True) if listed)
+            self.turn = max(self.turn, self.now) + b.work * max(self.pace[b.group], 1.0) / pool
+            self.turn = min(self.turn, self.now + self.forget)
         s.mark = self.faded[i]
+        self.threads[i] += b.width
         self.fresh[i] += b.width
         self.fresh_memory[i] += b.memory
         if self.warmth(i) < 1.0:
@@ -634,14 +700,6 @@
         if self.asks and self.now - self.asked_at > self.ask_within / 2:
             self.asked_at = self.now
             self.actions += [FollowList(), AskList()]
-        if self.probing and self.open:
-            # One probe for two batches: reports stay as fresh as the traffic that needs them.
-            self.trim(self.took, self.window)
-            every = max(2 * sum(self.listed) * self.window / max(len(self.took), 1), 2 * self.tick)
-            for i in range(len(self.id)):
-                if self.listed[i] and self.now - self.probe_at[i] >= every:
-                    self.probe_at[i] = self.now
-                    self.actions.append(Probe(self.id[i]))
-        if not self.alarm and (any(self.queues) or self.probing and self.open):
+        if not self.alarm and any(self.queues):
             self.alarm = True
             self.actions.append(Timer(4 * self.tick, 0))
