--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -262,7 +262,9 @@
             self.halve(i)
             self.full_till[i] = self.now + self.gap[i]
         elif told.fate in (Fate.UNREACHABLE, Fate.RESET):
-            self.down[i] = True
+            # Risk: an engine whose answers go missing resets too; taken for down each time, it would count
+            # as cold without end. Only a connection refused shows that nothing runs there.
+            self.down[i] |= told.fate is Fate.UNREACHABLE
             self.failed(i)
         elif told.fate is Fate.RETURNED:
             self.lives(i)
@@ -317,7 +319,7 @@
             self.lives(i)
             self.report(i, told.report, 1)
         elif told.fate in (Fate.UNREACHABLE, Fate.RESET, Fate.TIMED_OUT):
-            self.down[i] |= told.fate is not Fate.TIMED_OUT
+            self.down[i] |= told.fate is Fate.UNREACHABLE
             self.failed(i)
 
     def listed_anew(self, told: ListTold) -> None:
