--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -53,11 +53,12 @@
     """One batch that this front holds or has out."""
 
     __slots__ = ("id", "group", "key", "width", "work", "memory", "tables", "taken", "goal_at", "limit_at",
-                 "run", "dispatches", "out", "may_have_run", "course", "held", "answered", "tried")
+                 "run", "dispatches", "out", "may_have_run", "course", "held", "answered", "tried", "new_till")
 
     def __init__(self, told: BatchTaken, width: int, now: float) -> None:
         self.id, self.group, self.key, self.tables = told.batch, told.group, told.key, told.tables
         self.width, self.taken, self.limit_at = width, now, now + told.time_limit
+        self.new_till = now
         self.dispatches, self.out = 0, {}
         self.may_have_run: list[tuple[int, int, float]] = []
         self.held = self.answered = False
@@ -520,6 +521,10 @@
         can = self.sample(b, loads)
         free = [place for place in can if self.within(b, place[1])]
         if not free:
+            if self.probing:
+                # Pressed, perhaps only by this front's own sends, which nothing but a report lets fade.
+                for _, i in can[:2]:
+                    self.ask_after(i, self.gap[i])
             free = [(r, i) for r, i in can if self.least[i] < self.narrow and not self.own[i]]
             if not free or not self.in_turn():
                 return None
@@ -537,7 +542,11 @@
             # Whatever ailed the dispatch before, it is worth an engine's load to go elsewhere.
             cost += i in b.tried
             costs.append((cost + SPREAD * log(-log(self.chance())), i))
-        return min(costs)[1] if self.informed(costs) else None
+        if self.informed(costs):
+            return min(costs)[1]
+        # Waiting for word is not being held: it goes on counting as just taken.
+        b.new_till = self.now + self.connect_limit
+        return None
 
     def informed(self, costs: list[tuple[float, int]]) -> bool:
         """Whether the best of the drawn is known well enough; if not, it and the next are asked.
@@ -550,11 +559,17 @@
         known = True
         for place, (_, i) in enumerate(sorted(costs)[:2]):
             old = max(self.gap[i], self.forget * (1 - self.mean_busy))
-            if self.now - self.told_at[i] > old and (place == 0 or not known):
+            if (place == 0 or not known) and self.ask_after(i, old):
                 known = False
-                self.ask(i)
         return known
 
+    def ask_after(self, i: int, old: float) -> bool:
+        """Probe the engine if its last report is older than this."""
+        if self.now - self.told_at[i] > old:
+            self.ask(i)
+            return True
+        return False
+
     def ask(self, i: int) -> None:
         if self.now - self.probe_at[i] > 2 * self.connect_limit:
             self.probe_at[i] = self.now
@@ -591,7 +606,7 @@
 
     def hopeless(self, b: Batch) -> bool:
         """Held so long that it cannot finish in time; one just taken may still unlearn a bad pace."""
-        return self.now + (b.run if b.dispatches or b.taken == self.now else self.needs(b)) > b.goal_at
+        return self.now + (b.run if b.dispatches or self.now <= b.new_till else self.needs(b)) > b.goal_at
 
     def needs(self, b: Batch) -> float:
         """The time to set aside for one run, at the pace that its group has been seen to run.
