--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -92,7 +92,9 @@
         self.loads_shun = [t.holds_tables or t.yields_to_loads for t in groups]
         self.narrow = max(t.width for t in groups)
         self.usual = [t.goal * t.width / (2 + 2 * t.goal_stretch) for t in groups]
-        self.turn = 0.0
+        # Whether a front's share of an engine is less than a batch; whether it lets all out as it comes.
+        self.shares = max(m.kind_cores, default=0) * THREADS_A_CORE / m.fronts < self.narrow
+        self.flowing, self.turn = True, 0.0
         self.mean_work, self.mean_busy = min(self.usual), 0.0
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
         self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
@@ -420,6 +422,10 @@
             return True
         return self.load_of(i) >= BUSY
 
+    def alike(self, i: int) -> float:
+        turnover = self.cores[i] * THREADS_A_CORE * self.gap[i] / self.mean_work
+        return max(self.fronts * turnover / (self.fronts + turnover), 1.0)
+
     def load_of(self, i: int) -> float:
         """The busy share reported, and what all fronts are taken to have sent since.
 
@@ -427,13 +433,11 @@
         an engine that looks free. All together no more than it turns over between two reports. Risk:
         with many fronts a single send makes this one flee an engine that nobody else has found.
         """
-        turnover = self.cores[i] * self.gap[i] / self.mean_work
-        alike = self.fronts * turnover / (self.fronts + turnover)
         # An old report tells ever less of this engine, so it gives way to what all were last heard to be.
         # Risk: at a front that hears seldom, whatever it has not heard of lately looks idle, and is fled to.
         trust = self.forget / (self.forget + self.now - self.told_at[i])
         busy = self.mean_busy + trust * (self.busy[i] - self.mean_busy)
-        return busy + self.fresh[i] * max(alike, 1.0) / (self.cores[i] * self.warmth(i))
+        return busy + self.fresh[i] * self.alike(i) / (self.cores[i] * self.warmth(i))
 
     def takes(self, b: Batch, i: int) -> bool:
         """The rules and the bound, for one more dispatch of this batch to this engine."""
@@ -454,7 +458,8 @@
                 return False
         if self.warmth(i) < 1.0 and not self.cold_room(b, i):
             return False
-        if self.pages and self.granted[i] + (self.fresh_memory[i] + b.memory) / self.memory[i] > 1:
+        if self.pages and self.granted[i] + (
+                self.fresh_memory[i] * self.alike(i) + b.memory) / self.memory[i] > 1:
             # Past its memory such an engine slows all that it holds, so this bound has no floor.
             return False
         return True
@@ -463,14 +468,22 @@
         """The bound, which binds only under pressure."""
         return self.threads[i] + b.width <= self.bound[i] or not self.pressed(i)
 
-    def in_turn(self) -> bool:
+    def in_turn(self, b: Batch) -> bool:
         """Where a front's share of an engine is less than a batch, it has its share of all instead.
 
         Risk: a floor of one batch for each front and engine is, with many fronts, several engines' worth
-        on each. So a pressed fleet takes a batch for each time that the shares would have run one.
+        on each. So once nothing is free, a front lets out a batch for each time that its shares would have
+        run one, from a moment that differs by front, until it holds none: or all that the fronts have held
+        back goes at once when the engines are next reported free.
         """
+        if self.flowing:
+            self.flowing, self.turn = False, self.now + self.chance() * self.spacing(b)
         return self.now >= self.turn
 
+    def spacing(self, b: Batch) -> float:
+        pool = sum(bound for bound, listed in zip(self.bound, self.listed, strict=True) if listed)
+        return min(b.work * max(self.pace[b.group], 1.0) / max(pool, 1e-9), self.forget)
+
     def placed(self, t, i: int) -> bool:
         return (t.zones is None or self.zone[i] in t.zones) and (t.kinds is None or self.kind[i] in t.kinds)
 
@@ -520,14 +533,15 @@
         loads = self.groups[b.group].holds_tables
         can = self.sample(b, loads)
         free = [place for place in can if self.within(b, place[1])]
+        if not free and self.probing:
+            # Pressed, perhaps only by this front's own sends, which nothing but a report lets fade.
+            for _, i in can[:2]:
+                self.ask_after(i, self.gap[i])
+        if self.shares and not (free and self.flowing) and not self.in_turn(b):
+            return None
+        free = free or [(r, i) for r, i in can if self.shares and not self.own[i]]
         if not free:
-            if self.probing:
-                # Pressed, perhaps only by this front's own sends, which nothing but a report lets fade.
-                for _, i in can[:2]:
-                    self.ask_after(i, self.gap[i])
-            free = [(r, i) for r, i in can if self.least[i] < self.narrow and not self.own[i]]
-            if not free or not self.in_turn():
-                return None
+            return None
         slow = [self.pace_of(i) for _, i in free]
         usual = median(slow)
         costs = []
@@ -594,6 +608,7 @@
 
     def release(self) -> None:
         if not any(self.queues):
+            self.flowing = True
             return
         for queue in self.queues:
             for b in [b for b in queue if self.hopeless(b)]:
@@ -621,7 +636,7 @@
                 continue
             i = self.draw(b)
             if i is None:
-                if b.may_have_run:
+                if b.may_have_run or self.now < b.new_till:
                     continue
                 return False
             if self.conflict(b, i):
@@ -682,10 +697,8 @@
         b.may_have_run.append((s.number, i, self.now))
         b.dispatches += 1
         b.tried.add(i)
-        if self.least[i] < self.narrow:
-            pool = sum(bound for bound, listed in zip(self.bound, self.listed, strict=True) if listed)
-            self.turn = max(self.turn, self.now) + b.work * max(self.pace[b.group], 1.0) / pool
-            self.turn = min(self.turn, self.now + self.forget)
+        if not self.flowing:
+            self.turn = self.now + self.spacing(b)
         s.mark = self.faded[i]
         self.threads[i] += b.width
         self.fresh[i] += b.width
