--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -460,7 +460,10 @@
             return False
         if self.pages and self.granted[i] + (
                 self.fresh_memory[i] * self.alike(i) + b.memory) / self.memory[i] > 1:
-            # Past its memory such an engine slows all that it holds, so this bound has no floor.
+            # Past its memory such an engine slows all that it holds, so this bound has no floor. Risk: what
+            # is never sent to is never heard of again, and stays full in this front's eyes.
+            if self.probing:
+                self.ask_after(i, self.gap[i])
             return False
         return True
 
