--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -34,6 +34,9 @@
 # How many engines a draw looks at: the first of the order that may take the batch, and some at random.
 # Fewer, and a hot table group finds no way out; more, and all engines read all table groups.
 NEAR, FAR = 8, 2
+# How many engines one draw may ask for word: the likeliest and the next, so that one silent engine
+# does not hold a batch up. Each probe has a price.
+ASKS = 2
 HOLD, WAIT = "hold", "wait"
 NEVER_RAN = frozenset((Fate.FULL, Fate.UNREACHABLE, Fate.UNSENT))
 MAY_RUN_ON = frozenset((Fate.TIMED_OUT, Fate.RESET, Fate.CANCELLED))
@@ -122,13 +125,13 @@
         self.index: dict[bytes, int] = {}
         self.id, self.zone, self.cell, self.kind, self.listed, self.started = [], [], [], [], [], []
         self.cores, self.memory, self.bound, self.last, self.reported, self.gap = [], [], [], [], [], []
-        self.least, self.told_at, self.threads = [], [], []
+        self.least, self.told_at, self.threads, self.alike = [], [], [], []
         self.busy, self.line, self.granted, self.fresh, self.fresh_memory, self.faded = [], [], [], [], [], []
         self.heard, self.down = [], []
         self.slow, self.slow_at, self.shun, self.doubt, self.full_till, self.probe_at = [], [], [], [], [], []
         self.own: list[dict[tuple[int, int], Sent]] = []
         self.cold: list[deque[tuple[float, float]]] = []
-        self.ranks: dict[float, list[int]] = {}
+        self.ranks: dict[float, list[tuple[int, int]]] = {}
         self.handlers = {
             BatchTaken: self.taken, DispatchEnded: self.ended, ProgressNote: self.noted,
             ClientLeft: self.left, ProbeEnded: self.probed, ListTold: self.listed_anew, TimerDue: self.woken,
@@ -340,7 +343,7 @@
                     (self.id, e.id), (self.zone, e.zone), (self.cell, e.cell), (self.kind, e.kind),
                     (self.listed, False), (self.started, e.started or -1e9), (self.cores, cores),
                     (self.memory, self.kind_memory[e.kind]), (self.bound, share), (self.last, ()),
-                    (self.least, min(share, self.narrow)), (self.told_at, -1e9), (self.threads, 0),
+                    (self.least, min(share, self.narrow)), (self.told_at, -1e9), (self.threads, 0), (self.alike, self.fronts),
                     (self.reported, self.now), (self.gap, 0.5), (self.busy, 0.0), (self.line, 0.0),
                     (self.granted, 0.0), (self.fresh, 0.0), (self.fresh_memory, 0.0), (self.faded, 0.0),
                     (self.heard, self.now), (self.down, False),
@@ -365,6 +368,8 @@
         self.fresh[i] *= exp(-age)
         self.fresh_memory[i] *= exp(-age)
         self.told_at[i] = self.now
+        turnover = self.cores[i] * THREADS_A_CORE * self.gap[i] / self.mean_work
+        self.alike[i] = max(self.fronts * turnover / (self.fronts + turnover), 1.0)
         if values == self.last[i]:
             return
         if self.last[i]:
@@ -414,18 +419,16 @@
 
     def warmth(self, i: int) -> float:
         """The share of its capacity that the engine surely has."""
-        age = max(self.now - self.started[i], 0.0) / self.warm_after
-        return 1.0 if age >= 1 else self.cold_share + (1 - self.cold_share) * age
+        age = self.now - self.started[i]
+        if age >= self.warm_after:
+            return 1.0
+        return self.cold_share + (1 - self.cold_share) * max(age, 0.0) / self.warm_after
 
     def pressed(self, i: int) -> bool:
         if self.line[i] >= 1 or self.now < self.full_till[i]:
             return True
         return self.load_of(i) >= BUSY
 
-    def alike(self, i: int) -> float:
-        turnover = self.cores[i] * THREADS_A_CORE * self.gap[i] / self.mean_work
-        return max(self.fronts * turnover / (self.fronts + turnover), 1.0)
-
     def load_of(self, i: int) -> float:
         """The busy share reported, and what all fronts are taken to have sent since.
 
@@ -437,7 +440,7 @@
         # Risk: at a front that hears seldom, whatever it has not heard of lately looks idle, and is fled to.
         trust = self.forget / (self.forget + self.now - self.told_at[i])
         busy = self.mean_busy + trust * (self.busy[i] - self.mean_busy)
-        return busy + self.fresh[i] * self.alike(i) / (self.cores[i] * self.warmth(i))
+        return busy + self.fresh[i] * self.alike[i] / (self.cores[i] * self.warmth(i))
 
     def takes(self, b: Batch, i: int) -> bool:
         """The rules and the bound, for one more dispatch of this batch to this engine."""
@@ -456,14 +459,11 @@
             forgotten = self.now - at >= t.window
             if t.repeat is Repeat.REFERENCED and (forgotten or not self.same(t.scope, first, i)):
                 return False
-        if self.warmth(i) < 1.0 and not self.cold_room(b, i):
+        if self.now - self.started[i] < self.warm_after and not self.cold_room(b, i):
             return False
         if self.pages and self.granted[i] + (
-                self.fresh_memory[i] * self.alike(i) + b.memory) / self.memory[i] > 1:
-            # Past its memory such an engine slows all that it holds, so this bound has no floor. Risk: what
-            # is never sent to is never heard of again, and stays full in this front's eyes.
-            if self.probing:
-                self.ask_after(i, self.gap[i])
+                self.fresh_memory[i] * self.alike[i] + b.memory) / self.memory[i] > 1:
+            # Past its memory such an engine slows all that it holds, so this bound has no floor.
             return False
         return True
 
@@ -504,13 +504,14 @@
         room = self.fall_multiple * self.warmth(i) * self.cores[i] * BUSY * self.fall_window / self.fronts / 2
         return sum(w for _, w in sent) + max(self.usual[b.group], b.work) <= room
 
-    def order(self, tables: float) -> list[int]:
+    def order(self, tables: float) -> list[tuple[int, int]]:
         """Every front agrees without a word on which engines keep a table group warm."""
         if tables not in self.ranks:
             if len(self.ranks) > 4096:
                 self.ranks.clear()
             ready = (i for i, listed in enumerate(self.listed) if listed)
-            self.ranks[tables] = sorted(ready, key=lambda i: (crc32(b"%a %b" % (tables, self.id[i])), i))
+            ranked = sorted(ready, key=lambda i: (crc32(b"%a %b" % (tables, self.id[i])), i))
+            self.ranks[tables] = list(enumerate(ranked))
         return self.ranks[tables]
 
     def sample(self, b: Batch, loads: bool) -> list[tuple[int, int]]:
@@ -518,11 +519,11 @@
 
         Looking at all for each batch costs a large fleet's fronts their time, and scatters the reading.
         """
-        order = self.order(b.tables)
-        places = list(enumerate(order))
+        places = self.order(b.tables)
         if loads and self.any_yields:
-            places.reverse()
+            places = places[::-1]
         can: list[tuple[int, int]] = []
+        asks = ASKS if self.probing else 0
         for at, (rank, i) in enumerate(places):
             if self.takes(b, i):
                 can.append((rank, i))
@@ -530,6 +531,9 @@
                     rest = places[at + 1:]
                     far = {int(self.chance() * len(rest)) for _ in range(FAR)} if rest else ()
                     return can + [rest[k] for k in sorted(far) if self.takes(b, rest[k][1])]
+            elif asks and self.now >= self.shun[i] and self.ask_after(i, self.gap[i]):
+                # Risk: what is never sent to is never heard of again, and stays full in this front's eyes.
+                asks -= 1
         return can
 
     def draw(self, b: Batch) -> int | None:
@@ -538,7 +542,7 @@
         free = [place for place in can if self.within(b, place[1])]
         if not free and self.probing:
             # Pressed, perhaps only by this front's own sends, which nothing but a report lets fade.
-            for _, i in can[:2]:
+            for _, i in can[:ASKS]:
                 self.ask_after(i, self.gap[i])
         if self.shares and not (free and self.flowing) and not self.in_turn(b):
             return None
@@ -568,15 +572,15 @@
     def informed(self, costs: list[tuple[float, int]]) -> bool:
         """Whether the best of the drawn is known well enough; if not, it and the next are asked.
 
-        Risk: fronts that carry little hear of an engine once in many seconds, and all send blindly. The
-        fuller the fleet, the newer a report must be; a fleet with room is not worth the questions.
+        Risk: fronts that carry little hear of an engine once in many seconds, and all send blindly. A
+        report counts for as long as the next one takes, also while there is room: a fleet fills in less
+        time than a front that sends seldom needs to learn of it.
         """
         if not self.probing:
             return True
         known = True
-        for place, (_, i) in enumerate(sorted(costs)[:2]):
-            old = max(self.gap[i], self.forget * (1 - self.mean_busy))
-            if (place == 0 or not known) and self.ask_after(i, old):
+        for place, (_, i) in enumerate(sorted(costs)[:ASKS]):
+            if (place == 0 or not known) and self.ask_after(i, self.gap[i]):
                 known = False
         return known
 
@@ -735,4 +739,4 @@
             self.actions += [FollowList(), AskList()]
         if not self.alarm and any(self.queues):
             self.alarm = True
-            self.actions.append(Timer(4 * self.tick, 0))
+            self.actions.append(Timer(10 * self.tick, 0))
