--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -383,14 +383,15 @@
         busy = max(busy, disk, held / (self.cores[i] * THREADS_A_CORE))
         self.busy[i], self.line[i], self.granted[i] = busy, max(line, 0.0), max(granted, 0.0)
         self.mean_busy += PACE * (busy - self.mean_busy)
-        if busy < BUSY:
+        if max(busy, granted if self.pages else 0.0) < BUSY:
             step = width * self.least[i] / self.narrow
             self.bound[i] = min(self.bound[i] + step, self.cores[i] * THREADS_A_CORE)
         else:
             self.halve(i)
 
     def halve(self, i: int) -> None:
-        self.bound[i] = max(self.bound[i] / 2, self.least[i])
+        # A share under one batch has no floor, as all fronts together must be able to fall below what fits.
+        self.bound[i] = max(self.bound[i] / 2, 0.0 if self.shares else self.least[i])
 
     def paced(self, i: int, sample: float) -> None:
         old = self.pace_of(i)
