--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -119,7 +119,7 @@
         self.key_free: dict[int, float] = {}
         self.took, self.extra = deque(), deque()
         self.window = m.allowance.window if m.allowance else 1.0
-        self.alarm = False
+        self.alarm = float("inf")
         self.asks, self.ask_within, self.asked_at = m.asks_for_list, m.ask_within, -1e9
         # Engines, all under one dense index.
         self.index: dict[bytes, int] = {}
@@ -148,7 +148,9 @@
         return self.actions
 
     def woken(self, _: TimerDue) -> None:
-        self.alarm = False
+        # Half a tick's grace, as a carrier rounds the delay and may come a moment early.
+        if self.now >= self.alarm - self.tick / 2:
+            self.alarm = float("inf")
 
     # A batch, from being taken to its one final answer.
 
@@ -738,6 +740,10 @@
         if self.asks and self.now - self.asked_at > self.ask_within / 2:
             self.asked_at = self.now
             self.actions += [FollowList(), AskList()]
-        if not self.alarm and any(self.queues):
-            self.alarm = True
-            self.actions.append(Timer(10 * self.tick, 0))
+        held = [q[0].goal_at for q in self.queues if q]
+        if held:
+            # Risk: a client with little time left is lost between two looks at what is held.
+            due = self.now + min(10 * self.tick, max(min(held) - self.now, self.tick))
+            if due < self.alarm:
+                self.alarm = due
+                self.actions.append(Timer(due - self.now, 0))
