--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -45,8 +45,6 @@
 class Sent:
     """One dispatch that is out."""
 
-    __slots__ = ("batch", "number", "engine", "at", "work", "width", "memory", "share", "mark")
-
     def __init__(self, batch: Batch, engine: int, now: float, work: float) -> None:
         self.batch, self.number, self.engine, self.at = batch, batch.dispatches, engine, now
         self.work, self.width, self.memory, self.share = work, batch.width, batch.memory, 0.0
@@ -55,9 +53,6 @@
 class Batch:
     """One batch that this front holds or has out."""
 
-    __slots__ = ("id", "group", "key", "width", "work", "memory", "tables", "taken", "goal_at", "limit_at",
-                 "run", "dispatches", "out", "may_have_run", "course", "held", "answered", "tried", "new_till")
-
     def __init__(self, told: BatchTaken, width: int, now: float) -> None:
         self.id, self.group, self.key, self.tables = told.batch, told.group, told.key, told.tables
         self.width, self.taken, self.limit_at = width, now, now + told.time_limit
@@ -89,16 +84,16 @@
         self.wanted = [min(PLACES, round(PLACES * (1 + t.utility / top) / 2)) for t in groups]
         self.most = [1 + round((m.most_dispatches - 1) * max(t.utility / top, 0.5)) for t in groups]
         self.success = [deque([0] * PLACES, PLACES) for _ in groups]
-        self.far = [-1] * len(groups)
         self.queues: list[list[Batch]] = [[] for _ in groups]
         self.any_yields = any(t.yields_to_loads for t in groups)
         self.loads_shun = [t.holds_tables or t.yields_to_loads for t in groups]
         self.narrow = max(t.width for t in groups)
         self.usual = [t.goal * t.width / (2 + 2 * t.goal_stretch) for t in groups]
         # Whether a front's share of an engine is less than a batch; whether it lets all out as it comes.
-        self.shares = max(m.kind_cores, default=0) * THREADS_A_CORE / m.fronts < self.narrow
+        self.step = min(max(m.kind_cores, default=0) * THREADS_A_CORE / m.fronts / self.narrow, 1.0)
+        self.shares = self.step < 1.0
         self.flowing, self.turn = True, 0.0
-        self.mean_work, self.mean_busy = min(self.usual), 0.0
+        self.mean_work = min(self.usual)
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
         self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
         self.spent = [work / t.width for work, t in zip(self.usual, groups, strict=True)]
@@ -125,10 +120,8 @@
         self.index: dict[bytes, int] = {}
         self.id, self.zone, self.cell, self.kind, self.listed, self.started = [], [], [], [], [], []
         self.cores, self.memory, self.bound, self.last, self.reported, self.gap = [], [], [], [], [], []
-        self.least, self.told_at, self.threads, self.alike = [], [], [], []
-        self.busy, self.line, self.granted, self.fresh, self.fresh_memory, self.faded = [], [], [], [], [], []
-        self.heard, self.down = [], []
-        self.slow, self.slow_at, self.shun, self.doubt, self.full_till, self.probe_at = [], [], [], [], [], []
+        self.told_at, self.threads, self.alike, self.busy, self.granted, self.down = [], [], [], [], [], []
+        self.slow, self.slow_at, self.shun, self.doubt, self.probe_at = [], [], [], [], []
         self.own: list[dict[tuple[int, int], Sent]] = []
         self.cold: list[deque[tuple[float, float]]] = []
         self.ranks: dict[float, list[tuple[int, int]]] = {}
@@ -183,17 +176,15 @@
             insort(self.queues[b.group], b)
         elif type(wish) is int:
             self.dispatch(b, wish)
-        elif type(wish) is Cancel:
-            self.actions.append(wish)
         elif wish is not WAIT:
             self.actions.append(wish)
-            self.close(b, False)
+            if type(wish) is not Cancel:
+                self.close(b, False)
 
     def close(self, b: Batch, in_time: bool) -> None:
         b.answered = True
         self.open.pop(b.id, None)
         self.success[b.group].append(1 if in_time else 0)
-        self.far[b.group] = -1
         self.clear_key(b)
 
     def farewell(self, b: Batch) -> Action:
@@ -209,12 +200,13 @@
 
     def affords(self, b: Batch) -> bool:
         """Whether the budget of further dispatches has room for one of this batch's."""
-        if not b.dispatches or not self.allowance:
+        if not self.allowance:
             return True
         # Kept a tick longer than what was taken, so that rounding never frees a place early.
         self.trim(self.extra, self.window + self.tick)
         self.trim(self.took, self.window)
-        return len(self.extra) + 1 <= self.allowance.floor + self.allowance.share * len(self.took)
+        room = self.allowance.floor + self.allowance.share * len(self.took)
+        return not b.dispatches or len(self.extra) + 1 <= room
 
     def trim(self, times: deque[float], window: float) -> None:
         while times and times[0] <= self.now - window:
@@ -247,7 +239,6 @@
         b.goal_at = min(self.now + t.goal + t.goal_stretch * b.run, b.limit_at)
         self.open[b.id] = b
         if self.allowance:
-            self.trim(self.took, self.window)
             self.took.append(self.now)
         if t.in_order and b.key:
             self.keys.setdefault(b.key, []).append(b)
@@ -260,15 +251,12 @@
         b.out.pop(s.number, None)
         self.own[i].pop((told.batch, told.number), None)
         self.threads[i] -= s.width
-        left = exp(s.mark - self.faded[i])
-        self.fresh[i] = max(self.fresh[i] - s.width * left, 0.0)
-        self.fresh_memory[i] = max(self.fresh_memory[i] - s.memory * left, 0.0)
         self.report(i, told.report, s.width)
         if told.fate in NEVER_RAN:
             b.may_have_run = [r for r in b.may_have_run if r[0] != s.number]
         if told.fate is Fate.FULL:
             self.halve(i)
-            self.full_till[i] = self.now + self.gap[i]
+            self.busy[i] = max(self.busy[i], 1.0)
         elif told.fate in (Fate.UNREACHABLE, Fate.RESET):
             # Risk: an engine whose answers go missing resets too; taken for down each time, it would count
             # as cold without end. Only a connection refused shows that nothing runs there.
@@ -340,17 +328,14 @@
             if i is None:
                 i = self.index[e.id] = len(self.id)
                 cores = self.kind_cores[e.kind]
-                share = cores * THREADS_A_CORE / self.fronts
                 for row, first in (
                     (self.id, e.id), (self.zone, e.zone), (self.cell, e.cell), (self.kind, e.kind),
                     (self.listed, False), (self.started, e.started or -1e9), (self.cores, cores),
-                    (self.memory, self.kind_memory[e.kind]), (self.bound, share), (self.last, ()),
-                    (self.least, min(share, self.narrow)), (self.told_at, -1e9), (self.threads, 0), (self.alike, self.fronts),
-                    (self.reported, self.now), (self.gap, 0.5), (self.busy, 0.0), (self.line, 0.0),
-                    (self.granted, 0.0), (self.fresh, 0.0), (self.fresh_memory, 0.0), (self.faded, 0.0),
-                    (self.heard, self.now), (self.down, False),
-                    (self.slow, 1.0), (self.slow_at, self.now), (self.shun, 0.0), (self.doubt, 0.0),
-                    (self.full_till, 0.0), (self.probe_at, -1e9), (self.own, {}), (self.cold, deque()),
+                    (self.memory, self.kind_memory[e.kind]), (self.last, ()), (self.reported, self.now),
+                    (self.bound, cores * THREADS_A_CORE / self.fronts), (self.gap, 0.5), (self.told_at, -1e9),
+                    (self.threads, 0), (self.alike, self.fronts), (self.busy, 0.0), (self.granted, 0.0),
+                    (self.down, False), (self.slow, 1.0), (self.slow_at, self.now), (self.shun, 0.0),
+                    (self.doubt, 0.0), (self.probe_at, -1e9), (self.own, {}), (self.cold, deque()),
                 ):
                     row.append(first)
             elif e.started > max(self.started[i], 0.0):
@@ -363,12 +348,6 @@
     def report(self, i: int, values: tuple[float, ...], width: int) -> None:
         if not values:
             return
-        # Own sends count on top of a report until reports have had the time to show them. Risk: an
-        # engine that has fallen silent looks ever emptier, so without reports nothing fades.
-        age, self.heard[i] = (self.now - self.heard[i]) / self.gap[i], self.now
-        self.faded[i] += age
-        self.fresh[i] *= exp(-age)
-        self.fresh_memory[i] *= exp(-age)
         self.told_at[i] = self.now
         turnover = self.cores[i] * THREADS_A_CORE * self.gap[i] / self.mean_work
         self.alike[i] = max(self.fronts * turnover / (self.fronts + turnover), 1.0)
@@ -383,17 +362,17 @@
         # Batches that stand still behind a load or a disk leave the cores idle: risk, an engine that is
         # jammed reports no work and is sent ever more. What it holds and its disks count as well.
         busy = max(busy, disk, held / (self.cores[i] * THREADS_A_CORE))
-        self.busy[i], self.line[i], self.granted[i] = busy, max(line, 0.0), max(granted, 0.0)
-        self.mean_busy += PACE * (busy - self.mean_busy)
+        # A line means that the engine is full, whatever its cores do.
+        busy = max(busy, BUSY) + line / self.cores[i] if line >= 1 else busy
+        self.busy[i], self.granted[i] = busy, max(granted, 0.0)
         if max(busy, granted if self.pages else 0.0) < BUSY:
-            step = width * self.least[i] / self.narrow
-            self.bound[i] = min(self.bound[i] + step, self.cores[i] * THREADS_A_CORE)
+            self.bound[i] = min(self.bound[i] + width * self.step, self.cores[i] * THREADS_A_CORE)
         else:
             self.halve(i)
 
     def halve(self, i: int) -> None:
         # A share under one batch has no floor, as all fronts together must be able to fall below what fits.
-        self.bound[i] = max(self.bound[i] / 2, 0.0 if self.shares else self.least[i])
+        self.bound[i] = max(self.bound[i] / 2, 0.0 if self.shares else self.narrow)
 
     def paced(self, i: int, sample: float) -> None:
         old = self.pace_of(i)
@@ -411,14 +390,15 @@
     def lives(self, i: int) -> None:
         if self.down[i]:
             # It was down and answers: it may be cold before the list says so.
-            self.restarted(i, self.now)
-        self.doubt[i], self.shun[i], self.down[i] = 0.0, 0.0, False
+            return self.restarted(i, self.now)
+        self.doubt[i], self.shun[i] = 0.0, 0.0
 
     def restarted(self, i: int, when: float) -> None:
         """Back to the start: a bound that it earned before it went down lets all fronts flood it."""
         self.started[i] = max(self.started[i], when)
         self.bound[i] = self.cores[i] * THREADS_A_CORE / self.fronts
-        self.doubt[i], self.shun[i], self.down[i], self.slow[i] = 0.0, 0.0, False, 1.0
+        self.slow[i], self.down[i] = 1.0, False
+        self.lives(i)
 
     def warmth(self, i: int) -> float:
         """The share of its capacity that the engine surely has."""
@@ -428,22 +408,24 @@
         return self.cold_share + (1 - self.cold_share) * max(age, 0.0) / self.warm_after
 
     def pressed(self, i: int) -> bool:
-        if self.line[i] >= 1 or self.now < self.full_till[i]:
-            return True
         return self.load_of(i) >= BUSY
 
+    def unseen(self, i: int) -> list[Sent]:
+        """What this front has sent that the last report cannot show yet.
+
+        Risk: an engine that has fallen silent looks ever emptier, so without reports all that is out counts.
+        """
+        return [s for s in self.own[i].values() if s.at > self.told_at[i] - self.gap[i]]
+
     def load_of(self, i: int) -> float:
         """The busy share reported, and what all fronts are taken to have sent since.
 
-        The others act on like reports, so each is taken to have sent as much. Risk: all pour at once onto
-        an engine that looks free. All together no more than it turns over between two reports. Risk:
-        with many fronts a single send makes this one flee an engine that nobody else has found.
+        The others act on like reports, so each is taken to have sent as much, all together no more than the
+        engine turns over between two reports. Risk: too few, and all pour at once onto an engine that looks
+        free; too many, and a single send makes a front flee an engine that nobody else has found.
         """
-        # An old report tells ever less of this engine, so it gives way to what all were last heard to be.
-        # Risk: at a front that hears seldom, whatever it has not heard of lately looks idle, and is fled to.
-        trust = self.forget / (self.forget + self.now - self.told_at[i])
-        busy = self.mean_busy + trust * (self.busy[i] - self.mean_busy)
-        return busy + self.fresh[i] * self.alike[i] / (self.cores[i] * self.warmth(i))
+        sent = sum(s.width for s in self.unseen(i))
+        return self.busy[i] + sent * self.alike[i] / (self.cores[i] * self.warmth(i))
 
     def takes(self, b: Batch, i: int) -> bool:
         """The rules and the bound, for one more dispatch of this batch to this engine."""
@@ -464,11 +446,11 @@
                 return False
         if self.now - self.started[i] < self.warm_after and not self.cold_room(b, i):
             return False
-        if self.pages and self.granted[i] + (
-                self.fresh_memory[i] * self.alike[i] + b.memory) / self.memory[i] > 1:
-            # Past its memory such an engine slows all that it holds, so this bound has no floor.
-            return False
-        return True
+        if not self.pages:
+            return True
+        # Past its memory such an engine slows all that it holds, so this bound has no floor.
+        sent = sum(s.memory for s in self.unseen(i)) * self.alike[i]
+        return self.granted[i] + (sent + b.memory) / self.memory[i] <= 1
 
     def within(self, b: Batch, i: int) -> bool:
         """The bound, which binds only under pressure."""
@@ -477,10 +459,9 @@
     def in_turn(self, b: Batch) -> bool:
         """Where a front's share of an engine is less than a batch, it has its share of all instead.
 
-        Risk: a floor of one batch for each front and engine is, with many fronts, several engines' worth
-        on each. So once nothing is free, a front lets out a batch for each time that its shares would have
-        run one, from a moment that differs by front, until it holds none: or all that the fronts have held
-        back goes at once when the engines are next reported free.
+        Risk: one batch for each front and engine is, with many fronts, several engines' worth on each, and
+        what all have held back goes at once when engines are next reported free. So once nothing is free, a
+        batch goes for each time that the shares would have run one, until none is held.
         """
         if self.flowing:
             self.flowing, self.turn = False, self.now + self.chance() * self.spacing(b)
@@ -534,7 +515,7 @@
                     rest = places[at + 1:]
                     far = {int(self.chance() * len(rest)) for _ in range(FAR)} if rest else ()
                     return can + [rest[k] for k in sorted(far) if self.takes(b, rest[k][1])]
-            elif asks and self.now >= self.shun[i] and self.ask_after(i, self.gap[i]):
+            elif asks and self.now >= self.shun[i] and self.ask(i):
                 # Risk: what is never sent to is never heard of again, and stays full in this front's eyes.
                 asks -= 1
         return can
@@ -546,7 +527,7 @@
         if not free and self.probing:
             # Pressed, perhaps only by this front's own sends, which nothing but a report lets fade.
             for _, i in can[:ASKS]:
-                self.ask_after(i, self.gap[i])
+                self.ask(i)
         if self.shares and not (free and self.flowing) and not self.in_turn(b):
             return None
         free = free or [(r, i) for r, i in can if self.shares and not self.own[i]]
@@ -556,8 +537,7 @@
         usual = median(slow)
         costs = []
         for (rank, i), pace in zip(free, slow, strict=True):
-            load = self.load_of(i) + self.line[i] / (self.cores[i] * self.warmth(i))
-            cost = (0.5 + load) * max(pace / usual, 1.0)
+            cost = (0.5 + self.load_of(i)) * max(pace / usual, 1.0)
             if not loads:
                 cost += STEP * rank
             elif self.any_yields:
@@ -566,38 +546,24 @@
             # Whatever ailed the dispatch before, it is worth an engine's load to go elsewhere.
             cost += i in b.tried
             costs.append((cost + SPREAD * log(-log(self.chance())), i))
-        if self.informed(costs):
-            return min(costs)[1]
-        # Waiting for word is not being held: it goes on counting as just taken.
+        best = [i for _, i in sorted(costs)[:ASKS]]
+        if not self.probing or not self.ask(best[0]):
+            return best[0]
+        # Risk: fronts that carry little hear of an engine once in many seconds, and all send blindly. Nor is
+        # waiting for word being held: the batch goes on counting as just taken.
+        for i in best[1:]:
+            self.ask(i)
         b.new_till = self.now + self.connect_limit
         return None
 
-    def informed(self, costs: list[tuple[float, int]]) -> bool:
-        """Whether the best of the drawn is known well enough; if not, it and the next are asked.
-
-        Risk: fronts that carry little hear of an engine once in many seconds, and all send blindly. A
-        report counts for as long as the next one takes, also while there is room: a fleet fills in less
-        time than a front that sends seldom needs to learn of it.
-        """
-        if not self.probing:
-            return True
-        known = True
-        for place, (_, i) in enumerate(sorted(costs)[:ASKS]):
-            if (place == 0 or not known) and self.ask_after(i, self.gap[i]):
-                known = False
-        return known
-
-    def ask_after(self, i: int, old: float) -> bool:
-        """Probe the engine if its last report is older than this."""
-        if self.now - self.told_at[i] > old:
-            self.ask(i)
-            return True
-        return False
-
-    def ask(self, i: int) -> None:
+    def ask(self, i: int) -> bool:
+        """Probe the engine, unless a probe is out, if its next report has had the time to come."""
+        if self.now - self.told_at[i] <= self.gap[i]:
+            return False
         if self.now - self.probe_at[i] > 2 * self.connect_limit:
             self.probe_at[i] = self.now
             self.actions.append(Probe(self.id[i]))
+        return True
 
     def chance(self) -> float:
         self.draws += 1
@@ -606,15 +572,12 @@
     # The release.
 
     def distance(self, g: int) -> int:
-        if self.far[g] >= 0:
-            return self.far[g]
-        self.far[g], left = 0, self.wanted[g]
+        left = self.wanted[g]
         for position, one in enumerate(reversed(self.success[g]), 1):
             left -= one
             if not left:
-                self.far[g] = PLACES - position + 1
-                break
-        return self.far[g]
+                return PLACES - position + 1
+        return 0
 
     def release(self) -> None:
         if not any(self.queues):
@@ -709,10 +672,7 @@
         b.tried.add(i)
         if not self.flowing:
             self.turn = self.now + self.spacing(b)
-        s.mark = self.faded[i]
         self.threads[i] += b.width
-        self.fresh[i] += b.width
-        self.fresh_memory[i] += b.memory
         if self.warmth(i) < 1.0:
             self.cold[i].append((self.now, max(self.usual[b.group], b.work)))
         if self.doubt[i]:
