--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -16,11 +16,7 @@
 from statistics import median
 from zlib import crc32
 
-from thistlelever.admission.interface import (
-    Action, AskList, BatchTaken, Cancel, ClientLeft, Dispatch, DispatchEnded, Error, Event, Fate, FollowList,
-    ListKind, ListTold, Manifest, Probe, ProbeEnded, ProgressNote, PushBack, Repeat, Reports, Scope, Shortage,
-    Standing, Terms, Tidings, Timer, TimerDue,
-)
+from thistlelever.admission import interface as it
 
 # The design's own figures: busy share that halves a bound, threads a core, places in a k-sequence.
 BUSY, THREADS_A_CORE, PLACES = 0.85, 2.0, 20
@@ -31,15 +27,16 @@
 SPREAD = 0.05
 # What one place further down a table group's own order of engines costs, in shares of an engine.
 STEP = 0.2
-# How many engines a draw looks at: the first of the order that may take the batch, and some at random.
-# Fewer, and a hot table group finds no way out; more, and all engines read all table groups.
-NEAR, FAR = 8, 2
+# How many engines a draw looks at, of those that may take the batch, and how many of them are found by
+# chance in a large fleet, the others by the table group's order. Fewer, and a hot table group finds no
+# way out; more, and a front's time goes to looking.
+NEAR, FAR = 10, 2
 # How many engines one draw may ask for word: the likeliest and the next, so that one silent engine
 # does not hold a batch up. Each probe has a price.
 ASKS = 2
 HOLD, WAIT = "hold", "wait"
-NEVER_RAN = frozenset((Fate.FULL, Fate.UNREACHABLE, Fate.UNSENT))
-MAY_RUN_ON = frozenset((Fate.TIMED_OUT, Fate.RESET, Fate.CANCELLED))
+NEVER_RAN = frozenset((it.Fate.FULL, it.Fate.UNREACHABLE, it.Fate.UNSENT))
+MAY_RUN_ON = frozenset((it.Fate.TIMED_OUT, it.Fate.RESET, it.Fate.CANCELLED))
 
 
 class Sent:
@@ -53,7 +50,7 @@
 class Batch:
     """One batch that this front holds or has out."""
 
-    def __init__(self, told: BatchTaken, width: int, now: float) -> None:
+    def __init__(self, told: it.BatchTaken, width: int, now: float) -> None:
         self.id, self.group, self.key, self.tables = told.batch, told.group, told.key, told.tables
         self.width, self.taken, self.limit_at = width, now, now + told.time_limit
         self.new_till = now
@@ -61,6 +58,7 @@
         self.may_have_run: list[tuple[int, int, float]] = []
         self.held = self.answered = False
         self.tried: set[int] = set()
+        self.line: list[Batch] = []
 
     def __lt__(self, other: Batch) -> bool:
         return (self.goal_at, self.taken, self.id) < (other.goal_at, other.taken, other.id)
@@ -69,10 +67,10 @@
 class Front:
     """The decisions of one front. It knows its own events and nothing else."""
 
-    def __init__(self, manifest: Manifest, seed: int) -> None:
+    def __init__(self, manifest: it.Manifest, seed: int) -> None:
         m, groups = manifest, manifest.tariffs
         self.seed, self.draws, self.now = seed, 0, 0.0
-        self.actions: list[Action] = []
+        self.actions: list[it.Action] = []
         self.fronts, self.tick, self.groups = m.fronts, m.tick, groups
         self.home, self.crossing = m.zone, 10 * m.cross_price
         top = max(t.utility for t in groups)
@@ -86,28 +84,28 @@
         self.success = [deque([0] * PLACES, PLACES) for _ in groups]
         self.queues: list[list[Batch]] = [[] for _ in groups]
         self.any_yields = any(t.yields_to_loads for t in groups)
-        self.loads_shun = [t.holds_tables or t.yields_to_loads for t in groups]
         self.narrow = max(t.width for t in groups)
         self.usual = [t.goal * t.width / (2 + 2 * t.goal_stretch) for t in groups]
         # Whether a front's share of an engine is less than a batch; whether it lets all out as it comes.
-        self.step = min(max(m.kind_cores, default=0) * THREADS_A_CORE / m.fronts / self.narrow, 1.0)
+        threads = max(m.kind_cores, default=0) * THREADS_A_CORE
+        self.alike = min(m.fronts, threads * len(groups) / sum(t.width for t in groups))
+        self.step = min(threads / self.narrow / m.fronts, 1.0)
         self.shares = self.step < 1.0
         self.flowing, self.turn = True, 0.0
-        self.mean_work = min(self.usual)
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
         self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
         self.spent = [work / t.width for work, t in zip(self.usual, groups, strict=True)]
         self.meant = self.spent[:]
         self.kind_cores, self.kind_memory, self.most_grant = m.kind_cores, m.kind_memory, m.most_grant
         self.grants, self.priorities, self.tells_cost = m.grants, m.priorities, m.tells_cost
-        self.pages, self.cancel, self.copies = m.shortage is Shortage.PAGE, m.cancel, m.copies
+        self.pages, self.cancel, self.copies = m.shortage is it.Shortage.PAGE, m.cancel, m.copies
         self.longest_return = m.longest_return if m.names_return else 0.0
         self.connect_limit, self.key_rest, self.allowance = m.connect_limit, m.key_rest, m.allowance
         self.cold_share, self.warm_after = m.cold_share, m.warm_after
         self.fall_window, self.fall_multiple = m.fall_window, m.fall_multiple
         told = m.report_fields
         self.fields = [told.index(f) if f in told else -1 for f in ("util", "queue", "inflight", "x1", "x0")]
-        self.probing = m.probes and m.reports is Reports.WHEN_PROBED
+        self.probing = m.probes and m.reports is it.Reports.WHEN_PROBED
         self.open: dict[int, Batch] = {}
         self.sent: dict[tuple[int, int], Sent] = {}
         self.keys: dict[int, list[Batch]] = {}
@@ -120,17 +118,17 @@
         self.index: dict[bytes, int] = {}
         self.id, self.zone, self.cell, self.kind, self.listed, self.started = [], [], [], [], [], []
         self.cores, self.memory, self.bound, self.last, self.reported, self.gap = [], [], [], [], [], []
-        self.told_at, self.threads, self.alike, self.busy, self.granted, self.down = [], [], [], [], [], []
+        self.told_at, self.threads, self.busy, self.granted, self.down = [], [], [], [], []
         self.slow, self.slow_at, self.shun, self.doubt, self.probe_at = [], [], [], [], []
         self.own: list[dict[tuple[int, int], Sent]] = []
         self.cold: list[deque[tuple[float, float]]] = []
         self.ranks: dict[float, list[tuple[int, int]]] = {}
         self.handlers = {
-            BatchTaken: self.taken, DispatchEnded: self.ended, ProgressNote: self.noted,
-            ClientLeft: self.left, ProbeEnded: self.probed, ListTold: self.listed_anew, TimerDue: self.woken,
+            it.BatchTaken: self.taken, it.DispatchEnded: self.ended, it.ProgressNote: self.noted,
+            it.ClientLeft: self.left, it.ProbeEnded: self.probed, it.ListTold: self.listed_anew,
         }
 
-    def handle(self, now: float, events: list[Event]) -> list[Action]:
+    def handle(self, now: float, events: list[it.Event]) -> list[it.Action]:
         self.now, self.actions = now, []
         for event in events:
             known = self.handlers.get(type(event))
@@ -140,11 +138,6 @@
         self.upkeep()
         return self.actions
 
-    def woken(self, _: TimerDue) -> None:
-        # Half a tick's grace, as a carrier rounds the delay and may come a moment early.
-        if self.now >= self.alarm - self.tick / 2:
-            self.alarm = float("inf")
-
     # A batch, from being taken to its one final answer.
 
     def course(self, b: Batch):
@@ -154,8 +147,8 @@
                 break
             said = yield engine
             while b.out:
-                if type(said) is ProgressNote and self.behind(b, said):
-                    said = yield Cancel(b.id, said.number)
+                if type(said) is it.ProgressNote and self.behind(b, said):
+                    said = yield it.Cancel(b.id, said.number)
                 else:
                     said = yield WAIT
             if said.complete:
@@ -178,25 +171,26 @@
             self.dispatch(b, wish)
         elif wish is not WAIT:
             self.actions.append(wish)
-            if type(wish) is not Cancel:
+            if type(wish) is not it.Cancel:
                 self.close(b, False)
 
-    def close(self, b: Batch, in_time: bool) -> None:
+    def close(self, b: Batch, in_time: bool | None) -> None:
         b.answered = True
         self.open.pop(b.id, None)
-        self.success[b.group].append(1 if in_time else 0)
+        if in_time is not None:
+            self.success[b.group].append(int(in_time))
         self.clear_key(b)
 
-    def farewell(self, b: Batch) -> Action:
+    def farewell(self, b: Batch) -> it.Action:
         t = self.groups[b.group]
-        drops = t.repeat is Repeat.REFERENCED and t.scope is Scope.ALL
-        harmless = not b.may_have_run or t.repeat is Repeat.REPEATABLE or drops
-        return PushBack(b.id, min(self.longest_return, b.run)) if harmless else Error(b.id)
+        drops = t.repeat is it.Repeat.REFERENCED and t.scope is it.Scope.ALL
+        harmless = not b.may_have_run or t.repeat is it.Repeat.REPEATABLE or drops
+        return it.PushBack(b.id, min(self.longest_return, b.run)) if harmless else it.Error(b.id)
 
     def may_go_again(self, b: Batch) -> bool:
         if b.dispatches >= self.most[b.group] or self.now + b.run >= b.limit_at or not self.affords(b):
             return False
-        return not b.may_have_run or self.groups[b.group].repeat is not Repeat.ONCE_ONLY
+        return not b.may_have_run or self.groups[b.group].repeat is not it.Repeat.ONCE_ONLY
 
     def affords(self, b: Batch) -> bool:
         """Whether the budget of further dispatches has room for one of this batch's."""
@@ -212,28 +206,25 @@
         while times and times[0] <= self.now - window:
             times.popleft()
 
-    def behind(self, b: Batch, note: ProgressNote) -> bool:
+    def behind(self, b: Batch, note: it.ProgressNote) -> bool:
         """A bad plan: the rest of this dispatch would outlast a fresh one of a batch that may run again."""
-        if not self.cancel or note.tidings is not Tidings.PROGRESS:
-            return False
-        if self.groups[b.group].repeat is not Repeat.REPEATABLE:
+        again = self.cancel and self.groups[b.group].repeat is it.Repeat.REPEATABLE
+        if not again or note.tidings is not it.Tidings.PROGRESS:
             return False
         s = self.sent[b.id, note.number]
-        elapsed = self.now - s.at
-        rest = elapsed * (1 - note.value) / max(note.value, 1e-3)
+        rest = (self.now - s.at) * (1 - note.value) / max(note.value, 1e-3)
         # Told from a slow engine by comparison: the same pace as the engine's others is no bad plan.
         usual = b.run * max(self.slow[s.engine], 1.0)
         return rest > 2 * usual and self.may_go_again(b)
 
     # What is told.
 
-    def taken(self, told: BatchTaken) -> None:
+    def taken(self, told: it.BatchTaken) -> None:
         g, t = told.group, self.groups[told.group]
         b = Batch(told, t.width, self.now)
         b.work = told.work * self.cost_bias[g] if told.work else self.usual[g]
         if told.work:
             self.usual[g] += PACE * (b.work - self.usual[g])
-        self.mean_work += PACE * (b.work - self.mean_work)
         b.memory = told.memory * self.memory_bias[g]
         b.run = b.work / t.width
         b.goal_at = min(self.now + t.goal + t.goal_stretch * b.run, b.limit_at)
@@ -241,11 +232,12 @@
         if self.allowance:
             self.took.append(self.now)
         if t.in_order and b.key:
-            self.keys.setdefault(b.key, []).append(b)
+            b.line = self.keys.setdefault(b.key, b.line)
+            b.line.append(b)
         b.course = self.course(b)
         self.advance(b, None)
 
-    def ended(self, told: DispatchEnded) -> None:
+    def ended(self, told: it.DispatchEnded) -> None:
         s = self.sent.pop((told.batch, told.number))
         b, i = s.batch, s.engine
         b.out.pop(s.number, None)
@@ -254,18 +246,13 @@
         self.report(i, told.report, s.width)
         if told.fate in NEVER_RAN:
             b.may_have_run = [r for r in b.may_have_run if r[0] != s.number]
-        if told.fate is Fate.FULL:
+        if told.fate is it.Fate.FULL:
             self.halve(i)
             self.busy[i] = max(self.busy[i], 1.0)
-        elif told.fate in (Fate.UNREACHABLE, Fate.RESET):
-            # Risk: an engine whose answers go missing resets too; taken for down each time, it would count
-            # as cold without end. Only a connection refused shows that nothing runs there.
-            self.down[i] |= told.fate is Fate.UNREACHABLE
-            self.failed(i)
-        elif told.fate is Fate.RETURNED:
-            self.lives(i)
+        elif told.fate is not it.Fate.TIMED_OUT:
+            self.fared(i, told.fate)
         g = b.group
-        if told.fate is Fate.RETURNED or told.fate is Fate.TIMED_OUT:
+        if told.fate is it.Fate.RETURNED or told.fate is it.Fate.TIMED_OUT:
             # Of sums, as a mean of ratios is ruled by the batches whose cost was put too low. Time-outs
             # count, or a day on which all are slow would cut off just the dispatches that show it.
             self.spent[g] += PACE * (told.took - self.spent[g])
@@ -274,54 +261,46 @@
             # Risk: an engine that swallows some of what it gets, or errs in no time, looks well by its
             # answers alone. A time-out counts for the time it took, an error for the goal that it cost.
             self.paced(i, told.took * s.width / (told.true_work or s.work))
-        elif told.fate is Fate.ERRORED:
+        elif told.fate is it.Fate.ERRORED:
             self.paced(i, (b.goal_at - b.taken) / b.run)
-        if told.fate is Fate.RETURNED and self.tells_cost and told.true_work:
+        if told.fate is it.Fate.RETURNED and self.tells_cost and told.true_work:
             self.cost_bias[g] *= 1 + PACE / 4 * (min(max(told.true_work / s.work, 0.25), 4.0) - 1)
             if s.memory:
                 self.memory_bias[g] *= 1 + PACE / 4 * (min(told.true_memory * 1.15 / s.memory, 2.0) - 1)
-        if b.key and told.fate in MAY_RUN_ON and self.groups[b.group].in_order:
+        if b.line and told.fate in MAY_RUN_ON:
             self.key_free[b.key] = self.now + self.key_rest
         if not b.answered:
             self.advance(b, told)
         else:
             self.clear_key(b)
 
-    def noted(self, told: ProgressNote) -> None:
+    def noted(self, told: it.ProgressNote) -> None:
         s = self.sent.get((told.batch, told.number))
         if s is None:
             return
-        if told.tidings is Tidings.PROGRESS:
+        if told.tidings is it.Tidings.PROGRESS:
             s.share = told.value
-        elif told.tidings is Tidings.SPILL and s.memory:
+        elif told.tidings is it.Tidings.SPILL and s.memory:
             self.memory_bias[s.batch.group] *= min(1 + PACE * told.value / s.memory, 1.1)
         if not s.batch.answered:
             self.advance(s.batch, told)
 
-    def left(self, told: ClientLeft) -> None:
-        b = self.open.pop(told.batch, None)
-        if b is None:
-            return
-        # A client that leaves writes nothing: a zero would let its group crowd out those that wait.
-        b.answered = True
-        self.unhold(b)
-        b.course.close()
-        self.clear_key(b)
+    def left(self, told: it.ClientLeft) -> None:
+        b = self.open.get(told.batch)
+        if b:
+            self.unhold(b)
+            b.course.close()
+            # A client that leaves writes nothing: a zero would let its group crowd out those that wait.
+            self.close(b, None)
 
-    def probed(self, told: ProbeEnded) -> None:
+    def probed(self, told: it.ProbeEnded) -> None:
         i = self.index[told.engine]
         self.probe_at[i] = -1e9
-        if told.fate is Fate.RETURNED:
-            self.lives(i)
-            self.report(i, told.report, 1)
-        elif told.fate in (Fate.UNREACHABLE, Fate.RESET, Fate.TIMED_OUT):
-            self.down[i] |= told.fate is Fate.UNREACHABLE
-            self.failed(i)
+        self.fared(i, told.fate)
+        self.report(i, told.report, 1)
 
-    def listed_anew(self, told: ListTold) -> None:
-        if told.kind is ListKind.FAILED:
-            return
-        if told.kind is not ListKind.CHANGES:
+    def listed_anew(self, told: it.ListTold) -> None:
+        if told.kind not in (it.ListKind.FAILED, it.ListKind.CHANGES):
             self.listed = [False] * len(self.listed)
         for e in told.engines:
             i = self.index.get(e.id)
@@ -333,14 +312,14 @@
                     (self.listed, False), (self.started, e.started or -1e9), (self.cores, cores),
                     (self.memory, self.kind_memory[e.kind]), (self.last, ()), (self.reported, self.now),
                     (self.bound, cores * THREADS_A_CORE / self.fronts), (self.gap, 0.5), (self.told_at, -1e9),
-                    (self.threads, 0), (self.alike, self.fronts), (self.busy, 0.0), (self.granted, 0.0),
+                    (self.threads, 0), (self.busy, 0.0), (self.granted, 0.0),
                     (self.down, False), (self.slow, 1.0), (self.slow_at, self.now), (self.shun, 0.0),
                     (self.doubt, 0.0), (self.probe_at, -1e9), (self.own, {}), (self.cold, deque()),
                 ):
                     row.append(first)
             elif e.started > max(self.started[i], 0.0):
                 self.restarted(i, e.started)
-            self.listed[i] = e.standing is Standing.READY
+            self.listed[i] = e.standing is it.Standing.READY
         self.ranks.clear()
 
     # Engines.
@@ -349,8 +328,6 @@
         if not values:
             return
         self.told_at[i] = self.now
-        turnover = self.cores[i] * THREADS_A_CORE * self.gap[i] / self.mean_work
-        self.alike[i] = max(self.fronts * turnover / (self.fronts + turnover), 1.0)
         if values == self.last[i]:
             return
         if self.last[i]:
@@ -383,14 +360,21 @@
         """An engine's pace, forgotten over the longest goal without news: it is then tried again."""
         return self.slow[i] ** exp((self.slow_at[i] - self.now) / self.forget)
 
-    def failed(self, i: int) -> None:
-        self.doubt[i] = min(max(self.doubt[i] * 2, self.connect_limit), 8 * self.connect_limit)
-        self.shun[i] = self.now + self.doubt[i]
+    def fared(self, i: int, fate: it.Fate) -> None:
+        """Whether the engine can be reached, by how a dispatch or a probe ended there."""
+        if fate is it.Fate.RETURNED:
+            self.lives(i)
+        elif fate in (it.Fate.UNREACHABLE, it.Fate.RESET, it.Fate.TIMED_OUT):
+            # Risk: an engine whose answers go missing resets too; taken for down each time, it would count
+            # as cold without end. Only a connection refused shows that nothing runs there.
+            self.down[i] |= fate is it.Fate.UNREACHABLE
+            self.doubt[i] = min(max(self.doubt[i] * 2, self.connect_limit), 8 * self.connect_limit)
+            self.shun[i] = self.now + self.doubt[i]
 
     def lives(self, i: int) -> None:
         if self.down[i]:
             # It was down and answers: it may be cold before the list says so.
-            return self.restarted(i, self.now)
+            self.restarted(i, self.now)
         self.doubt[i], self.shun[i] = 0.0, 0.0
 
     def restarted(self, i: int, when: float) -> None:
@@ -407,25 +391,18 @@
             return 1.0
         return self.cold_share + (1 - self.cold_share) * max(age, 0.0) / self.warm_after
 
-    def pressed(self, i: int) -> bool:
-        return self.load_of(i) >= BUSY
-
     def unseen(self, i: int) -> list[Sent]:
-        """What this front has sent that the last report cannot show yet.
-
-        Risk: an engine that has fallen silent looks ever emptier, so without reports all that is out counts.
-        """
+        """What is out that the last report cannot show yet; all of it where an engine has fallen silent."""
         return [s for s in self.own[i].values() if s.at > self.told_at[i] - self.gap[i]]
 
     def load_of(self, i: int) -> float:
         """The busy share reported, and what all fronts are taken to have sent since.
 
-        The others act on like reports, so each is taken to have sent as much, all together no more than the
-        engine turns over between two reports. Risk: too few, and all pour at once onto an engine that looks
-        free; too many, and a single send makes a front flee an engine that nobody else has found.
+        The others act on like reports, so each is taken to have sent as much, up to what fills an engine.
+        Risk: too few, and all pour onto one that looks free; too many, and a single send is fled from.
         """
         sent = sum(s.width for s in self.unseen(i))
-        return self.busy[i] + sent * self.alike[i] / (self.cores[i] * self.warmth(i))
+        return self.busy[i] + sent * self.alike / (self.cores[i] * self.warmth(i))
 
     def takes(self, b: Batch, i: int) -> bool:
         """The rules and the bound, for one more dispatch of this batch to this engine."""
@@ -442,19 +419,19 @@
         if b.may_have_run:
             _, first, at = b.may_have_run[0]
             forgotten = self.now - at >= t.window
-            if t.repeat is Repeat.REFERENCED and (forgotten or not self.same(t.scope, first, i)):
+            if t.repeat is it.Repeat.REFERENCED and (forgotten or not self.same(t.scope, first, i)):
                 return False
         if self.now - self.started[i] < self.warm_after and not self.cold_room(b, i):
             return False
         if not self.pages:
             return True
         # Past its memory such an engine slows all that it holds, so this bound has no floor.
-        sent = sum(s.memory for s in self.unseen(i)) * self.alike[i]
+        sent = sum(s.memory for s in self.unseen(i)) * self.alike
         return self.granted[i] + (sent + b.memory) / self.memory[i] <= 1
 
     def within(self, b: Batch, i: int) -> bool:
         """The bound, which binds only under pressure."""
-        return self.threads[i] + b.width <= self.bound[i] or not self.pressed(i)
+        return self.threads[i] + b.width <= self.bound[i] or self.load_of(i) < BUSY
 
     def in_turn(self, b: Batch) -> bool:
         """Where a front's share of an engine is less than a batch, it has its share of all instead.
@@ -474,9 +451,9 @@
     def placed(self, t, i: int) -> bool:
         return (t.zones is None or self.zone[i] in t.zones) and (t.kinds is None or self.kind[i] in t.kinds)
 
-    def same(self, scope: Scope, i: int, j: int) -> bool:
-        return scope is Scope.ALL or (self.zone if scope is Scope.ZONE else self.cell)[i] == (
-            self.zone if scope is Scope.ZONE else self.cell)[j]
+    def same(self, scope: it.Scope, i: int, j: int) -> bool:
+        return scope is it.Scope.ALL or (self.zone if scope is it.Scope.ZONE else self.cell)[i] == (
+            self.zone if scope is it.Scope.ZONE else self.cell)[j]
 
     def cold_room(self, b: Batch, i: int) -> bool:
         """A fresh engine gets a thin slice of the keys, and never more than this front's share."""
@@ -498,39 +475,34 @@
             self.ranks[tables] = list(enumerate(ranked))
         return self.ranks[tables]
 
-    def sample(self, b: Batch, loads: bool) -> list[tuple[int, int]]:
-        """The engines to draw from, each with its place: the first of the order, and some far down it.
-
-        Looking at all for each batch costs a large fleet's fronts their time, and scatters the reading.
-        """
+    def sample(self, b: Batch, loads: bool) -> tuple[list[tuple[int, int]], list[tuple[int, int]]]:
+        """Of the first engines that may take the batch those within the bound, and those to go to in turn."""
+        free, pressed, asks = [], [], ASKS if self.probing else 0
         places = self.order(b.tables)
-        if loads and self.any_yields:
-            places = places[::-1]
-        can: list[tuple[int, int]] = []
-        asks = ASKS if self.probing else 0
-        for at, (rank, i) in enumerate(places):
-            if self.takes(b, i):
-                can.append((rank, i))
-                if len(can) == NEAR:
-                    rest = places[at + 1:]
-                    far = {int(self.chance() * len(rest)) for _ in range(FAR)} if rest else ()
-                    return can + [rest[k] for k in sorted(far) if self.takes(b, rest[k][1])]
+        places = places[::-1] if loads and self.any_yields else places
+        if len(places) > NEAR:
+            places = [places[int(self.chance() * len(places))] for _ in range(FAR)] + places
+        for rank, i in places:
+            takes = self.takes(b, i)
+            if takes and self.within(b, i):
+                free.append((rank, i))
+            elif takes:
+                pressed.append((rank, i))
             elif asks and self.now >= self.shun[i] and self.ask(i):
-                # Risk: what is never sent to is never heard of again, and stays full in this front's eyes.
                 asks -= 1
-        return can
+            if len(free) + len(pressed) == NEAR:
+                break
+        # Risk: what is never sent to is never heard of again, and stays full in this front's eyes.
+        for _, i in pressed[:0 if free else asks]:
+            self.ask(i)
+        return free, [place for place in pressed if self.shares and not self.own[place[1]]]
 
     def draw(self, b: Batch) -> int | None:
         loads = self.groups[b.group].holds_tables
-        can = self.sample(b, loads)
-        free = [place for place in can if self.within(b, place[1])]
-        if not free and self.probing:
-            # Pressed, perhaps only by this front's own sends, which nothing but a report lets fade.
-            for _, i in can[:ASKS]:
-                self.ask(i)
+        free, pressed = self.sample(b, loads)
         if self.shares and not (free and self.flowing) and not self.in_turn(b):
             return None
-        free = free or [(r, i) for r, i in can if self.shares and not self.own[i]]
+        free = free or pressed
         if not free:
             return None
         slow = [self.pace_of(i) for _, i in free]
@@ -562,7 +534,7 @@
             return False
         if self.now - self.probe_at[i] > 2 * self.connect_limit:
             self.probe_at[i] = self.now
-            self.actions.append(Probe(self.id[i]))
+            self.actions.append(it.Probe(self.id[i]))
         return True
 
     def chance(self) -> float:
@@ -597,10 +569,7 @@
         return self.now + (b.run if b.dispatches or self.now <= b.new_till else self.needs(b)) > b.goal_at
 
     def needs(self, b: Batch) -> float:
-        """The time to set aside for one run, at the pace that its group has been seen to run.
-
-        Half as much again, as a mean leaves too many of them to end late.
-        """
+        """One run at its group's pace, and half as much again, as a mean leaves too many to end late."""
         return 1.5 * b.run * max(self.pace[b.group], 0.5)
 
     def release_from(self, g: int) -> bool:
@@ -623,7 +592,8 @@
         return False
 
     def conflict(self, b: Batch, i: int) -> bool:
-        if not self.loads_shun[b.group]:
+        t = self.groups[b.group]
+        if not (t.holds_tables or t.yields_to_loads):
             return False
         held = (s.batch for s in self.own[i].values() if self.groups[s.batch.group].holds_tables)
         return any(h.tables == b.tables for h in held)
@@ -639,16 +609,13 @@
 
     def key_busy(self, b: Batch) -> bool:
         """Batches of one key go one at a time, in the order taken, with a rest after one that may run on."""
-        line = self.keys.get(b.key) if b.key and self.groups[b.group].in_order else None
-        if not line:
-            return False
-        return line[0] is not b or not b.dispatches and self.now < self.key_free.get(b.key, 0.0)
+        rests = not b.dispatches and self.now < self.key_free.get(b.key, 0.0)
+        return bool(b.line) and (b.line[0] is not b or rests)
 
     def clear_key(self, b: Batch) -> None:
-        line = self.keys.get(b.key) if b.key and self.groups[b.group].in_order else None
-        if line and b.answered and not b.out and b in line:
-            line.remove(b)
-            if not line:
+        if b.answered and not b.out and b in b.line:
+            b.line.remove(b)
+            if not b.line:
                 del self.keys[b.key]
 
     def unhold(self, b: Batch) -> None:
@@ -664,8 +631,8 @@
         grant = min(b.memory, self.most_grant * self.memory[i]) if self.grants else 0.0
         s.memory = b.memory
         if not b.dispatches and (self.grants or self.priorities):
-            self.actions.append(Terms(b.id, grant, self.priority[b.group]))
-        self.actions.append(Dispatch(b.id, self.id[i], self.patience(b)))
+            self.actions.append(it.Terms(b.id, grant, self.priority[b.group]))
+        self.actions.append(it.Dispatch(b.id, self.id[i], self.patience(b)))
         self.sent[b.id, s.number] = b.out[s.number] = self.own[i][b.id, s.number] = s
         b.may_have_run.append((s.number, i, self.now))
         b.dispatches += 1
@@ -686,7 +653,7 @@
         Never under four times the group's usual, so that it does not trip while all are slow. None where
         copies are allowed: work that a time-out does not stop costs more there, and probes find silence.
         """
-        once = self.groups[b.group].repeat is Repeat.ONCE_ONLY
+        once = self.groups[b.group].repeat is it.Repeat.ONCE_ONLY
         if self.copies or once or b.dispatches + 1 >= self.most[b.group]:
             return 0.0
         left = b.goal_at - self.now
@@ -699,11 +666,12 @@
     def upkeep(self) -> None:
         if self.asks and self.now - self.asked_at > self.ask_within / 2:
             self.asked_at = self.now
-            self.actions += [FollowList(), AskList()]
+            self.actions += [it.FollowList(), it.AskList()]
         held = [q[0].goal_at for q in self.queues if q]
         if held:
             # Risk: a client with little time left is lost between two looks at what is held.
             due = self.now + min(10 * self.tick, max(min(held) - self.now, self.tick))
-            if due < self.alarm:
+            # Half a tick's grace, as a carrier rounds the delay and may come a moment early.
+            if due < self.alarm or self.now >= self.alarm - self.tick / 2:
                 self.alarm = due
-                self.actions.append(Timer(due - self.now, 0))
+                self.actions.append(it.Timer(due - self.now, 0))
