--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -82,9 +82,9 @@
         self.narrow = max(t.width for t in groups)
         self.usual = [t.goal * t.width / (2 + 2 * t.goal_stretch) for t in groups]
         threads = max(m.kind_cores, default=0) * THREADS_A_CORE
-        self.alike = min(m.fronts, threads * len(groups) / sum(t.width for t in groups))
+        fill = threads * len(groups) / sum(t.width for t in groups)
+        self.alike = max(m.fronts * fill / (m.fronts + fill), 1.0)
         self.step = min(threads / self.narrow / m.fronts, 1.0)
-        self.shares = self.step < 1.0
         self.flowing, self.turn = True, 0.0
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
         self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
@@ -317,7 +317,7 @@
 
     def halve(self, i: int) -> None:
         # A share under one batch has no floor, as all fronts together must be able to fall below what fits.
-        self.bound[i] = max(self.bound[i] / 2, 0.0 if self.shares else self.narrow)
+        self.bound[i] = max(self.bound[i] / 2, 0.0 if self.step < 1.0 else self.narrow)
 
     def paced(self, i: int, sample: float) -> None:
         old = self.pace_of(i)
@@ -456,12 +456,12 @@
         # Risk: what is never sent to is never heard of again, and stays full in this front's eyes.
         for _, i in pressed[:0 if free else asks]:
             self.ask(i)
-        return free, [place for place in pressed if self.shares and not self.own[place[1]]]
+        return free, [place for place in pressed if self.step < 1.0 and not self.own[place[1]]]
 
     def draw(self, b: Batch) -> int | None:
         loads = self.groups[b.group].holds_tables
         free, pressed = self.sample(b, loads)
-        if self.shares and not (free and self.flowing) and not self.in_turn(b):
+        if self.step < 1.0 and not (free and self.flowing) and not self.in_turn(b):
             return None
         free = free or pressed
         if not free:
