--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -85,7 +85,7 @@
         fill = threads * len(groups) / sum(t.width for t in groups)
         self.alike = max(m.fronts * fill / (m.fronts + fill), 1.0)
         self.step = min(threads / self.narrow / m.fronts, 1.0)
-        self.flowing, self.turn = True, 0.0
+        self.flowing, self.turn, self.mean_busy = True, 0.0, 0.0
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
         self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
         self.spent = [work / t.width for work, t in zip(self.usual, groups, strict=True)]
@@ -309,6 +309,7 @@
         busy = max(busy, disk, held / (self.cores[i] * THREADS_A_CORE))
         # A line means that the engine is full, whatever its cores do.
         busy = max(busy, BUSY) + line / self.cores[i] if line >= 1 else busy
+        self.mean_busy += PACE * (busy - self.mean_busy)
         self.busy[i], self.granted[i] = busy, max(granted, 0.0)
         if max(busy, granted if self.pages else 0.0) < BUSY:
             self.bound[i] = min(self.bound[i] + width * self.step, self.cores[i] * THREADS_A_CORE)
@@ -329,7 +330,6 @@
         return self.slow[i] ** exp((self.slow_at[i] - self.now) / self.forget)
 
     def fared(self, i: int, fate: it.Fate) -> None:
-        """Whether the engine can be reached, by how a dispatch or a probe ended there."""
         if fate is it.Fate.RETURNED:
             self.lives(i)
         elif fate in (it.Fate.UNREACHABLE, it.Fate.RESET, it.Fate.TIMED_OUT):
@@ -369,7 +369,10 @@
         that looks free; too many, and a single send is fled from.
         """
         sent = sum(s.width for s in self.unseen(i))
-        return self.busy[i] + sent * self.alike / (self.cores[i] * self.warmth(i))
+        # Risk: what was last heard busy is not sent to, nor heard of again. Old word gives way to the mean.
+        trust = self.forget / (self.forget + self.now - self.told_at[i])
+        busy = self.mean_busy + trust * (self.busy[i] - self.mean_busy)
+        return busy + sent * self.alike / (self.cores[i] * self.warmth(i))
 
     def takes(self, b: Batch, i: int) -> bool:
         t = self.groups[b.group]
@@ -386,11 +389,9 @@
                 return False
         if self.now - self.started[i] < self.warm_after and not self.cold_room(b, i):
             return False
-        if not self.pages:
-            return True
-        # Past its memory such an engine slows all that it holds, so this bound has no floor.
+        # Past its memory an engine that pages slows all that it holds, so this bound has no floor.
         sent = sum(s.memory for s in self.unseen(i)) * self.alike
-        return self.granted[i] + (sent + b.memory) / self.memory[i] <= 1
+        return not self.pages or self.granted[i] + (sent + b.memory) / self.memory[i] <= 1
 
     def within(self, b: Batch, i: int) -> bool:
         out = sum(s.width for s in self.own[i].values())
@@ -479,8 +480,7 @@
         best = [i for _, i in sorted(costs)[:ASKS]]
         if not self.probing or not self.ask(best[0]):
             return best[0]
-        # Risk: fronts that carry little hear of an engine once in many seconds, and all send blindly. Nor is
-        # waiting for word being held: the batch goes on counting as just taken.
+        # Risk: fronts that carry little send blindly. A batch that waits for word counts as just taken.
         for i in best[1:]:
             self.ask(i)
         b.new_till = self.now + self.connect_limit
