--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -462,7 +462,7 @@
     def draw(self, b: Batch) -> int | None:
         loads = self.groups[b.group].holds_tables
         free, pressed = self.sample(b, loads)
-        if self.step < 1.0 and not (free and self.flowing) and not self.in_turn(b):
+        if self.step < 1.0 and not (free and (self.flowing or not self.pages)) and not self.in_turn(b):
             return None
         free = free or pressed
         if not free:
