--- a/thistlelever/__init__.py
+++ b/thistlelever/__init__.py
@@ -1,1 +1,3 @@
-"""thistlelever: an admission controller for batches on a pool of query engines."""
+"""An admission controller for batches on a pool of query engines."""
+
+__version__ = "0.2.0"
--- /dev/null
+++ b/thistlelever/__main__.py
@@ -0,0 +1,56 @@
+"""`python -m thistlelever`: the command line of the real front."""
+
+import asyncio
+import sys
+from importlib import metadata
+
+import click
+
+from thistlelever.lifecycle import papers
+from thistlelever.lifecycle.log import Log
+from thistlelever.lifecycle.manifest import Unreadable
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """An admission controller for batches on a pool of query engines."""
+
+
+@main.command()
+def serve() -> None:
+    """Serve as one front; BALANCER_CONFIG names the configuration."""
+    from thistlelever.lifecycle.run import serve as run
+
+    told = load()
+    sys.exit(asyncio.run(run(told, Log(told.name))))
+
+
+@main.command()
+def check() -> None:
+    """Read the configuration, say what it holds, and start nothing."""
+    told = load()
+    click.echo(f"{told.name}: listens at {told.listen[0]}:{told.listen[1]}, "
+               f"{len(told.manifest.tariffs)} service groups, {len(told.known)} engines known")
+
+
+@main.command()
+def version() -> None:
+    """Print the version."""
+    import thistlelever
+
+    try:
+        click.echo(metadata.version("thistlelever"))
+    except metadata.PackageNotFoundError:
+        click.echo(thistlelever.__version__)
+
+
+def load() -> papers.Papers:
+    try:
+        return papers.load()
+    except Unreadable as why:
+        click.echo(f"thistlelever: {why}", err=True)
+        sys.exit(2)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/thistlelever/carrier/course.py
@@ -0,0 +1,102 @@
+"""The life of one batch, from its reading to the end of its last dispatch, top to bottom."""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+from collections.abc import Callable
+
+from thistlelever.admission import interface as it
+from thistlelever.carrier.desk import Desk
+from thistlelever.carrier.dispatch import Dispatcher, End
+from thistlelever.lifecycle import clock
+from thistlelever.lifecycle.log import Log
+from thistlelever.store.batches import Batch, Batches
+from thistlelever.store.tally import Tally
+from thistlelever.wire import jsonrpc
+
+# What a batch's task is told beside the actions and the ends of its dispatches.
+LEFT, OVERDUE = "left", "overdue"
+# A batch that the decisions left without an answer is answered this long after its time limit: they
+# answer at the limit itself, and an answer counts for 70 ms more.
+BACKSTOP = 0.025
+
+
+class Courses:
+    """Runs one task a batch."""
+
+    def __init__(self, desk: Desk, dispatcher: Dispatcher, batches: Batches, tally: Tally, log: Log) -> None:
+        self.desk, self.dispatcher, self.batches = desk, dispatcher, batches
+        self.tally, self.log = tally, log
+        self.tasks: set[asyncio.Task] = set()
+
+    def start(self, batch: Batch, answer: Callable[[it.Action | End], None]) -> None:
+        self.batches.add(batch)
+        task = asyncio.get_running_loop().create_task(self.guarded(batch, answer))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def guarded(self, batch: Batch, answer: Callable[[it.Action | End], None]) -> None:
+        """The life, with an answer even where this code fails."""
+        loop = asyncio.get_running_loop()
+        overdue_at = clock.on_loop(batch.limit_at) + BACKSTOP
+        backstop = loop.call_at(overdue_at, batch.inbox.put_nowait, OVERDUE)
+        try:
+            await self.life(batch, answer)
+        except Exception as why:
+            self.tally.add("course failed")
+            self.log("course failed", why=repr(why), trace=traceback.format_exc())
+            for task in batch.out.values():
+                task.cancel()
+            if not batch.answered:
+                batch.answered = True
+                answer(it.Error(batch.number))
+                self.desk.tell(it.ClientLeft(batch.number))
+        finally:
+            backstop.cancel()
+            self.batches.drop(batch)
+
+    async def life(self, batch: Batch, answer: Callable[[it.Action | End], None]) -> None:
+        self.desk.tell(batch.taken)
+        while batch.out or not batch.answered:
+            told = await batch.inbox.get()
+            match told:
+                case it.Terms():
+                    batch.grant, before, batch.priority = told.grant, batch.priority, told.priority
+                    if before not in (None, told.priority):
+                        self.dispatcher.reprioritise(batch)
+                case it.Dispatch():
+                    number, batch.dispatches = batch.dispatches, batch.dispatches + 1
+                    self.tally.must(not batch.answered, "nothing is sent after the answer")
+                    batch.out[number] = self.dispatcher.start(batch, number, told)
+                case it.Cancel():
+                    if told.number in batch.out:
+                        batch.out[told.number].cancel()
+                case End():
+                    del batch.out[told.number]
+                    if told.fate is it.Fate.RETURNED and not batch.answered:
+                        batch.answered = True
+                        answer(told)
+                    self.desk.tell(told.event(batch.number, batch.answered))
+                case it.PushBack() | it.Error():
+                    if self.tally.must(not batch.answered, "one final answer"):
+                        batch.answered = True
+                        answer(told)
+                case _ if told is LEFT and not batch.answered:
+                    batch.answered = True
+                    self.desk.tell(it.ClientLeft(batch.number))
+                case _ if told is OVERDUE and not batch.answered:
+                    self.tally.add("left without an answer at the limit")
+                    batch.answered = True
+                    answer(it.Error(batch.number))
+                    self.desk.tell(it.ClientLeft(batch.number))
+
+
+def line(number: int, told: it.Action | End) -> bytes:
+    """The one final answer as it goes to the client."""
+    match told:
+        case End():
+            return jsonrpc.result(number, told.pages)
+        case it.PushBack():
+            return jsonrpc.error(number, jsonrpc.PUSHED_BACK, "pushed back", told.return_in)
+    return jsonrpc.error(number, jsonrpc.ERRORED, "errored")
--- /dev/null
+++ b/thistlelever/carrier/desk.py
@@ -0,0 +1,59 @@
+"""The one place where the decisions are told events and asked for actions."""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+from collections.abc import Callable
+
+from thistlelever.admission import interface as it
+from thistlelever.admission.decide import Front
+from thistlelever.lifecycle import clock
+from thistlelever.lifecycle.log import Log
+from thistlelever.store.batches import Batches
+from thistlelever.store.tally import Tally
+
+
+class Desk:
+    """Gathers what comes in one turn of the loop, tells it together, hands the actions on in order."""
+
+    def __init__(self, front: Front, batches: Batches, tally: Tally, log: Log) -> None:
+        self.front, self.batches, self.tally, self.log = front, batches, tally, log
+        self.events: list[it.Event] = []
+        self.on_probe: Callable[[it.Probe], None] = lambda action: None
+        self.on_ask_list: Callable[[], None] = lambda: None
+
+    def tell(self, event: it.Event) -> None:
+        if not self.events:
+            asyncio.get_running_loop().call_soon(self.turn)
+        self.events.append(event)
+
+    def turn(self) -> None:
+        events, self.events = self.events, []
+        try:
+            actions = self.front.handle(clock.now(), events)
+        except Exception as why:
+            # What is open still gets its answer: each batch has a backstop at its time limit.
+            self.tally.add("decisions failed")
+            self.log("decisions failed", why=repr(why), trace=traceback.format_exc())
+            if __debug__:
+                raise
+            return
+        for action in actions:
+            self.carry(action)
+
+    def carry(self, action: it.Action) -> None:
+        kind = type(action)
+        if kind is it.Timer:
+            loop = asyncio.get_running_loop()
+            loop.call_later(action.delay, self.tell, it.TimerDue(action.token))
+        elif kind is it.Probe:
+            self.on_probe(action)
+        elif kind is it.AskList:
+            self.on_ask_list()
+        elif kind is it.Remark:
+            self.log("remark", text=action.text)
+        elif kind is not it.FollowList:
+            batch = self.batches.by_number.get(action.batch)
+            if self.tally.must(batch is not None, "actions name open batches"):
+                batch.inbox.put_nowait(action)
--- /dev/null
+++ b/thistlelever/lifecycle/log.py
@@ -0,0 +1,21 @@
+"""The log: one JSON line an event, on standard output, written by orjson."""
+
+from __future__ import annotations
+
+import sys
+from time import time
+from typing import BinaryIO
+
+import orjson
+
+
+class Log:
+    """Writes events. Lines are few, as each counts as memory where the log is kept in it."""
+
+    def __init__(self, name: str, sink: BinaryIO | None = None) -> None:
+        self.name, self.sink = name, sink or sys.stdout.buffer
+
+    def __call__(self, event: str, **facts) -> None:
+        line = {"at": round(time(), 4), "front": self.name, "event": event, **facts}
+        self.sink.write(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
+        self.sink.flush()
--- a/thistlelever/wirehost/reading.py
+++ b/thistlelever/lifecycle/manifest.py
@@ -1,4 +1,4 @@
-"""Reads the wire's settings into a Manifest: its names end here."""
+"""Reads settings into a Manifest, for the bench's wire and the real front alike: their names end here."""
 
 from __future__ import annotations
 
@@ -18,10 +18,10 @@
 
 
 class Conf:
-    """The settings' lines, looked up by path."""
+    """The settings as words, looked up by path."""
 
-    def __init__(self, text: str) -> None:
-        self.pairs = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+    def __init__(self, pairs: dict[str, str]) -> None:
+        self.pairs = pairs
 
     def word(self, path: str) -> str:
         if path not in self.pairs:
@@ -58,8 +58,11 @@
 
 
 def manifest(text: str) -> it.Manifest:
-    """The Manifest that the settings' text describes."""
-    conf = Conf(text)
+    """The Manifest that the settings' text describes, one `path=value` a line."""
+    return made(Conf(dict(line.split("=", 1) for line in text.splitlines() if "=" in line)))
+
+
+def made(conf: Conf) -> it.Manifest:
     try:
         return read(conf)
     except ValueError as why:
--- /dev/null
+++ b/thistlelever/store/batches.py
@@ -0,0 +1,49 @@
+"""The batches that are open, each with what its one task is told and has out."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from thistlelever.admission import interface as it
+from thistlelever.wire.jsonrpc import Submission
+
+
+@dataclass(slots=True, eq=False)
+class Batch:
+    """One batch from its reading to its one final answer and the end of its last dispatch."""
+
+    number: int
+    asked: Submission
+    taken: it.BatchTaken
+    lane: str
+    limit_at: float
+    inbox: asyncio.Queue = field(default_factory=asyncio.Queue)
+    grant: float = 0.0
+    priority: int | None = None
+    dispatches: int = 0
+    out: dict[int, asyncio.Task] = field(default_factory=dict)
+    engines: dict[int, it.EngineId] = field(default_factory=dict)
+    answered: bool = False
+
+
+class Batches:
+    """All open batches, by the number that the decisions know them by and by the client's id."""
+
+    def __init__(self) -> None:
+        self.by_number: dict[int, Batch] = {}
+        self.by_txn: dict[str, Batch] = {}
+        self.read = 0
+
+    def number(self) -> int:
+        """Numbers follow the order of reading, as ties are decided by them."""
+        self.read += 1
+        return self.read
+
+    def add(self, batch: Batch) -> None:
+        self.by_number[batch.number] = batch
+        self.by_txn[batch.asked.txn] = batch
+
+    def drop(self, batch: Batch) -> None:
+        del self.by_number[batch.number]
+        del self.by_txn[batch.asked.txn]
--- /dev/null
+++ b/thistlelever/store/links.py
@@ -0,0 +1,180 @@
+"""The connections to the engines: kept, shared between calls, and bounded in number."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from time import monotonic
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from thistlelever.store.tally import Tally
+from thistlelever.wire import http
+from thistlelever.wire.inflow import Inflow, TooLong
+
+# A page with its head fits into 8 KiB; a reply of more than 64 KiB is none that the protocol knows.
+BUFFER, LONGEST = 8_192, 65_536
+# Kept places for what must not wait behind polls: dispatches, cancels, probes.
+URGENT_SHARE = 0.25
+# Ours are closed at this share of the engines' idle time, so that a call never meets their closing.
+IDLE_SHARE = 0.8
+
+
+class Refused(Exception):
+    """No connection: nothing was sent, and the other side said so."""
+
+
+class Unreached(Exception):
+    """No connection came up in the connect limit: nothing was sent, and nothing was heard."""
+
+
+class Broken(Exception):
+    """The connection ended, or what came on it can't be read, after some of the call went out."""
+
+
+class Silent(Exception):
+    """No whole reply in the time given."""
+
+
+class Link:
+    """One connection to one engine; carries one call at a time."""
+
+    def __init__(self, stream: IOStream, address: tuple[str, int]) -> None:
+        self.stream, self.address, self.idle_since = stream, address, 0.0
+        self.inflow = Inflow(BUFFER, LONGEST)
+        self.calling, self.whole = False, False
+
+    async def call(self, request: bytes, within: float) -> http.Reply:
+        """Send one call and read its reply, which is void once the link is used again."""
+        self.calling, self.whole = True, False
+        try:
+            async with asyncio.timeout(within):
+                await self.stream.write(request)
+                self.whole = True
+                while (reply := http.reply(self.inflow)) is None:
+                    self.inflow.filled(await self.stream.read_into(self.inflow.room(), partial=True))
+        except TimeoutError:
+            raise Silent from None
+        except (StreamClosedError, TooLong, http.Unreadable) as why:
+            raise Broken(f"{type(why).__name__}: {why}") from None
+        self.calling = False
+        if not reply.keeps or self.inflow.start != self.inflow.end:
+            # What comes unasked could be taken for the answer to the next call.
+            self.stream.close()
+        return reply
+
+    def fresh(self) -> bool:
+        """Whether the other side has left it open: a call on a closed one looks like a reset."""
+        if self.stream.closed() or self.calling:
+            return False
+        try:
+            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+
+class Links:
+    """All links of this front. Who finds none free waits in turn, what is urgent before polls."""
+
+    def __init__(self, most: int, idle: float, connect_limit: float, tally: Tally) -> None:
+        self.most, self.idle, self.connect_limit, self.tally = most, idle * IDLE_SHARE, connect_limit, tally
+        self.most_polls = most - int(most * URGENT_SHARE)
+        self.kept: dict[tuple[str, int], deque[Link]] = {}
+        self.count = 0
+        self.waiting: tuple[deque[asyncio.Future], ...] = (deque(), deque())
+
+    async def take(self, address: tuple[str, int], urgent: bool) -> Link:
+        """A link that carries nothing: a kept one, or a new one."""
+        kept = self.kept.get(address)
+        while kept:
+            link = kept.pop()
+            if link.fresh():
+                return link
+            self.close(link)
+        while self.count >= (self.most if urgent else self.most_polls) and not self.close_idle_one():
+            self.tally.add("links short")
+            turn = asyncio.get_running_loop().create_future()
+            self.waiting[not urgent].append(turn)
+            try:
+                await turn
+            except asyncio.CancelledError:
+                if turn.done() and not turn.cancelled():
+                    self.wake()
+                raise
+        return await self.connect(address)
+
+    async def connect(self, address: tuple[str, int]) -> Link:
+        self.count += 1
+        stream = None
+        try:
+            raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream = IOStream(raw, max_buffer_size=LONGEST)
+            async with asyncio.timeout(self.connect_limit):
+                await stream.connect(address)
+        except BaseException as why:
+            if stream:
+                stream.close()
+            self.freed()
+            if isinstance(why, TimeoutError):
+                raise Unreached from None
+            if isinstance(why, StreamClosedError | OSError):
+                raise self.meaning(why) from None
+            raise
+        return Link(stream, address)
+
+    def meaning(self, why: Exception) -> Exception:
+        real = getattr(why, "real_error", None) or why
+        if isinstance(real, ConnectionRefusedError):
+            return Refused(str(real))
+        self.tally.add("connect failed otherwise")
+        return Unreached(str(real))
+
+    def give_back(self, link: Link) -> None:
+        """Keep a link for the next call, or close it where its call did not end well."""
+        if link.stream.closed() or link.calling or self.waiting[0] or self.waiting[1]:
+            # Who waits may want another engine: a closed link is a place for any.
+            self.close(link)
+            return
+        link.idle_since = monotonic()
+        self.kept.setdefault(link.address, deque()).append(link)
+
+    def close(self, link: Link) -> None:
+        link.stream.close()
+        self.freed()
+
+    def freed(self) -> None:
+        self.count -= 1
+        self.tally.must(self.count >= 0, "links counted")
+        self.wake()
+
+    def wake(self) -> None:
+        for waiting in self.waiting:
+            while waiting:
+                turn = waiting.popleft()
+                if not turn.done():
+                    turn.set_result(None)
+                    return
+
+    def close_idle_one(self) -> bool:
+        """Make place for another engine's link; the one longest idle goes."""
+        oldest = min((k for k in self.kept.values() if k), key=lambda k: k[0].idle_since, default=None)
+        if oldest is None:
+            return False
+        link = oldest.popleft()
+        link.stream.close()
+        self.count -= 1
+        return True
+
+    def sweep(self) -> None:
+        """Close what has been idle too long, and forget addresses that have no link."""
+        before = monotonic() - self.idle
+        for address, kept in list(self.kept.items()):
+            while kept and (kept[0].idle_since < before or kept[0].stream.closed()):
+                self.close(kept.popleft())
+            if not kept:
+                del self.kept[address]
--- /dev/null
+++ b/thistlelever/wire/http.py
@@ -0,0 +1,163 @@
+"""HTTP/1.1 as a front speaks it to engines: calls written, replies read out of an `Inflow`."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from thistlelever.wire.inflow import Inflow
+
+LONGEST_HEAD = 8_192
+NO_BODY = (204, 304)
+
+
+class Unreadable(Exception):
+    """The reply is not HTTP/1.1, or not whole where it says it is."""
+
+
+class Reply(NamedTuple):
+    """One reply; its body and fields are slices that are void once more is read."""
+
+    status: int
+    fields: dict[bytes, memoryview]
+    body: memoryview
+    keeps: bool
+
+    def text(self, name: bytes) -> str:
+        return str(self.fields[name], "latin-1") if name in self.fields else ""
+
+    def number(self, name: bytes) -> float | None:
+        """A figure, or None where the field is absent."""
+        word = self.text(name)
+        if not word:
+            return None
+        try:
+            return float(word)
+        except ValueError:
+            raise Unreadable(f"{name.decode()}: {word[:40]}") from None
+
+
+def call(verb: str, path: str, address: tuple[str, int], fields: dict[str, str], body: bytes = b"") -> bytes:
+    """The bytes of one call."""
+    head = [f"{verb} {path} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n"]
+    head += [f"{name}: {value}\r\n" for name, value in fields.items()]
+    if body or verb in ("POST", "PUT"):
+        head.append(f"Content-Length: {len(body)}\r\n")
+    head.append("\r\n")
+    return "".join(head).encode("latin-1") + body
+
+
+def reply(inflow: Inflow) -> Reply | None:
+    """The reply that the buffer holds, taken off it; None while it is not all there."""
+    data, start, end = inflow.data, inflow.start, inflow.end
+    stop = data.find(b"\r\n\r\n", start, end)
+    if stop < 0:
+        if end - start > LONGEST_HEAD:
+            raise Unreadable(f"a head of more than {LONGEST_HEAD} bytes")
+        return None
+    view = memoryview(data)
+    status, fields, keeps = head(data, view, start, stop)
+    body_at = stop + 4
+    if 100 <= status < 200:
+        # An interim reply says nothing here; the one that counts comes after it.
+        inflow.start = body_at
+        return reply(inflow)
+    if status in NO_BODY:
+        inflow.start = body_at
+        return Reply(status, fields, view[body_at:body_at], keeps)
+    if b"transfer-encoding" in fields:
+        return chunked(inflow, status, fields, body_at, keeps)
+    if b"content-length" not in fields:
+        raise Unreadable("no Content-Length")
+    length = figure(fields[b"content-length"], 10)
+    if length > inflow.longest:
+        raise Unreadable(f"a body of {length} bytes")
+    if end - body_at < length:
+        return None
+    inflow.start = body_at + length
+    return Reply(status, fields, view[body_at:body_at + length], keeps)
+
+
+def head(data: bytearray, view: memoryview, start: int, stop: int) -> tuple[int, dict, bool]:
+    """Status, fields by lower-case name, and whether the connection stays open."""
+    line_end = data.find(b"\r\n", start, stop)
+    line_end = stop if line_end < 0 else line_end
+    if bytes(view[start:start + 7]) != b"HTTP/1." or bytes(view[start + 8:start + 9]) != b" ":
+        raise Unreadable("no HTTP/1.1 status line")
+    status = figure(view[start + 9:start + 12], 10)
+    fields: dict[bytes, memoryview] = {}
+    at = line_end + 2
+    while at < stop:
+        line_end = data.find(b"\r\n", at, stop)
+        line_end = stop if line_end < 0 else line_end
+        colon = data.find(b":", at, line_end)
+        if colon <= at:
+            raise Unreadable("a field without a name")
+        name = bytes(view[at:colon]).lower()
+        if name in fields:
+            raise Unreadable(f"{name.decode('latin-1')} comes twice")
+        first, last = colon + 1, line_end
+        while first < last and data[first] in b" \t":
+            first += 1
+        while last > first and data[last - 1] in b" \t":
+            last -= 1
+        fields[name] = view[first:last]
+        at = line_end + 2
+    keeps = view[start + 7:start + 8] == b"1" and bytes(fields.get(b"connection", b"")).lower() != b"close"
+    return status, fields, keeps
+
+
+def chunked(inflow: Inflow, status: int, fields: dict, at: int, keeps: bool) -> Reply | None:
+    """A body in chunks. Its parts are put together in a copy, as they do not lie side by side."""
+    if bytes(fields[b"transfer-encoding"]).lower() != b"chunked" or b"content-length" in fields:
+        raise Unreadable("a transfer encoding other than chunked, or a length beside it")
+    data, view, parts = inflow.data, memoryview(inflow.data), []
+    while True:
+        line_end = data.find(b"\r\n", at, inflow.end)
+        if line_end < 0:
+            return None
+        size = figure(bytes(view[at:line_end]).split(b";")[0].strip(), 16)
+        at = line_end + 2
+        if size > inflow.longest:
+            raise Unreadable(f"a chunk of {size} bytes")
+        if size == 0:
+            break
+        if inflow.end < at + size + 2:
+            return None
+        if bytes(view[at + size:at + size + 2]) != b"\r\n":
+            raise Unreadable("a chunk that does not end where it says")
+        parts.append(view[at:at + size])
+        at += size + 2
+    # Trailers are passed over up to the empty line that ends them.
+    while True:
+        line_end = data.find(b"\r\n", at, inflow.end)
+        if line_end < 0:
+            return None
+        empty, at = line_end == at, line_end + 2
+        if empty:
+            inflow.start = at
+            return Reply(status, fields, memoryview(b"".join(parts)), keeps)
+
+
+def figure(word: memoryview | bytes, base: int) -> int:
+    text = bytes(word)
+    if not text.isalnum():
+        raise Unreadable(f"no figure: {text[:20]!r}")
+    try:
+        return int(text, base)
+    except ValueError:
+        raise Unreadable(f"no figure: {text[:20]!r}") from None
+
+
+def gauges(word: str, names: tuple[str, ...]) -> tuple[float, ...]:
+    """A load report, `name:value` with `;` between, as figures in the order of `names`."""
+    if not word:
+        return ()
+    said: dict[str, float] = {}
+    for pair in word.split(";"):
+        name, _, value = pair.partition(":")
+        try:
+            said[name.strip()] = float(value)
+        except ValueError:
+            raise Unreadable(f"load report: {pair[:40]}") from None
+    # Half a report would be taken for an idle engine.
+    return tuple(said[name] for name in names) if all(name in said for name in names) else ()
