A moment's draws are bounded; links kept by engine; a DELETE goes before the next dispatch

A stack sample showed all of it in release_from -> draw for loads held behind loads of their table group: one draw for each of them at each event. A second sample: a group that could not go was drawn for again after each batch that another group let go, and the memory sum was made where nothing pages.

On the way, from reading: kept links were by address, which a new engine may share with a silent gone one (now by engine id, closed when it is gone or started anew); after a time-out or cancel the next dispatch could reach an engine before the DELETE reached the last (now up to 50 ms of waiting for it); withdraw with a number of its own gets an answer.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -215,10 +215,6 @@
     async def do_send_long(self, size):
         self.writer.write(b"x" * int(size))
 
-    async def do_withdraw(self, number):
-        params = {"id": int(number)}
-        await self.do_send(json.dumps({"jsonrpc": "2.0", "method": "withdraw", "params": params}))
-
     async def do_answer(self, number, kind, *words):
         number = None if number == "null" else int(number)
         await self.until(lambda: any(a.get("id") == number for a in self.answers))
@@ -274,6 +270,9 @@
         ready = [e.id.decode() for e in self.office.roll.told() if self.office.roll.open_to(e.id)]
         assert sorted(ready) == sorted(names), ready
 
+    async def do_kept(self, count, name):
+        assert len(self.office.links.kept.get(name.encode(), ())) == int(count)
+
     async def do_waiting(self, count):
         """So many calls wait for a connection."""
         await self.until(lambda: sum(map(len, self.office.links.waiting)) >= int(count))
--- a/tests/test_papers.py
+++ b/tests/test_papers.py
@@ -77,7 +77,7 @@
     roll = Roll()
     roll.replace(1, list(told), 0.0)
     fresh = told[0]._replace(engine=told[0].engine._replace(id=b"s-9"))
-    assert roll.replace(2, [fresh], 1.0) and not roll.replace(1, list(told), 2.0)
+    assert roll.replace(2, [fresh], 1.0) == [b"s-1"] and roll.replace(1, list(told), 2.0) is None
     assert (roll.open_to(b"s-1"), roll.open_to(b"s-9")) == (False, True)
     assert [e.id for e in roll.told()] == [b"s-9"]
 
--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -393,8 +393,8 @@
         if self.now - self.started[i] < self.warm_after and not self.cold_room(b, i):
             return False
         # Past its memory an engine that pages slows all that it holds, so this bound has no floor.
-        sent = sum(s.memory for s in self.unseen(i)) * self.alike
-        return not self.pages or self.granted[i] + (sent + b.memory) / self.memory[i] <= 1
+        return not self.pages or self.granted[i] + (
+            sum(s.memory for s in self.unseen(i)) * self.alike + b.memory) / self.memory[i] <= 1
 
     def within(self, b: Batch, i: int) -> bool:
         out = sum(s.width for s in self.own[i].values())
@@ -510,16 +510,16 @@
         return 0
 
     def release(self) -> None:
-        if not any(self.queues):
-            self.flowing = True
-            return
+        self.flowing |= not any(self.queues)
         for queue in self.queues:
             for b in [b for b in queue if self.hopeless(b)]:
                 self.unhold(b)
                 self.advance(b, None)
+        # What leaves makes no engine freer: a group that could not go is drawn for again at the next moment.
+        may_go = set(range(len(self.queues)))
         while True:
-            waiting = sorted((self.distance(g), q[0], g) for g, q in enumerate(self.queues) if q)
-            if not any(self.release_from(g) for _, _, g in waiting):
+            waiting = sorted((self.distance(g), self.queues[g][0], g) for g in may_go if self.queues[g])
+            if not any(self.release_from(g) or may_go.discard(g) for _, _, g in waiting):
                 return
 
     def hopeless(self, b: Batch) -> bool:
--- a/thistlelever/carrier/clients.py
+++ b/thistlelever/carrier/clients.py
@@ -92,6 +92,7 @@
         self.tally = reception.tally
         self.inflow = Inflow(BUFFER, LONGEST_LINE)
         self.open: dict[int, Batch] = {}
+        self.latest = 0
 
     async def run(self) -> None:
         try:
@@ -131,6 +132,7 @@
             raise jsonrpc.Bad(jsonrpc.NO_REQUEST, f"more than {MOST_OPEN} open requests", call.number)
         batch = self.reception.batch(call)
         self.open[call.number] = batch
+        self.latest = max(self.latest, call.number)
         self.tally.add("taken")
 
         def answer(told) -> None:
@@ -142,14 +144,16 @@
 
     def withdraw(self, call: jsonrpc.Call) -> None:
         """The client has stopped waiting for one of its requests: nothing more is owed for it."""
-        if self.tally.counts["withdrawn"] < 3:
-            self.reception.log("withdraw", call=call._asdict())
         self.tally.add("withdrawn")
         named = call.params.get("id", call.number)
         for number, batch in list(self.open.items()):
             if named in (number, batch.asked.txn):
                 del self.open[number]
                 batch.inbox.put_nowait(LEFT)
+        # A number of its own wants an answer of its own; that of a request would get a second one.
+        if call.number is not None and call.number > self.latest:
+            self.latest = call.number
+            self.write(jsonrpc.value(call.number, {}))
 
     def write(self, data: bytes) -> None:
         """One whole line, or none. Nobody waits for it, so that a client that reads late holds up none."""
--- a/thistlelever/carrier/course.py
+++ b/thistlelever/carrier/course.py
@@ -85,8 +85,9 @@
                     self.tally.must(not batch.answered, "nothing is sent after the answer")
                     batch.out[number] = self.dispatcher.start(batch, number, told)
                 case it.Cancel():
-                    if told.number in batch.out:
-                        batch.out[told.number].cancel()
+                    task = batch.out.get(told.number)
+                    if task and not task.cancelling():
+                        task.cancel()
                 case End():
                     del batch.out[told.number]
                     if told.fate is it.Fate.RETURNED and not batch.answered:
--- a/thistlelever/carrier/directory.py
+++ b/thistlelever/carrier/directory.py
@@ -8,6 +8,7 @@
 from thistlelever.admission import interface as it
 from thistlelever.carrier.desk import Desk
 from thistlelever.lifecycle import clock
+from thistlelever.store.links import Links
 from thistlelever.store.roll import Entry, Roll
 from thistlelever.store.tally import Tally
 from thistlelever.wire import dns
@@ -23,9 +24,9 @@
 class Inquiry(asyncio.DatagramProtocol):
     """One socket to the directory; asks at a steady pace, and at once where the decisions want it."""
 
-    def __init__(self, roll: Roll, desk: Desk, tally: Tally, zones: tuple[str, ...], kinds: tuple[str, ...],
-                 seed: int) -> None:
-        self.roll, self.desk, self.tally = roll, desk, tally
+    def __init__(self, roll: Roll, links: Links, desk: Desk, tally: Tally, zones: tuple[str, ...],
+                 kinds: tuple[str, ...], seed: int) -> None:
+        self.roll, self.links, self.desk, self.tally = roll, links, desk, tally
         self.zones = {name: z for z, name in enumerate(zones)}
         self.kinds = {name: k for k, name in enumerate(kinds)}
         self.seed, self.asked = seed, 0
@@ -77,7 +78,10 @@
             self.desk.log("directory answer out of form", why=str(why))
             return
         self.last = data[2:]
-        if self.roll.replace(listing.serial, entries, clock.now()):
+        changed = self.roll.replace(listing.serial, entries, clock.now())
+        if changed is not None:
+            for engine in changed:
+                self.links.forget(engine)
             self.desk.log("list", serial=listing.serial, engines=len(entries))
             self.desk.tell(it.ListTold(it.ListKind.WHOLE, listing.serial, self.roll.told()))
 
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from math import ceil
 
@@ -12,7 +13,7 @@
 from thistlelever.lifecycle.log import Log
 from thistlelever.store.batches import Batch
 from thistlelever.store.links import Broken, Links, Refused, Silent, Unreached
-from thistlelever.store.roll import Roll
+from thistlelever.store.roll import Entry, Roll
 from thistlelever.store.tally import Tally
 from thistlelever.wire import http
 
@@ -22,6 +23,9 @@
 # So many connections in a row may break under one question before the engine is taken to have died.
 BREAKS = 3
 TIDINGS = {"advance": it.Tidings.PROGRESS, "disk": it.Tidings.SPILL, "stall": it.Tidings.WAITING}
+# A DELETE gets this long before another dispatch of its batch may go; an engine that hears nothing ends
+# the batch by its own X-Limit-Ms.
+GIVE_UP = 0.05
 # A result holds 48,000 bytes in pages of 6,000; a count far past that is no count.
 MOST_PAGES = 64
 
@@ -81,10 +85,13 @@
             self.tally.add("dispatch failed")
             self.log("dispatch failed", why=repr(why))
             end.fate = it.Fate.ERRORED
+        end.took = clock.now() - begun
         if sent.begun and self.cancels and end.fate in (it.Fate.TIMED_OUT, it.Fate.CANCELLED):
-            self.aside(self.delete(batch.asked.txn, order.engine))
+            given_up = self.aside(self.delete(batch.asked.txn, order.engine))
+            if till < batch.limit_at or end.fate is it.Fate.CANCELLED:
+                # Risk: a further dispatch that comes before the DELETE makes two out at once.
+                await asyncio.wait((given_up,), timeout=GIVE_UP)
         batch.limits.pop(number, None)
-        end.took = clock.now() - begun
         batch.inbox.put_nowait(end)
 
     async def converse(self, batch: Batch, end: End, sent: Sending, till: float) -> None:
@@ -92,7 +99,7 @@
         path = f"/fetch/{batch.asked.txn}/"
         reply = None
         try:
-            link = await self.links.take(entry.address, urgent=True)
+            link = await self.links.take(entry, urgent=True)
         except (Refused, Unreached):
             end.fate = it.Fate.UNREACHABLE
             return
@@ -111,7 +118,7 @@
         finally:
             self.links.give_back(link)
         while reply is None or reply.status == 202:
-            reply = await self.ask(path + "0", entry.address, end, sent, batch)
+            reply = await self.ask(path + "0", entry, end, sent, batch)
             if reply is None:
                 return
         if reply.status != 200:
@@ -122,7 +129,7 @@
             self.tally.add("answers out of form")
             return
         for page in range(1, int(count)):
-            reply = await self.ask(path + str(page), entry.address, end, sent, batch)
+            reply = await self.ask(path + str(page), entry, end, sent, batch)
             if reply is None:
                 return
             if reply.status != 200 or reply.number(b"chunk") != page:
@@ -151,8 +158,7 @@
         # After a break, an engine that no longer knows the batch was started anew.
         return it.Fate.RESET if sent.broken else it.Fate.ERRORED
 
-    async def ask(self, path: str, address: tuple[str, int], end: End, sent: Sending,
-                  batch: Batch) -> http.Reply | None:
+    async def ask(self, path: str, entry: Entry, end: End, sent: Sending, batch: Batch) -> http.Reply | None:
         """One question about a batch that is out, on new connections until it is answered.
 
         A poll or a page belongs to no connection, so asking again is no further dispatch. None: the
@@ -161,13 +167,13 @@
         breaks = 0
         while breaks < BREAKS:
             try:
-                link = await self.links.take(address, urgent=False)
+                link = await self.links.take(entry, urgent=False)
             except Refused:
                 break
             except Unreached:
                 continue
             try:
-                request = http.call("GET", path, address, {})
+                request = http.call("GET", path, entry.address, {})
                 reply = await link.call(request, SILENCE)
                 self.read(reply, end, batch)
                 return reply
@@ -213,12 +219,12 @@
 
     async def once(self, engine: it.EngineId, verb: str, path: str, body: bytes = b"") -> None:
         """A call whose loss costs little: it is made once, and a failure is counted."""
-        address = self.roll.entries[engine].address
+        entry = self.roll.entries[engine]
         try:
             async with asyncio.timeout(SILENCE):
-                link = await self.links.take(address, urgent=True)
+                link = await self.links.take(entry, urgent=True)
                 try:
-                    await link.call(http.call(verb, path, address, {}, body), SILENCE)
+                    await link.call(http.call(verb, path, entry.address, {}, body), SILENCE)
                 finally:
                     self.links.give_back(link)
         except (Refused, Unreached, Broken, Silent, TimeoutError):
@@ -228,12 +234,11 @@
         self.aside(self.probing(action.engine))
 
     async def probing(self, engine: it.EngineId) -> None:
-        begun, report = clock.now(), ()
-        address = self.roll.entries[engine].address
+        begun, report, entry = clock.now(), (), self.roll.entries[engine]
         try:
-            link = await self.links.take(address, urgent=True)
+            link = await self.links.take(entry, urgent=True)
             try:
-                reply = await link.call(http.call("GET", "/stats", address, {}), self.probe_limit)
+                reply = await link.call(http.call("GET", "/stats", entry.address, {}), self.probe_limit)
                 report = http.gauges(reply.text(b"x-gauges"), self.fields)
                 fate = it.Fate.RETURNED if reply.status == 200 else it.Fate.ERRORED
             finally:
@@ -246,10 +251,11 @@
             fate = it.Fate.RESET
         self.desk.tell(it.ProbeEnded(engine, fate, clock.now() - begun, report))
 
-    def aside(self, work) -> None:
+    def aside(self, work: Coroutine) -> asyncio.Task:
         task = asyncio.get_running_loop().create_task(work)
         self.asides.add(task)
         task.add_done_callback(self.asides.discard)
+        return task
 
 
 @dataclass(slots=True)
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -47,7 +47,8 @@
         self.dispatcher = Dispatcher(manifest, self.roll, self.links, self.desk, self.tally, log)
         self.courses = Courses(self.desk, self.dispatcher, self.batches, self.tally, log)
         self.reception = Reception(manifest, self.courses, self.batches, self.tally, log)
-        self.inquiry = Inquiry(self.roll, self.desk, self.tally, papers.zones, papers.kinds, papers.seed)
+        self.inquiry = Inquiry(self.roll, self.links, self.desk, self.tally, papers.zones, papers.kinds,
+                               papers.seed)
         self.desk.on_probe = self.dispatcher.probe
         self.desk.on_ask_list = lambda: self.inquiry.ask(by_order=True)
         self.stop = asyncio.Event()
--- a/thistlelever/store/links.py
+++ b/thistlelever/store/links.py
@@ -9,6 +9,8 @@
 
 from tornado.iostream import IOStream, StreamClosedError
 
+from thistlelever.admission.interface import EngineId
+from thistlelever.store.roll import Entry
 from thistlelever.store.tally import Tally
 from thistlelever.wire import http
 from thistlelever.wire.inflow import Inflow, TooLong
@@ -40,8 +42,8 @@
 class Link:
     """One connection to one engine; carries one call at a time."""
 
-    def __init__(self, stream: IOStream, address: tuple[str, int]) -> None:
-        self.stream, self.address, self.idle_since = stream, address, 0.0
+    def __init__(self, stream: IOStream, engine: EngineId) -> None:
+        self.stream, self.engine, self.idle_since = stream, engine, 0.0
         self.inflow = Inflow(BUFFER, LONGEST)
         self.calling, self.whole = False, False
 
@@ -83,13 +85,13 @@
     def __init__(self, most: int, idle: float, connect_limit: float, tally: Tally) -> None:
         self.most, self.idle, self.connect_limit, self.tally = most, idle * IDLE_SHARE, connect_limit, tally
         self.most_polls = most - int(most * URGENT_SHARE)
-        self.kept: dict[tuple[str, int], deque[Link]] = {}
+        self.kept: dict[EngineId, deque[Link]] = {}
         self.count = 0
         self.waiting: tuple[deque[asyncio.Future], ...] = (deque(), deque())
 
-    async def take(self, address: tuple[str, int], urgent: bool) -> Link:
+    async def take(self, entry: Entry, urgent: bool) -> Link:
         """A link that carries nothing: a kept one, or a new one."""
-        kept = self.kept.get(address)
+        kept = self.kept.get(entry.engine.id)
         while kept:
             link = kept.pop()
             if link.fresh():
@@ -105,9 +107,9 @@
                 if turn.done() and not turn.cancelled():
                     self.wake()
                 raise
-        return await self.connect(address)
+        return await self.connect(entry)
 
-    async def connect(self, address: tuple[str, int]) -> Link:
+    async def connect(self, entry: Entry) -> Link:
         self.count += 1
         stream = None
         try:
@@ -115,7 +117,7 @@
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream = IOStream(raw, max_buffer_size=LONGEST)
             async with asyncio.timeout(self.connect_limit):
-                await stream.connect(address)
+                await stream.connect(entry.address)
         except BaseException as why:
             if stream:
                 stream.close()
@@ -125,7 +127,7 @@
             if isinstance(why, StreamClosedError | OSError):
                 raise self.meaning(why) from None
             raise
-        return Link(stream, address)
+        return Link(stream, entry.engine.id)
 
     def meaning(self, why: Exception) -> Exception:
         real = getattr(why, "real_error", None) or why
@@ -141,7 +143,7 @@
             self.close(link)
             return
         link.idle_since = monotonic()
-        self.kept.setdefault(link.address, deque()).append(link)
+        self.kept.setdefault(link.engine, deque()).append(link)
 
     def close(self, link: Link) -> None:
         link.stream.close()
@@ -171,10 +173,15 @@
         return True
 
     def sweep(self) -> None:
-        """Close what has been idle too long, and forget addresses that have no link."""
+        """Close what has been idle too long, and forget engines that have no link."""
         before = monotonic() - self.idle
-        for address, kept in list(self.kept.items()):
+        for engine, kept in list(self.kept.items()):
             while kept and (kept[0].idle_since < before or kept[0].stream.closed()):
                 self.close(kept.popleft())
             if not kept:
-                del self.kept[address]
+                del self.kept[engine]
+
+    def forget(self, engine: EngineId) -> None:
+        """Close the kept links of an engine that is gone or was started anew: a call on one goes nowhere."""
+        for link in self.kept.pop(engine, ()):
+            self.close(link)
--- a/thistlelever/store/roll.py
+++ b/thistlelever/store/roll.py
@@ -22,10 +22,11 @@
         self.entries: dict[it.EngineId, Entry] = {}
         self.left: dict[it.EngineId, float] = {}
 
-    def replace(self, serial: int, entries: list[Entry], now: float) -> bool:
-        """Take a whole list, unless it is older than the one held."""
+    def replace(self, serial: int, entries: list[Entry], now: float) -> list[it.EngineId] | None:
+        """Take a whole list, unless it is no newer than the one held; the engines that are not what they
+        were, gone or started anew."""
         if serial < self.serial or serial == self.serial and self.entries:
-            return False
+            return None
         self.serial = serial
         listed = {entry.engine.id: entry for entry in entries}
         for known, entry in self.entries.items():
@@ -37,8 +38,9 @@
                 self.left.pop(engine, None)
             else:
                 self.left.setdefault(engine, now)
+        changed = [known for known, entry in self.entries.items() if place(entry) != place(listed[known])]
         self.entries = listed
-        return True
+        return changed
 
     def told(self) -> tuple[it.Engine, ...]:
         """The list as the decisions are told it: what is gone has no place in it."""
@@ -48,3 +50,8 @@
     def open_to(self, engine: it.EngineId) -> bool:
         """Whether something new may still be sent there."""
         return engine not in self.left
+
+
+def place(entry: Entry) -> tuple:
+    """What a connection was made to."""
+    return entry.address, entry.engine.started, entry.engine.standing is it.Standing.GONE
