--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -34,7 +34,7 @@
 # The figures about engines: those that the list gives, and the others with their first value.
 LISTED = ("id", "zone", "cell", "kind", "cores", "memory", "started", "bound", "reported", "slow_at")
 FIRST = {"listed": False, "down": False, "last": (), "gap": 0.5, "told_at": -1e9, "probe_at": -1e9,
-         "slow": 1.0, "busy": 0.0, "granted": 0.0, "shun": 0.0, "doubt": 0.0}
+         "slow": 1.0, "busy": 0.0, "granted": 0.0, "shun": 0.0, "doubt": 0.0, "width": 0}
 NEVER_RAN = frozenset((it.Fate.FULL, it.Fate.UNREACHABLE, it.Fate.UNSENT))
 MAY_RUN_ON = frozenset((it.Fate.TIMED_OUT, it.Fate.RESET, it.Fate.CANCELLED))
 
@@ -118,7 +118,7 @@
         }
 
     def handle(self, now: float, events: list[it.Event]) -> list[it.Action]:
-        self.now, self.actions, self.crossed = now, [], set()
+        self.now, self.actions, self.crossed, self.loads = now, [], set(), {}
         for event in (e for e in events if type(e) in self.handlers):
             self.handlers[type(event)](event)
         self.release()
@@ -218,6 +218,7 @@
         b, i, g = s.batch, s.engine, s.batch.group
         b.out.pop(s.number, None)
         self.own[i].pop((told.batch, told.number), None)
+        self.width[i] -= s.width
         self.report(i, told.report, s.width)
         if told.fate in NEVER_RAN:
             b.may_have_run = [r for r in b.may_have_run if r[0] != s.number]
@@ -306,7 +307,7 @@
         self.last[i], self.reported[i] = values, self.now
         busy, line, held, disk, granted = (values[f] if 0 <= f < len(values) else -1.0 for f in self.fields)
         if busy < 0:
-            busy = sum(s.width for s in self.own[i].values()) * self.fronts / self.cores[i]
+            busy = self.width[i] * self.fronts / self.cores[i]
         # Batches that stand still behind a load or a disk leave the cores idle: risk, an engine that is
         # jammed reports no work and is sent ever more. What it holds and its disks count as well.
         busy = max(busy, disk, held / (self.cores[i] * THREADS_A_CORE))
@@ -369,13 +370,14 @@
     def load_of(self, i: int) -> float:
         """The busy share reported, and what all fronts are taken to have sent since: as they act on like
         reports, each as much as this one, up to what fills an engine. Risk: too few, and all pour onto one
-        that looks free; too many, and a single send is fled from.
-        """
-        sent = sum(s.width for s in self.unseen(i))
-        # Risk: what was last heard busy is not sent to, nor heard of again. Old word gives way to the mean.
-        trust = self.forget / (self.forget + self.now - self.told_at[i])
-        busy = self.mean_busy + trust * (self.busy[i] - self.mean_busy)
-        return busy + sent * self.alike / (self.cores[i] * self.warmth(i))
+        that looks free; too many, and a single send is fled from."""
+        if i not in self.loads:
+            sent = sum(s.width for s in self.unseen(i))
+            # Risk: what was last heard busy is not heard of again. Old word gives way to the mean.
+            trust = self.forget / (self.forget + self.now - self.told_at[i])
+            busy = self.mean_busy + trust * (self.busy[i] - self.mean_busy)
+            self.loads[i] = busy + sent * self.alike / (self.cores[i] * self.warmth(i))
+        return self.loads[i]
 
     def takes(self, b: Batch, i: int) -> bool:
         t = self.groups[b.group]
@@ -397,14 +399,12 @@
             sum(s.memory for s in self.unseen(i)) * self.alike + b.memory) / self.memory[i] <= 1
 
     def within(self, b: Batch, i: int) -> bool:
-        out = sum(s.width for s in self.own[i].values())
-        return out + b.width <= self.bound[i] or self.load_of(i) < BUSY
+        return self.width[i] + b.width <= self.bound[i] or self.load_of(i) < BUSY
 
     def in_turn(self, b: Batch) -> bool:
         """Where a share is less than a batch: once nothing is free, a batch for each time that this front's
         shares of all engines would have run one, until none is held. Risk: a batch for each front and engine
-        is several engines' worth, and what all have held back goes at once when engines are next free.
-        """
+        is several engines' worth, and what all have held back goes at once when engines are next free."""
         if self.flowing:
             self.flowing, self.turn = False, self.now + self.chance() * self.spacing(b)
         return self.now >= self.turn
@@ -443,8 +443,7 @@
     def sample(self, b: Batch, loads: bool) -> tuple[list[tuple[int, int]], list[tuple[int, int]]]:
         """Of the first engines that may take the batch those within the bound, and those to go to in turn."""
         free, pressed, asks = [], [], ASKS if self.probing else 0
-        places = self.order(b.tables)
-        places = places[::-1] if loads and self.any_yields else places
+        places = self.order(b.tables)[::-1 if loads and self.any_yields else 1]
         if len(places) > NEAR:
             places = [places[int(self.chance() * len(places))] for _ in range(FAR)] + places
         for rank, i in places:
@@ -588,6 +587,8 @@
         if not b.dispatches and (self.grants or self.priorities):
             self.actions.append(it.Terms(b.id, grant, self.priority[b.group]))
         self.actions.append(it.Dispatch(b.id, self.id[i], self.patience(b)))
+        self.width[i] += s.width
+        self.loads.pop(i, None)
         self.sent[b.id, s.number] = b.out[s.number] = self.own[i][b.id, s.number] = s
         b.may_have_run.append((s.number, i, self.now))
         b.dispatches += 1
@@ -603,8 +604,7 @@
     def patience(self, b: Batch) -> float:
         """How long a dispatch may go unanswered, for the next to meet the goal; 0: to the time limit.
         Never under four times the group's usual, so that it does not trip while all are slow. None where
-        copies are allowed: work that a time-out does not stop costs more there, and probes find silence.
-        """
+        copies are allowed: work that a time-out does not stop costs more there, and probes find silence."""
         t = self.groups[b.group]
         if self.copies or t.repeat is it.Repeat.ONCE_ONLY or b.dispatches + 1 >= self.most[b.group]:
             return 0.0
