--- a/thistlelever/carrier/desk.py
+++ b/thistlelever/carrier/desk.py
@@ -18,8 +18,9 @@
 class Desk:
     """Gathers what comes in one turn of the loop, tells it together, hands the actions on in order."""
 
-    def __init__(self, front: Front, batches: Batches, tally: Tally, log: Log) -> None:
+    def __init__(self, front: Front, tick: float, batches: Batches, tally: Tally, log: Log) -> None:
         self.front, self.batches, self.tally, self.log = front, batches, tally, log
+        self.tick, self.rest_till = tick, 0.0
         self.events: list[it.Event] = []
         self.turns, self.spent = 0, 0.0
         self.on_probe: Callable[[it.Probe], None] = lambda action: None
@@ -27,10 +28,16 @@
 
     def tell(self, event: it.Event) -> None:
         if not self.events:
-            asyncio.get_running_loop().call_soon(self.turn)
+            loop = asyncio.get_running_loop()
+            if loop.time() >= self.rest_till:
+                loop.call_soon(self.turn)
+            else:
+                loop.call_at(self.rest_till, self.turn)
         self.events.append(event)
 
     def turn(self) -> None:
+        """Tell what has come. The next turn is a tick away at least, as on the bench, and as long as this
+        one took: in a flood the decisions must leave half of the core to reading and answering."""
         events, self.events = self.events, []
         begun = perf_counter()
         try:
@@ -44,8 +51,10 @@
             return
         for action in actions:
             self.carry(action)
+        took = perf_counter() - begun
         self.turns += 1
-        self.spent += perf_counter() - begun
+        self.spent += took
+        self.rest_till = asyncio.get_running_loop().time() + max(self.tick - took, took)
 
     def carry(self, action: it.Action) -> None:
         kind = type(action)
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -41,7 +41,7 @@
         self.tally, self.batches, self.roll = Tally(), Batches(), Roll()
         self.roll.replace(papers.serial, list(papers.known), clock.now())
         manifest = papers.manifest
-        self.desk = Desk(Front(manifest, papers.seed), self.batches, self.tally, log)
+        self.desk = Desk(Front(manifest, papers.seed), manifest.tick, self.batches, self.tally, log)
         most = int(papers.sockets * (1 - CLIENTS_SHARE)) - OWN_DESCRIPTORS
         self.links = Links(most, papers.idle, manifest.connect_limit, self.tally)
         self.dispatcher = Dispatcher(manifest, self.roll, self.links, self.desk, self.tally, log)
