--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -306,8 +306,8 @@
 
 async def played(lines):
     """Plays one scenario; the name of the line that failed goes with the failure."""
-    stage, was = Stage(), (run.STILL_COMING, run.LAST_ANSWER, directory.PACE)
-    run.STILL_COMING, run.LAST_ANSWER, directory.PACE = 0.05, 0.5, 0.05
+    stage, was = Stage(), (run.STILL_COMING, run.LONGEST_LIMIT, directory.PACE)
+    run.STILL_COMING, run.LONGEST_LIMIT, directory.PACE = 0.05, 0.3, 0.05
     try:
         for line, words in lines:
             try:
@@ -317,4 +317,4 @@
                 raise AssertionError(f"{line}: {' '.join(words)}: {why} {seen}") from why
     finally:
         await stage.end()
-        run.STILL_COMING, run.LAST_ANSWER, directory.PACE = was
+        run.STILL_COMING, run.LONGEST_LIMIT, directory.PACE = was
--- /dev/null
+++ b/tests/test_desk.py
@@ -0,0 +1,56 @@
+"""The narrow place: what comes in one moment is told together, and a failure there ends nothing."""
+
+import asyncio
+
+from thistlelever.admission import interface as it
+from thistlelever.carrier.desk import Desk
+from thistlelever.store.batches import Batches
+from thistlelever.store.tally import Tally
+
+TICK = 0.02
+
+
+class Told:
+    """Decisions that only remember what they were told, and fail when told 13."""
+
+    def __init__(self):
+        self.moments, self.done = [], asyncio.Event()
+
+    def handle(self, now, events):
+        tokens = [event.token for event in events]
+        self.moments.append((now, tokens))
+        if tokens[-1] == 13:
+            raise KeyError("thirteen")
+        if tokens[-1] == 99:
+            self.done.set()
+        return []
+
+
+def play(*moments):
+    async def run():
+        front, log, unheeded = Told(), [], []
+        asyncio.get_running_loop().set_exception_handler(lambda _, context: unheeded.append(context))
+        tally = Tally()
+        desk = Desk(front, TICK, Batches(), tally, lambda event, **facts: log.append(event))
+        for tokens in moments:
+            for token in tokens:
+                desk.tell(it.TimerDue(token))
+            while not front.moments or tokens[-1] not in front.moments[-1][1]:
+                await asyncio.sleep(0)
+        await front.done.wait()
+        return front.moments, tally, log
+
+    return asyncio.run(run())
+
+
+def test_one_moment_is_told_together_and_the_next_is_a_tick_away():
+    # Risk: a turn for each event, and in a flood the decisions leave no time to read and answer.
+    moments, _, _ = play([1, 2, 3], [4, 99])
+    assert [tokens for _, tokens in moments] == [[1, 2, 3], [4, 99]]
+    assert moments[1][0] - moments[0][0] >= TICK * 0.9
+
+
+def test_decisions_that_fail_are_logged_counted_and_asked_again():
+    moments, tally, log = play([13], [99])
+    assert [tokens for _, tokens in moments] == [[13], [99]]
+    assert tally.counts["decisions failed"] == 1 and log == ["decisions failed"]
--- a/tests/test_papers.py
+++ b/tests/test_papers.py
@@ -41,6 +41,7 @@
     ("settings", [], "settings: an object expected"),
     ("settings.Limits.Keepalive", None, "setting Limits.Keepalive is missing"),
     ("settings.Classes.0.Slo", "soon", "setting Classes.0.Slo is no number: soon"),
+    ("settings.Classes.0.RunsIn", ["est"], "setting Classes.0.RunsIn says est, which is no place of Failure"),
     ("settings.Telemetry.How", "loudly", "setting Telemetry.How says loudly"),
 ])
 def test_a_fault_names_its_key(tmp_path, path, value, said):
@@ -64,8 +65,10 @@
     first = told["known"]["entries"][0]["hosts"]["instances"]
     told["known"]["entries"].append({"pos": 2, "hosts": {"instances": [
         first[0] | {"lifecycle": "Terminating"}, first[1] | {"lifecycle": "Gone"}]}})
+    told["settings"]["Classes"][1]["RunsIn"] = ["sud", 0]
     del told["limits"], told["name"]
     read = papers.read(told, {"BALANCER_NAME": "n9"})
+    assert read.manifest.tariffs[1].zones == {0, 1} and read.manifest.tariffs[0].zones is None
     assert (read.name, read.sockets) == ("n9", papers.DEFAULT_SOCKETS)
     assert [(e.engine.id, e.engine.standing) for e in read.known] == [
         (b"s-1", it.Standing.DRAINING), (b"s-3", it.Standing.READY)]
--- a/thistlelever/carrier/course.py
+++ b/thistlelever/carrier/course.py
@@ -44,8 +44,10 @@
         except Exception as why:
             self.tally.add("course failed")
             self.log("course failed", why=repr(why), trace=traceback.format_exc())
-            for task in batch.out.values():
+            for number, task in batch.out.items():
                 task.cancel()
+                end = End(number, batch.engines[number], it.Fate.RESET)
+                self.desk.tell(end.event(batch.number, complete=True))
             if not batch.answered:
                 batch.answered = True
                 answer(it.Error(batch.number))
--- a/thistlelever/lifecycle/manifest.py
+++ b/thistlelever/lifecycle/manifest.py
@@ -53,8 +53,19 @@
     def words(self, path: str) -> list[str]:
         return [word for word in self.word(path).split(",") if word]
 
-    def places(self, path: str) -> frozenset[int] | None:
-        return frozenset(map(int, self.words(path))) if path in self.pairs else None
+    def place(self, word: str, names: str, path: str) -> int:
+        """A place in a list of names, given as its number or by its name."""
+        known = self.words(names)
+        if word in known:
+            return known.index(word)
+        if word.isdigit() and int(word) < len(known):
+            return int(word)
+        raise Unreadable(f"setting {path} says {word}, which is no place of {names}")
+
+    def places(self, path: str, names: str) -> frozenset[int] | None:
+        if path not in self.pairs:
+            return None
+        return frozenset(self.place(word, names, path) for word in self.words(path))
 
 
 def manifest(text: str) -> it.Manifest:
@@ -82,7 +93,7 @@
     parties = range(conf.whole("Parties.count")) if "Parties.count" in conf.pairs else range(0)
     return it.Manifest(
         fronts=conf.whole("Balancers"),
-        zone=conf.whole("MyZone"),
+        zone=conf.place(conf.word("MyZone"), "FailureDomains", "MyZone"),
         tariffs=tuple(tariff(conf, f"Classes.{g}.", widths[g], holds[g], yields[g]) for g in groups),
         consignors=tuple(
             it.Consignor(conf.word(f"Parties.{p}.Name"), conf.number(f"Parties.{p}.QuotaPerS"))
@@ -142,6 +153,6 @@
         holds_tables=holds,
         yields_to_loads=yields,
         in_order=conf.truth(at + "Sequential") if at + "Sequential" in conf.pairs else False,
-        zones=conf.places(at + "RunsIn"),
-        kinds=conf.places(at + "KindsOnly"),
+        zones=conf.places(at + "RunsIn", "FailureDomains"),
+        kinds=conf.places(at + "KindsOnly", "Kinds"),
     )
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -26,8 +26,9 @@
 
 # Clients may hold a third of the descriptors; these are for the listener, UDP, the log and the loop.
 CLIENTS_SHARE, OWN_DESCRIPTORS = 1 / 3, 32
-# After a SIGTERM, requests go on coming for 0.6 s; the kill comes 3.7 s after it at the soonest.
-STILL_COMING, LAST_ANSWER = 0.75, 3.3
+# After a SIGTERM, requests go on coming for 0.6 s; the kill comes no sooner than the longest time limit,
+# or 3 s if that is less, and 0.7 s more after it. The last answers are written before.
+STILL_COMING, LONGEST_LIMIT, LAST_ANSWER = 0.75, 3.0, 0.3
 # What the last answers may take to leave the connections' buffers.
 LAST_BYTES = 0.2
 HOUSEKEEPING, COUNTS_EVERY = 0.5, 6.0
@@ -57,6 +58,7 @@
     async def open(self) -> None:
         """Ready only when the list is read, the decisions are made and the port listens."""
         loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self.unforeseen)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
         await loop.create_datagram_endpoint(lambda: self.inquiry, remote_addr=self.papers.directory)
@@ -78,7 +80,8 @@
 
     async def close(self) -> None:
         """Take what still comes, answer all that was taken, and be gone before the kill."""
-        stop_at = clock.now() + LAST_ANSWER
+        longest = max(tariff.time_limit for tariff in self.papers.manifest.tariffs)
+        stop_at = clock.now() + min(longest, LONGEST_LIMIT) + LAST_ANSWER
         self.log("stopping", open=len(self.batches.by_number))
         self.reception.stop_at = stop_at
         self.courses.stop(stop_at)
@@ -97,6 +100,11 @@
         self.tally.must(not self.batches.by_number, "all answered at the end")
         self.log("stopped", counts=self.tally.counts)
 
+    def unforeseen(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
+        """What no task heeded: logged and counted, and the front goes on."""
+        self.tally.add("unforeseen")
+        self.log("unforeseen failed", why=repr(context.get("exception") or context["message"]))
+
     async def housekeeping(self) -> None:
         """Closes what idles and writes the counters where they have changed."""
         written, due, lag = None, clock.now() + COUNTS_EVERY, 0.0
