--- a/tests/test_papers.py
+++ b/tests/test_papers.py
@@ -92,3 +92,12 @@
         with pytest.raises(AssertionError):
             tally.must(False, "b")
     assert not __debug__ or tally.counts["broken: b"] == 1
+
+
+def test_what_the_decisions_are_given_can_be_looked_at(tmp_path):
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(configuration(ENTRY)))
+    done = CliRunner().invoke(main, ["show"], env={"BALANCER_CONFIG": str(file)})
+    tariffs = json.loads(done.stdout)["tariffs"]
+    assert [t["repeat"] for t in tariffs] == ["repeatable", "referenced", "once-only"]
+    assert tariffs[0]["goal"] == 2.0
--- a/thistlelever/__main__.py
+++ b/thistlelever/__main__.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import sys
+from enum import Enum
 from importlib import metadata
 
 import click
+import orjson
 
 from thistlelever.lifecycle import papers
 from thistlelever.lifecycle.log import Log
@@ -33,6 +35,13 @@
                f"{len(told.manifest.tariffs)} service groups, {len(told.known)} engines known")
 
 
+@main.command()
+def show() -> None:
+    """Print the terms that the decisions are given, as JSON."""
+    terms = orjson.dumps(plain(load().manifest), option=orjson.OPT_INDENT_2)
+    click.echo(terms.decode())
+
+
 @main.command()
 def version() -> None:
     """Print the version."""
@@ -44,6 +53,17 @@
         click.echo(thistlelever.__version__)
 
 
+def plain(value):
+    """Named tuples as objects, sets as sorted lists, and names for what is one of a few."""
+    if hasattr(value, "_asdict"):
+        return {name: plain(inner) for name, inner in value._asdict().items()}
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, frozenset):
+        return sorted(value)
+    return [plain(inner) for inner in value] if isinstance(value, tuple) else value
+
+
 def load() -> papers.Papers:
     try:
         return papers.load()
