--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -80,7 +80,8 @@
 
         dispatcher = SimpleNamespace(
             start=lambda batch, number, order: asyncio.get_running_loop().create_task(ends(batch)))
-        courses = Courses(SimpleNamespace(tell=told.append), dispatcher, Batches(), tally, lambda *a, **f: None)
+        desk = SimpleNamespace(tell=told.append)
+        courses = Courses(desk, dispatcher, Batches(), tally, lambda *a, **f: None)
         batch = Batch(1, SimpleNamespace(txn="1"), "taken", "lookup", clock.now() + 60)
         courses.start(batch, lambda answer: given.append(type(answer)))
         for word in crossing:
