--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -270,6 +270,10 @@
         ready = [e.id.decode() for e in self.office.roll.told() if self.office.roll.open_to(e.id)]
         assert sorted(ready) == sorted(names), ready
 
+    async def do_up(self, name):
+        front = self.office.desk.front
+        assert not front.down[front.index[name.encode()]]
+
     async def do_kept(self, count, name):
         assert len(self.office.links.kept.get(name.encode(), ())) == int(count)
 
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -9,9 +9,10 @@
 from thistlelever.admission import interface as it
 from thistlelever.carrier.course import LEFT, OVERDUE, Courses
 from thistlelever.carrier.desk import Desk
-from thistlelever.carrier.dispatch import End
+from thistlelever.carrier.dispatch import RETRY_PACE, Dispatcher, End, Sending
 from thistlelever.lifecycle import clock
 from thistlelever.store.batches import Batch, Batches
+from thistlelever.store.links import Unreached
 from thistlelever.store.tally import Tally
 
 TICK = 0.02
@@ -92,3 +93,22 @@
         return given
 
     assert asyncio.run(run()) == answers
+
+
+def test_a_network_that_says_no_at_once_is_not_asked_without_pause():
+    tries = []
+
+    async def take(entry, urgent):
+        tries.append(entry)
+        raise Unreached
+
+    async def run():
+        terms = SimpleNamespace(report_fields=(), cancel=True, connect_limit=0.25)
+        links = SimpleNamespace(take=take)
+        dispatcher = Dispatcher(terms, None, links, None, Tally(), None)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(4 * RETRY_PACE):
+                await dispatcher.ask("/fetch/1/0", "entry", End(0, b"a"), Sending(), None)
+
+    asyncio.run(run())
+    assert 1 <= len(tries) <= 5
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -20,6 +20,8 @@
 # News comes after 250 ms at the latest; what takes this long is silent. Below the 2 s after which an
 # engine drops a batch that is not asked for, with time for a new connection.
 SILENCE = 1.0
+# A poll that found no way is tried again after this long.
+RETRY_PACE = 0.05
 # So many connections in a row may break under one question before the engine is taken to have died.
 BREAKS = 3
 TIDINGS = {"advance": it.Tidings.PROGRESS, "disk": it.Tidings.SPILL, "stall": it.Tidings.WAITING}
@@ -76,7 +78,8 @@
                 async with asyncio.timeout_at(clock.on_loop(till)) as batch.limits[number]:
                     await self.converse(batch, end, sent, till)
         except TimeoutError:
-            end.fate = it.Fate.TIMED_OUT if sent.begun else it.Fate.UNREACHABLE
+            # Risk: a wait for a connection of our own, told as an engine out of reach, makes that one cold.
+            end.fate = it.Fate.TIMED_OUT if sent.begun else it.Fate.UNSENT
         except asyncio.CancelledError:
             end.fate = it.Fate.CANCELLED
         except http.Unreadable:
@@ -171,6 +174,8 @@
             except Refused:
                 break
             except Unreached:
+                # Risk: a network that says no at once, asked again at once, takes the whole core.
+                await asyncio.sleep(RETRY_PACE)
                 continue
             try:
                 request = http.call("GET", path, entry.address, {})
