--- a/tests/test_papers.py
+++ b/tests/test_papers.py
@@ -1,6 +1,9 @@
 """Configuration: each fault is one line that names the key by its path, before a port opens."""
 
 import json
+import logging
+import socket
+from io import BytesIO
 
 import pytest
 from click.testing import CliRunner
@@ -9,6 +12,7 @@
 from thistlelever.__main__ import main
 from thistlelever.admission import interface as it
 from thistlelever.lifecycle import papers
+from thistlelever.lifecycle.log import Libraries, Log
 from thistlelever.store.roll import Roll
 from thistlelever.store.tally import Tally
 
@@ -101,3 +105,22 @@
     tariffs = json.loads(done.stdout)["tariffs"]
     assert [t["repeat"] for t in tariffs] == ["repeatable", "referenced", "once-only"]
     assert tariffs[0]["goal"] == 2.0
+
+
+def test_a_port_that_is_taken_is_named(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        file = tmp_path / "config.json"
+        file.write_text(json.dumps(changed("listen", address)))
+        done = CliRunner().invoke(main, ["serve"], env={"BALANCER_CONFIG": str(file)})
+    assert done.exit_code == 1 and f"listen: {address}: Address already in use" in done.stderr
+
+
+def test_the_log_is_one_json_line_an_event_libraries_included():
+    sink = BytesIO()
+    log = Log("n0", sink)
+    log("ready", engines=2)
+    Libraries(log).handle(logging.makeLogRecord({"name": "tornado", "msg": "x\ny", "levelno": 40}))
+    lines = [json.loads(line) for line in sink.getvalue().splitlines()]
+    assert [(line["event"], line["front"]) for line in lines] == [("ready", "n0"), ("library", "n0")]
+    assert lines[1]["text"] == "x\ny"
--- a/thistlelever/__main__.py
+++ b/thistlelever/__main__.py
@@ -1,6 +1,7 @@
 """`python -m thistlelever`: the command line of the real front."""
 
 import asyncio
+import logging
 import sys
 from enum import Enum
 from importlib import metadata
@@ -9,7 +10,7 @@
 import orjson
 
 from thistlelever.lifecycle import papers
-from thistlelever.lifecycle.log import Log
+from thistlelever.lifecycle.log import Libraries, Log
 from thistlelever.lifecycle.manifest import Unreadable
 
 
@@ -24,7 +25,13 @@
     from thistlelever.lifecycle.run import serve as run
 
     told = load()
-    sys.exit(asyncio.run(run(told, Log(told.name))))
+    log = Log(told.name)
+    logging.basicConfig(handlers=[Libraries(log)], level=logging.WARNING)
+    try:
+        sys.exit(asyncio.run(run(told, log)))
+    except OSError as why:
+        click.echo(f"thistlelever: {why}", err=True)
+        sys.exit(1)
 
 
 @main.command()
--- a/thistlelever/lifecycle/log.py
+++ b/thistlelever/lifecycle/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import sys
 from time import time
 from typing import BinaryIO
@@ -19,3 +20,15 @@
         line = {"at": round(time(), 4), "front": self.name, "event": event, **facts}
         self.sink.write(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
         self.sink.flush()
+
+
+class Libraries(logging.Handler):
+    """What libraries log, as lines of the same form."""
+
+    def __init__(self, log: Log) -> None:
+        super().__init__(logging.WARNING)
+        self.log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        trace = logging.Formatter().formatException(record.exc_info) if record.exc_info else ""
+        self.log("library", source=record.name, text=record.getMessage(), trace=trace)
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -31,6 +31,8 @@
 STILL_COMING, LONGEST_LIMIT, LAST_ANSWER = 0.75, 3.0, 0.3
 # What the last answers may take to leave the connections' buffers.
 LAST_BYTES = 0.2
+# Many clients come at once when a front is taken in.
+BACKLOG = 512
 HOUSEKEEPING, COUNTS_EVERY = 0.5, 6.0
 
 
@@ -134,6 +136,10 @@
     raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     raw.setblocking(False)
-    raw.bind(address)
-    raw.listen(512)
+    try:
+        raw.bind(address)
+        raw.listen(BACKLOG)
+    except OSError as why:
+        raw.close()
+        raise OSError(f"listen: {address[0]}:{address[1]}: {why.strerror}") from None
     return raw
