--- a/tests/test_papers.py
+++ b/tests/test_papers.py
@@ -124,3 +124,5 @@
     lines = [json.loads(line) for line in sink.getvalue().splitlines()]
     assert [(line["event"], line["front"]) for line in lines] == [("ready", "n0"), ("library", "n0")]
     assert lines[1]["text"] == "x\ny"
+    sink.close()
+    log("nobody reads this")
--- a/thistlelever/lifecycle/log.py
+++ b/thistlelever/lifecycle/log.py
@@ -4,6 +4,7 @@
 
 import logging
 import sys
+from contextlib import suppress
 from time import time
 from typing import BinaryIO
 
@@ -18,8 +19,10 @@
 
     def __call__(self, event: str, **facts) -> None:
         line = {"at": round(time(), 4), "front": self.name, "event": event, **facts}
-        self.sink.write(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
-        self.sink.flush()
+        # A log that nobody takes any more must not take the front with it.
+        with suppress(OSError, ValueError):
+            self.sink.write(orjson.dumps(line, default=str, option=orjson.OPT_APPEND_NEWLINE))
+            self.sink.flush()
 
 
 class Libraries(logging.Handler):
