--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -112,3 +112,22 @@
 
     asyncio.run(run())
     assert 1 <= len(tries) <= 5
+
+
+def test_a_stop_in_the_moment_a_dispatch_times_out():
+    told = []
+
+    async def run():
+        courses = Courses(SimpleNamespace(tell=told.append), None, Batches(), Tally(), None)
+        batch = Batch(1, SimpleNamespace(txn="1"), "taken", "lookup", clock.now() + 60)
+        courses.batches.add(batch)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0) as batch.limits[0]:
+                await asyncio.Event().wait()
+        async with asyncio.timeout(60) as batch.limits[1]:
+            courses.stop(clock.now() + 1)
+            assert batch.limits[1].when() < asyncio.get_running_loop().time() + 2
+        batch.backstop.cancel()
+
+    asyncio.run(run())
+    assert [type(event) for event in told] == [it.FrontStops]
--- a/thistlelever/carrier/course.py
+++ b/thistlelever/carrier/course.py
@@ -68,7 +68,8 @@
             if batch.limit_at > at:
                 batch.limit_at = at
                 self.watch(batch)
-                for limit in batch.limits.values():
+                # Risk: one that has struck can't be moved, and its refusal would end the stop halfway.
+                for limit in (limit for limit in batch.limits.values() if not limit.expired()):
                     limit.reschedule(min(limit.when(), clock.on_loop(at)))
         self.desk.tell(it.FrontStops(at))
 
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -89,12 +89,12 @@
             self.log("dispatch failed", why=repr(why))
             end.fate = it.Fate.ERRORED
         end.took = clock.now() - begun
-        if sent.begun and self.cancels and end.fate in (it.Fate.TIMED_OUT, it.Fate.CANCELLED):
+        batch.limits.pop(number, None)
+        if sent.whole and self.cancels and end.fate in (it.Fate.TIMED_OUT, it.Fate.CANCELLED):
             given_up = self.aside(self.delete(batch.asked.txn, order.engine))
             if till < batch.limit_at or end.fate is it.Fate.CANCELLED:
                 # Risk: a further dispatch that comes before the DELETE makes two out at once.
                 await asyncio.wait((given_up,), timeout=GIVE_UP)
-        batch.limits.pop(number, None)
         batch.inbox.put_nowait(end)
 
     async def converse(self, batch: Batch, end: End, sent: Sending, till: float) -> None:
@@ -119,6 +119,7 @@
         except (Broken, Silent):
             sent.broken = True
         finally:
+            sent.whole = link.whole
             self.links.give_back(link)
         while reply is None or reply.status == 202:
             reply = await self.ask(path + "0", entry, end, sent, batch)
@@ -268,4 +269,5 @@
     """What has gone out of one dispatch, for the meaning of how it ended."""
 
     begun: bool = False
+    whole: bool = False
     broken: bool = False
