A link that someone waits for is handed over, not closed and made anew

At fault: Links.give_back, which closed each link while anyone waited, so that short of links each call made one. Now it goes to the first that waits for that engine, urgent ones first; only where all want other engines is it closed.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -74,7 +74,7 @@
 
     def __init__(self, stir):
         self.stir, self.steps, self.calls = stir, defaultdict(deque), []
-        self.released, self.writers = asyncio.Event(), []
+        self.released, self.writers, self.connections = asyncio.Event(), [], 0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -82,6 +82,7 @@
 
     async def serve(self, reader, writer):
         self.writers.append(writer)
+        self.connections += 1
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
@@ -248,6 +249,9 @@
 
         await self.until(found)
 
+    async def do_connections(self, name, most):
+        assert self.engines[name].connections <= int(most), self.engines[name].connections
+
     async def do_limited(self, name, most):
         """The last dispatch was to wait so many milliseconds at most."""
         fields = [fields for call, fields, _ in self.engines[name].calls if call == "POST"][-1]
--- a/thistlelever/store/links.py
+++ b/thistlelever/store/links.py
@@ -87,7 +87,8 @@
         self.most_polls = most - int(most * URGENT_SHARE)
         self.kept: dict[EngineId, deque[Link]] = {}
         self.count = 0
-        self.waiting: tuple[deque[asyncio.Future], ...] = (deque(), deque())
+        # Who waits, urgent ones and polls apart: for which engine, and what wakes them.
+        self.waiting: tuple[deque[tuple[EngineId, asyncio.Future]], ...] = (deque(), deque())
 
     async def take(self, entry: Entry, urgent: bool) -> Link:
         """A link that carries nothing: a kept one, or a new one."""
@@ -100,13 +101,19 @@
         while self.count >= (self.most if urgent else self.most_polls) and not self.close_idle_one():
             self.tally.add("links short")
             turn = asyncio.get_running_loop().create_future()
-            self.waiting[not urgent].append(turn)
+            self.waiting[not urgent].append((entry.engine.id, turn))
             try:
-                await turn
+                link = await turn
             except asyncio.CancelledError:
                 if turn.done() and not turn.cancelled():
-                    self.wake()
+                    # Woken and called off in one moment: what it got is for the next.
+                    if turn.result():
+                        self.give_back(turn.result())
+                    else:
+                        self.wake()
                 raise
+            if link:
+                return link
         return await self.connect(entry)
 
     async def connect(self, entry: Entry) -> Link:
@@ -138,8 +145,18 @@
 
     def give_back(self, link: Link) -> None:
         """Keep a link for the next call, or close it where its call did not end well."""
-        if link.stream.closed() or link.calling or self.waiting[0] or self.waiting[1]:
-            # Who waits may want another engine: a closed link is a place for any.
+        if link.stream.closed() or link.calling:
+            self.close(link)
+            return
+        for waiting in self.waiting:
+            for place, (engine, turn) in enumerate(waiting):
+                if engine == link.engine and not turn.done():
+                    # Risk: closed and made anew for each call, links take the time that they are short of.
+                    del waiting[place]
+                    turn.set_result(link)
+                    return
+        if any(not turn.done() for waiting in self.waiting for _, turn in waiting):
+            # Who waits wants another engine: a closed link is a place for any.
             self.close(link)
             return
         link.idle_since = monotonic()
@@ -157,7 +174,7 @@
     def wake(self) -> None:
         for waiting in self.waiting:
             while waiting:
-                turn = waiting.popleft()
+                _, turn = waiting.popleft()
                 if not turn.done():
                     turn.set_result(None)
                     return
