SIGHUP reads the configuration again; client connections bounded, idle ones make place

At fault: run.py had no SIGHUP handler; clients.py took every connection and never closed one. Now: dns of the new configuration is asked at once, a faulty file is refused by key; sessions are a third of the descriptors, the longest idle makes place, silent ones are closed after 1.5 s, an accept that fails rests. Directory answers that are no news are asked for again at once; figures out of range are refused; bad lines slow and end a session.

--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -123,17 +123,26 @@
 
 
 class Directory(asyncio.DatagramProtocol):
-    """Answers each query with the list that it holds."""
+    """Answers each query with its list, or as its steps say: lost, fails, cut, foreign, older."""
 
     def __init__(self, stir):
-        self.stir, self.serial, self.entries, self.asked = stir, 3, {}, 0
+        self.stir, self.serial, self.entries, self.asked, self.numbers = stir, 3, {}, 0, []
+        self.steps = deque()
 
     def connection_made(self, transport):
         self.transport = transport
         self.port = transport.get_extra_info("sockname")[1]
 
     def datagram_received(self, data, address):
-        self.transport.sendto(dns_answer(int.from_bytes(data[:2], "big"), self.serial, self.entries), address)
+        number, step = int.from_bytes(data[:2], "big"), self.steps.popleft() if self.steps else ""
+        self.numbers.append(number)
+        self.asker = address
+        serial, entries = (1, {}) if step == "older" else (self.serial, self.entries)
+        answer = dns_answer(number ^ (step == "foreign"), serial, entries)
+        if step == "fails":
+            answer = answer[:3] + bytes((answer[3] | 2,)) + answer[4:]
+        if step != "lost":
+            self.transport.sendto(answer[:len(answer) // 2] if step == "cut" else answer, address)
         self.asked += 1
         self.stir.set()
 
@@ -144,6 +153,7 @@
     def __init__(self):
         self.stir, self.engines, self.answers, self.events = asyncio.Event(), {}, [], []
         self.settings, self.office, self.running = json.loads(json.dumps(SETTINGS)), None, None
+        self.crowd, self.config = [], {}
 
     async def until(self, holds):
         """Looks again whenever something happens; what never comes fails."""
@@ -176,15 +186,18 @@
     async def do_on(self, name, call, *step):
         self.engines[name].steps[call].append(step)
 
-    async def do_front(self, sockets="1024"):
-        loop = asyncio.get_running_loop()
-        _, self.directory = await loop.create_datagram_endpoint(
+    async def open_directory(self):
+        _, self.directory = await asyncio.get_running_loop().create_datagram_endpoint(
             lambda: Directory(self.stir), local_addr=("127.0.0.1", 0))
         self.directory.entries = {name: (engine.port, False) for name, engine in self.engines.items()}
+        self.config["dns"] = f"127.0.0.1:{self.directory.port}"
+
+    async def do_front(self, sockets="1024"):
         entries = [(name, f"127.0.0.1:{engine.port}") for name, engine in self.engines.items()]
-        value = configuration(entries, f"127.0.0.1:{self.directory.port}", self.settings)
-        told = papers.read(value, {})._replace(sockets=int(sockets))
-        self.office = run.Office(told, self.log)
+        self.config = configuration(entries, settings=self.settings)
+        await self.open_directory()
+        told = papers.read(self.config, {})._replace(sockets=int(sockets))
+        self.office = run.Office(told, self.log, lambda: papers.read(self.config, {}))
         self.running = asyncio.create_task(self.office.run())
         await self.until(lambda: any(event == "ready" for event, _ in self.events))
         listen = next(facts["listen"] for event, facts in self.events if event == "ready")
@@ -210,7 +223,7 @@
             {"jsonrpc": "2.0", "id": int(number), "method": group, "params": params}))
 
     async def do_send(self, *words):
-        self.writer.write(" ".join(words).encode() + b"\n")
+        self.writer.write(" ".join(words).replace("\\n", "\n").encode() + b"\n")
         await self.writer.drain()
 
     async def do_send_long(self, size):
@@ -275,9 +288,13 @@
         asked = self.directory.asked
         await self.until(lambda: self.directory.asked >= asked + 2)
 
+    async def do_directory(self, *steps):
+        self.directory.steps.extend(steps)
+
     async def do_listed(self, *names):
-        ready = [e.id.decode() for e in self.office.roll.told() if self.office.roll.open_to(e.id)]
-        assert sorted(ready) == sorted(names), ready
+        roll = self.office.roll
+        await self.until(lambda: sorted(names) == sorted(
+            e.id.decode() for e in roll.told() if roll.open_to(e.id)))
 
     async def do_lags(self, seconds):
         """As if the loop had just come so late; remembered for as long as the scenario lasts."""
@@ -299,6 +316,41 @@
         name = " ".join(words)
         await self.until(lambda: self.office.tally.counts[name] > 0)
 
+    async def do_sighup(self, event, *words):
+        """The configuration is read again; the log says so, with these words in what it says."""
+        event = event.replace("_", " ")
+        self.events.clear()
+        os.kill(os.getpid(), signal.SIGHUP)
+        await self.until(lambda: any(e == event and all(w in str(f) for w in words) for e, f in self.events))
+
+    async def do_moves(self):
+        """The directory is at another address from now on; the old one is still there and must not count."""
+        self.old = self.directory
+        await self.open_directory()
+
+    async def do_old_says(self, serial):
+        """The address that was left answers every query it ever got, with an empty list."""
+        for number in self.old.numbers:
+            self.old.transport.sendto(dns_answer(number, int(serial), {}), self.old.asker)
+        asked = self.directory.asked
+        await self.until(lambda: self.directory.asked >= asked + 2)
+
+    async def do_config(self, path, value):
+        place, *rest = path.split(".")
+        self.config[place] = self.config[place] | {rest[0]: json.loads(value)} if rest else json.loads(value)
+
+    async def do_crowd(self, count):
+        """So many further clients connect and say nothing."""
+        address = self.writer.get_extra_info("peername")
+        self.crowd += [await asyncio.open_connection(*address) for _ in range(int(count))]
+
+    async def do_crowd_closed(self, count):
+        """The front closes so many of them, those that came first before others."""
+        async with asyncio.timeout(LONGEST_WAIT):
+            for reader, _ in self.crowd[:int(count)]:
+                with suppress(ConnectionError):
+                    assert not await reader.read()
+
     async def do_sigterm(self):
         os.kill(os.getpid(), signal.SIGTERM)
         await self.until(lambda: any(event == "stopping" for event, _ in self.events))
@@ -316,7 +368,8 @@
             self.office.stop.set()
             await self.running
         if self.office:
-            self.writer.close()
+            for _, writer in [*self.crowd, (0, self.writer)]:
+                writer.close()
             self.directory.transport.close()
             failures = [e for e in self.events if e[0].endswith("failed")]
             assert not failures, failures
--- a/thistlelever/carrier/clients.py
+++ b/thistlelever/carrier/clients.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
-from tornado.tcpserver import TCPServer
 
 from thistlelever.admission import interface as it
 from thistlelever.carrier.course import LEFT, Courses, line
@@ -14,42 +14,97 @@
 from thistlelever.lifecycle import clock
 from thistlelever.lifecycle.log import Log
 from thistlelever.store.batches import Batch, Batches
+from thistlelever.store.bounds import Bounds
 from thistlelever.store.tally import Tally
 from thistlelever.wire import jsonrpc, statement
-from thistlelever.wire.inflow import Inflow, TooLong
+from thistlelever.wire.inflow import Inflow, Purse, TooLong
 
 # Most lines are a few hundred bytes; a statement of 190 KB still passes.
 BUFFER, LONGEST_LINE = 4_096, 262_144
 # 32 open requests at 48,000 bytes in base64 each: a client that reads nothing gets no more than that.
 MOST_OPEN, MOST_UNREAD = 32, 32 * 66_000
-# What all clients together have not read may take this much of the front's memory.
-MOST_UNREAD_IN_ALL = 48_000_000
+# A client is owed a word or a close 3 s after it connects, and closes what idles for 4 s itself.
+SILENT, IDLE = 1.5, 5.0
+# One that has said nothing so far is closed before one that has: it counts as idle for this much longer.
+SILENT_FIRST = 1.0
+# A client at full speed gets so many lines in one turn of the loop, and so many connections are taken in one.
+LINES_A_TURN, TAKEN_A_TURN = 8, 32
+# After each line out of form the next is read this much later, and after so many in a row none.
+SLOWER, MOST_BAD = 0.01, 16
+# What a port that can take no more waits for, as it would say so again at once.
+REST = 0.05
+# An estimate past so many time limits on all threads, or so many times an engine's memory, is none.
+MOST_LIMITS, MOST_MEMORIES = 100.0, 4.0
 
 
-class Reception(TCPServer):
+class Reception:
     """Takes connections and turns what clients submit into batches."""
 
     def __init__(self, manifest: it.Manifest, courses: Courses, pulse: Pulse, batches: Batches, tally: Tally,
-                 log: Log) -> None:
-        super().__init__(max_buffer_size=LONGEST_LINE)
+                 log: Log, bounds: Bounds) -> None:
         self.groups = {t.name: (g, t) for g, t in enumerate(manifest.tariffs)}
         self.consignors = {c.name: p for p, c in enumerate(manifest.consignors)}
+        self.most_memory = max(manifest.kind_memory, default=float("inf")) * MOST_MEMORIES
         self.courses, self.pulse, self.batches, self.tally = courses, pulse, batches, tally
-        self.log = log
+        self.log, self.bounds = log, bounds
         self.ready: Callable[[], bool] = lambda: False
-        self.stop_at, self.unread = float("inf"), 0
-        self.sessions: set[Session] = set()
-
-    async def handle_stream(self, stream: IOStream, address: tuple) -> None:
-        stream.set_nodelay(True)
-        stream.max_write_buffer_size = MOST_UNREAD
-        session = Session(stream, self)
-        self.sessions.add(session)
-        try:
-            await session.run()
-        finally:
-            self.sessions.discard(session)
-            session.left()
+        self.stop_at, self.unread, self.purse = float("inf"), 0, Purse(bounds.unfinished)
+        self.sessions: dict[Session, asyncio.Task] = {}
+        self.raw: socket.socket | None = None
+
+    def listen(self, raw: socket.socket) -> None:
+        self.raw = raw
+        asyncio.get_running_loop().add_reader(raw, self.accept)
+
+    def stop(self) -> None:
+        asyncio.get_running_loop().remove_reader(self.raw)
+        self.raw.close()
+
+    def accept(self) -> None:
+        """Take what waits at the port; one turn of the loop must not go to new connections alone."""
+        for _ in range(TAKEN_A_TURN):
+            try:
+                raw, _ = self.raw.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError:
+                # Risk: a port that stays readable and can't be taken from turns the loop into a spin.
+                self.tally.add("connections that could not be taken")
+                loop = asyncio.get_running_loop()
+                loop.remove_reader(self.raw)
+                loop.call_later(REST, lambda: self.raw.fileno() < 0 or self.listen(self.raw))
+                return
+            if len(self.sessions) >= self.bounds.sessions and not self.close_one():
+                # All have batches open. A close is an answer too, and the next front may have a place.
+                self.tally.add("connections past the bound")
+                raw.close()
+                continue
+            raw.setblocking(False)
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream = IOStream(raw, max_buffer_size=LONGEST_LINE, max_write_buffer_size=MOST_UNREAD,
+                              read_chunk_size=BUFFER)
+            session = Session(stream, self)
+            self.sessions[session] = asyncio.get_running_loop().create_task(session.run())
+
+    def close_one(self) -> bool:
+        """Make place: of those with nothing open the one longest idle goes. Risk: a first request that
+        meets its connection's close is a loss, and so is a client kept out by others that stay for good."""
+        idle = (session for session in self.sessions if not session.open)
+        oldest = min(idle, key=lambda s: s.since - SILENT_FIRST * (not s.spoken), default=None)
+        if oldest is None:
+            return False
+        self.tally.add("idle clients closed for others")
+        oldest.left()
+        return True
+
+    def sweep(self) -> None:
+        """Close who has nothing open and said nothing whole for too long."""
+        now = clock.now()
+        for session in [s for s in self.sessions if not s.open]:
+            waits = session.spoken and session.inflow.start == session.inflow.end
+            if now - session.since > (IDLE if waits else SILENT):
+                self.tally.add("idle clients closed" if waits else "silent clients closed")
+                session.left()
 
     def batch(self, call: jsonrpc.Call) -> Batch:
         """The batch that a call submits; `Bad` where it can't be one."""
@@ -65,6 +120,13 @@
 
         if asked.txn in self.batches.by_txn:
             raise jsonrpc.Bad(jsonrpc.NO_REQUEST, "params.id: still open", call.number)
+        # Risk: a figure without measure stays in averages and timers for as long as the front lives.
+        if asked.wait > 2 * tariff.time_limit:
+            bad("wait: past the service group's time limit")
+        if (asked.work or 0.0) > MOST_LIMITS * tariff.time_limit * tariff.width:
+            bad("cost: out of all range")
+        if asked.memory > self.most_memory:
+            bad("need_mb: out of all range")
         if self.consignors and asked.consignor not in self.consignors:
             bad("tenant: none of the settings'")
         if tariff.repeat is it.Repeat.REFERENCED and not asked.reference:
@@ -93,26 +155,44 @@
     def __init__(self, stream: IOStream, reception: Reception) -> None:
         self.stream, self.reception = stream, reception
         self.tally = reception.tally
-        self.inflow = Inflow(BUFFER, LONGEST_LINE)
+        self.inflow = Inflow(BUFFER, LONGEST_LINE, reception.purse)
         self.open: dict[int, Batch] = {}
-        self.latest = 0
+        self.latest, self.bad = 0, 0
+        # When it connected, or last had a batch open or said something whole.
+        self.since, self.spoken = clock.now(), False
 
     async def run(self) -> None:
         try:
-            while True:
-                self.inflow.filled(await self.stream.read_into(self.inflow.room(), partial=True))
-                while (message := self.inflow.line()) is not None:
+            while not self.stream.closed():
+                reading = self.stream.read_into(self.inflow.room(), partial=True)
+                # Risk: what is there at once doesn't yield, and a client at full speed holds the loop.
+                at_once = reading.done()
+                self.inflow.filled(await reading)
+                lines = 0
+                while (message := self.inflow.line()) is not None and not self.stream.closed():
                     self.take(message)
+                    lines += 1
+                    if self.bad:
+                        await asyncio.sleep(SLOWER * self.bad)
+                    elif lines % LINES_A_TURN == 0:
+                        await asyncio.sleep(0)
+                if at_once:
+                    await asyncio.sleep(0)
         except StreamClosedError:
             pass
-        except TooLong:
+        except TooLong as why:
             self.tally.add("lines too long")
-            self.write(jsonrpc.error(None, jsonrpc.NO_REQUEST, f"a line of more than {LONGEST_LINE} bytes"))
-            self.stream.close()
+            self.write(jsonrpc.error(None, jsonrpc.NO_REQUEST, f"a line that is too long: {why}"))
+        except Exception as why:
+            self.tally.add("session failed")
+            self.reception.log("session failed", why=repr(why))
+        finally:
+            self.left()
 
     def take(self, message: memoryview) -> None:
         if not bytes(message[:64]).strip():
             return
+        self.since, self.spoken = clock.now(), True
         try:
             call = jsonrpc.read(message)
             if call.method == "status":
@@ -122,11 +202,18 @@
                 self.withdraw(call)
             else:
                 self.submit(call)
+                self.bad = 0
         except jsonrpc.Bad as why:
             self.tally.add("bad lines")
+            self.bad += 1
             if self.tally.counts["bad lines"] <= 20:
                 self.reception.log("bad line", why=why.why, line=str(message[:300], "latin-1"))
-            self.write(jsonrpc.error(why.number, why.code, why.why))
+            # Risk: an error under a number that is open would be the answer to what is open under it.
+            number = None if why.number in self.open else why.number
+            self.write(jsonrpc.error(number, why.code, why.why))
+            if self.bad >= MOST_BAD:
+                self.tally.add("clients that send nothing of use")
+                self.stream.close()
 
     def submit(self, call: jsonrpc.Call) -> None:
         if call.number in self.open:
@@ -140,6 +227,7 @@
 
         def answer(told) -> None:
             if self.open.pop(call.number, None) is batch:
+                self.since = clock.now()
                 self.tally.add(type(told).__name__)
                 self.write(line(call.number, told))
 
@@ -162,7 +250,7 @@
         """One whole line, or none. Nobody waits for it, so that a client that reads late holds up none."""
         if self.stream.closed():
             return
-        if self.reception.unread + len(data) > MOST_UNREAD_IN_ALL:
+        if self.reception.unread + len(data) > self.reception.bounds.unread:
             self.tally.add("clients that do not read")
             self.stream.close()
             return
@@ -184,6 +272,8 @@
 
     def left(self) -> None:
         """The connection has ended, and with it the client's interest in all that is open on it."""
+        self.reception.sessions.pop(self, None)
+        self.inflow.drop()
         for batch in self.open.values():
             batch.inbox.put_nowait(LEFT)
         self.open.clear()
--- a/thistlelever/carrier/directory.py
+++ b/thistlelever/carrier/directory.py
@@ -19,9 +19,13 @@
 PACE = 0.3
 # No answer in this time is none; a later one is still read, if it is newer.
 PATIENCE = 0.25
+# So many times in a row what is no news is asked again at once; after that the pace holds.
+MOST_AT_ONCE = 8
+# Of each kind of trouble so many lines are logged; the counters hold the rest.
+FEW = 20
 
 
-class Inquiry(asyncio.DatagramProtocol):
+class Inquiry:
     """One socket to the directory; asks at a steady pace, and at once where the decisions want it."""
 
     def __init__(self, roll: Roll, links: Links, desk: Desk, tally: Tally, zones: tuple[str, ...],
@@ -32,18 +36,35 @@
         self.seed, self.asked = seed, 0
         self.awaited: dict[int, asyncio.TimerHandle] = {}
         self.transport: asyncio.DatagramTransport | None = None
-        self.last = b""
+        self.last, self.misses = b"", 0
 
-    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
-        self.transport = transport
-
-    def error_received(self, why: OSError) -> None:
-        self.tally.add("directory out of reach")
+    async def open(self, address: tuple[str, int]) -> None:
+        """Ask at that address from now on. The one asked before is let go only once the new one stands."""
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(lambda: Line(self), remote_addr=address)
+        self.close()
+        self.transport, self.misses = transport, 0
+        self.ask(by_order=False)
+
+    def close(self) -> None:
+        """Risk: a timer or a late answer of an address that is left would pass for word of the next."""
+        for timer in self.awaited.values():
+            timer.cancel()
+        self.awaited.clear()
+        if self.transport:
+            self.transport.close()
 
     async def run(self) -> None:
         while True:
-            self.ask(by_order=False)
             await asyncio.sleep(PACE)
+            self.ask(by_order=False)
+
+    def missed(self) -> None:
+        """What came was no news. Risk: a pace later a drain is known late; asked again without pause, a
+        directory that says no each time takes the core."""
+        self.misses += 1
+        if self.misses <= MOST_AT_ONCE:
+            self.ask(by_order=False)
 
     def ask(self, by_order: bool) -> None:
         """Send a query. Its number is not to be guessed, or any datagram could pass for the answer."""
@@ -58,25 +79,34 @@
     def unanswered(self, number: int, by_order: bool) -> None:
         self.awaited.pop(number, None)
         self.tally.add("directory silent")
+        self.missed()
         if by_order:
             self.desk.tell(it.ListTold(it.ListKind.FAILED, 0, ()))
 
-    def datagram_received(self, data: bytes, address: tuple) -> None:
+    def answered(self, data: bytes) -> None:
         number = int.from_bytes(data[:2], "big")
-        timer = self.awaited.pop(number, None)
-        if timer is None:
+        if number not in self.awaited:
             self.tally.add("directory answers unasked for")
             return
-        timer.cancel()
         if data[2:] == self.last:
+            self.heard(number)
             return
         try:
             listing = dns.listing(data, number, NAME)
             entries = [self.entry(found) for found in listing.engines]
         except (dns.Unreadable, KeyError, ValueError) as why:
             self.tally.add("directory answers out of form")
-            self.desk.log("directory answer out of form", why=str(why))
+            if self.tally.counts["directory answers out of form"] <= FEW:
+                self.desk.log("directory answer out of form", why=str(why))
+            self.awaited.pop(number).cancel()
+            self.missed()
+            return
+        if listing.serial < self.roll.serial:
+            self.tally.add("directory answers older than the list")
+            self.awaited.pop(number).cancel()
+            self.missed()
             return
+        self.heard(number)
         self.last = data[2:]
         changed = self.roll.replace(listing.serial, entries, clock.now())
         if changed is not None:
@@ -85,6 +115,10 @@
             self.desk.log("list", serial=listing.serial, engines=len(entries))
             self.desk.tell(it.ListTold(it.ListKind.WHOLE, listing.serial, self.roll.told()))
 
+    def heard(self, number: int) -> None:
+        self.awaited.pop(number).cancel()
+        self.misses = 0
+
     def entry(self, found: dns.Found) -> Entry:
         facts = found.facts
         engine = it.Engine(
@@ -95,6 +129,23 @@
         return Entry(engine, found.address)
 
 
+class Line(asyncio.DatagramProtocol):
+    """One address of the directory. What comes on one that was left counts no more."""
+
+    def __init__(self, inquiry: Inquiry) -> None:
+        self.inquiry = inquiry
+
+    def connection_made(self, transport: asyncio.DatagramTransport) -> None:
+        self.transport = transport
+
+    def error_received(self, why: OSError) -> None:
+        self.inquiry.tally.add("directory out of reach")
+
+    def datagram_received(self, data: bytes, address: tuple) -> None:
+        if self.transport is self.inquiry.transport:
+            self.inquiry.answered(data)
+
+
 class Deaf(asyncio.DatagramProtocol):
     """Where other fronts' datagrams arrive. The decisions use none: they are dropped and counted."""
 
--- a/thistlelever/lifecycle/manifest.py
+++ b/thistlelever/lifecycle/manifest.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import isfinite, nan
+
 from thistlelever.admission import interface as it
 
 REPEATS = {
@@ -31,9 +33,12 @@
     def number(self, path: str) -> float:
         word = self.word(path)
         try:
-            return float(word)
+            value = float(word)
         except ValueError:
-            raise Unreadable(f"setting {path} is no number: {word}") from None
+            value = nan
+        if not isfinite(value):
+            raise Unreadable(f"setting {path} is no number: {word}")
+        return value
 
     def whole(self, path: str) -> int:
         return int(self.number(path))
@@ -76,7 +81,7 @@
 def made(conf: Conf) -> it.Manifest:
     try:
         return read(conf)
-    except ValueError as why:
+    except (ValueError, OverflowError) as why:
         raise Unreadable(f"settings: {why}") from None
 
 
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -6,6 +6,7 @@
 import gc
 import signal
 import socket
+from collections.abc import Callable
 from contextlib import suppress
 from time import process_time
 
@@ -19,14 +20,14 @@
 from thistlelever.carrier.pulse import Pulse
 from thistlelever.lifecycle import clock
 from thistlelever.lifecycle.log import Log
-from thistlelever.lifecycle.papers import Papers
+from thistlelever.lifecycle.manifest import Unreadable
+from thistlelever.lifecycle.papers import Papers, load
 from thistlelever.store.batches import Batches
+from thistlelever.store.bounds import bounds
 from thistlelever.store.links import Links
 from thistlelever.store.roll import Roll
 from thistlelever.store.tally import Tally
 
-# Clients may hold a third of the descriptors; these are for the listener, UDP, the log and the loop.
-CLIENTS_SHARE, OWN_DESCRIPTORS = 1 / 3, 32
 # After a SIGTERM, requests go on coming for 0.6 s; the kill comes no sooner than the longest time limit,
 # or 3 s if that is less, and 0.7 s more after it. The last answers are written before.
 STILL_COMING, LONGEST_LIMIT, LAST_ANSWER = 0.75, 3.0, 0.3
@@ -34,29 +35,32 @@
 LAST_BYTES = 0.2
 # Many clients come at once when a front is taken in.
 BACKLOG = 512
+# What a SIGHUP renews, and what means something at a start only: neither waits for a restart.
+RENEWED = ("directory", "serial", "known", "seed")
 HOUSEKEEPING, COUNTS_EVERY = 0.5, 6.0
 
 
 class Office:
     """The parts of one front, put together."""
 
-    def __init__(self, papers: Papers, log: Log) -> None:
-        self.papers, self.log = papers, log
+    def __init__(self, papers: Papers, log: Log, read_again: Callable[[], Papers] = load) -> None:
+        self.papers, self.log, self.read_again = papers, log, read_again
         self.tally, self.batches, self.roll = Tally(), Batches(), Roll()
         self.roll.replace(papers.serial, list(papers.known), clock.now())
         manifest = papers.manifest
         self.desk = Desk(Front(manifest, papers.seed), manifest.tick, self.batches, self.tally, log)
-        most = int(papers.sockets * (1 - CLIENTS_SHARE)) - OWN_DESCRIPTORS
-        self.links = Links(most, papers.idle, manifest.connect_limit, self.tally)
+        limits = bounds(papers.sockets, papers.memory_mb)
+        self.links = Links(limits.links, papers.idle, manifest.connect_limit, self.tally)
         self.dispatcher = Dispatcher(manifest, self.roll, self.links, self.desk, self.tally, log)
         self.courses = Courses(self.desk, self.dispatcher, self.batches, self.tally, log)
         self.pulse = Pulse()
-        self.reception = Reception(manifest, self.courses, self.pulse, self.batches, self.tally, log)
+        self.reception = Reception(manifest, self.courses, self.pulse, self.batches, self.tally, log,
+                                   limits)
         self.inquiry = Inquiry(self.roll, self.links, self.desk, self.tally, papers.zones, papers.kinds,
                                papers.seed)
         self.desk.on_probe = self.dispatcher.probe
         self.desk.on_ask_list = lambda: self.inquiry.ask(by_order=True)
-        self.stop = asyncio.Event()
+        self.stop, self.renew = asyncio.Event(), asyncio.Event()
         self.tasks: list[asyncio.Task] = []
 
     async def open(self) -> None:
@@ -65,14 +69,15 @@
         loop.set_exception_handler(self.unforeseen)
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
-        await loop.create_datagram_endpoint(lambda: self.inquiry, remote_addr=self.papers.directory)
+        loop.add_signal_handler(signal.SIGHUP, self.renew.set)
+        await self.inquiry.open(self.papers.directory)
         if self.papers.peer_listen:
             await loop.create_datagram_endpoint(lambda: Deaf(self.tally), local_addr=self.papers.peer_listen)
         self.desk.tell(it.ListTold(it.ListKind.CACHED, self.roll.serial, self.roll.told()))
         raw = listener(self.papers.listen)
-        self.reception.add_socket(raw)
+        self.reception.listen(raw)
         self.reception.ready = lambda: not self.stop.is_set()
-        works = self.inquiry.run(), self.pulse.run(), self.housekeeping()
+        works = self.inquiry.run(), self.pulse.run(), self.housekeeping(), self.renewing()
         self.tasks = [loop.create_task(work) for work in works]
         self.log("ready", listen=raw.getsockname(), engines=len(self.roll.entries), serial=self.roll.serial,
                  links=self.links.most)
@@ -101,10 +106,32 @@
                     await asyncio.sleep(0.005)
         for task in self.tasks:
             task.cancel()
-        self.inquiry.transport.close()
+        self.inquiry.close()
         self.tally.must(not self.batches.by_number, "all answered at the end")
         self.log("stopped", counts=self.tally.counts)
 
+    async def renewing(self) -> None:
+        """At each SIGHUP the configuration is read again; what can't be used leaves the old one in force."""
+        while True:
+            await self.renew.wait()
+            self.renew.clear()
+            if self.stop.is_set():
+                continue
+            try:
+                new = self.read_again()
+                if new.directory != self.papers.directory:
+                    await self.inquiry.open(new.directory)
+            except Unreadable as why:
+                self.log("reload refused", why=str(why))
+                continue
+            except OSError as why:
+                self.log("reload refused", why=f"dns: can't be reached: {why}")
+                continue
+            waiting = [name for name, was in self.papers._asdict().items()
+                       if name not in RENEWED and getattr(new, name) != was]
+            self.papers = self.papers._replace(directory=new.directory)
+            self.log("reloaded", dns=new.directory, needs_restart=waiting)
+
     def unforeseen(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
         """What no task heeded: logged and counted, and the front goes on."""
         self.tally.add("unforeseen")
@@ -116,6 +143,7 @@
         while True:
             await asyncio.sleep(HOUSEKEEPING)
             self.links.sweep()
+            self.reception.sweep()
             if clock.now() >= due and self.tally.counts != written:
                 written = self.tally.counts.copy()
                 self.log("counts", links=self.links.count, counts=written, turns=self.desk.turns,
--- a/thistlelever/wire/inflow.py
+++ b/thistlelever/wire/inflow.py
@@ -7,11 +7,23 @@
     """A message passes the longest that is taken in."""
 
 
+class Purse:
+    """What all buffers that share it may have grown by, in bytes."""
+
+    def __init__(self, most: int) -> None:
+        self.most, self.spent = most, 0
+
+    def spend(self, count: int) -> None:
+        if count > 0 and self.spent + count > self.most:
+            raise TooLong(f"more than {self.most} bytes in the unfinished messages of all")
+        self.spent += count
+
+
 class Inflow:
     """Bytes read and not yet used lie between `start` and `end` of one buffer."""
 
-    def __init__(self, size: int, longest: int) -> None:
-        self.size, self.longest = size, longest
+    def __init__(self, size: int, longest: int, purse: Purse | None = None) -> None:
+        self.size, self.longest, self.purse = size, longest, purse or Purse(longest)
         self.data, self.start, self.end = bytearray(size), 0, 0
 
     def room(self) -> memoryview:
@@ -20,6 +32,7 @@
             self.start = self.end = 0
             if len(self.data) > self.size:
                 # One long message must not keep its memory for as long as the connection lasts.
+                self.drop()
                 self.data = bytearray(self.size)
         elif self.end == len(self.data):
             kept = self.end - self.start
@@ -27,11 +40,17 @@
                 raise TooLong(f"more than {self.longest} bytes in one message")
             # A fresh buffer, as one that slices still point into can't be resized.
             size = len(self.data) if self.start else min(2 * len(self.data), self.longest)
+            self.purse.spend(size - len(self.data))
             data = bytearray(size)
             data[:kept] = memoryview(self.data)[self.start:self.end]
             self.data, self.start, self.end = data, 0, kept
         return memoryview(self.data)[self.end:]
 
+    def drop(self) -> None:
+        """The buffer goes, and what it had grown by is for others."""
+        self.purse.spend(self.size - max(len(self.data), self.size))
+        self.data, self.start, self.end = bytearray(), 0, 0
+
     def filled(self, count: int) -> None:
         self.end += count
 
--- a/thistlelever/wire/jsonrpc.py
+++ b/thistlelever/wire/jsonrpc.py
@@ -66,7 +66,7 @@
     """The batch that a call submits."""
     given = Fields(call)
     txn = given.string("id")
-    if len(txn) != 16 or not all(c in "0123456789abcdef" for c in txn):
+    if not digits(txn, 16):
         given.bad("id", "16 hex digits")
     wait = given.figure("wait")
     if wait is None or wait <= 0:
@@ -76,9 +76,9 @@
     except (NoBase64, ValueError):
         given.bad("bytes", "base64")
     reference = given.string("once", "")
-    if reference and not (reference.isascii() and reference.isprintable() and " " not in reference):
+    if reference and not digits(reference, 32):
         # It goes into a header as it is.
-        given.bad("once", "printable ASCII without spaces")
+        given.bad("once", "32 hex digits")
     work = given.figure("cost")
     retry = call.params.get("retry")
     return Submission(
@@ -87,6 +87,10 @@
     )
 
 
+def digits(word: str, count: int) -> bool:
+    return len(word) == count and all(c in "0123456789abcdef" for c in word)
+
+
 class Fields:
     """The params of one call, each checked as it is taken."""
 
