--- a/tests/test_papers.py
+++ b/tests/test_papers.py
@@ -12,7 +12,7 @@
 from thistlelever.__main__ import main
 from thistlelever.admission import interface as it
 from thistlelever.lifecycle import papers
-from thistlelever.lifecycle.log import Libraries, Log
+from thistlelever.lifecycle.log import MOST_A_MINUTE, Libraries, Log
 from thistlelever.store.roll import Roll
 from thistlelever.store.tally import Tally
 
@@ -126,3 +126,17 @@
     assert lines[1]["text"] == "x\ny"
     sink.close()
     log("nobody reads this")
+
+
+# Risk: what goes wrong thousands of times a second fills the memory that the log lies in.
+def test_the_log_holds_so_many_lines_of_a_kind_in_a_minute_and_says_what_it_left_out(monkeypatch):
+    sink, at = BytesIO(), 120.0
+    monkeypatch.setattr("thistlelever.lifecycle.log.time", lambda: at)
+    log = Log("n0", sink)
+    for _ in range(MOST_A_MINUTE + 5):
+        log("bad line")
+    log("ready")
+    at = 180.0
+    log("bad line")
+    lines = [json.loads(line) for line in sink.getvalue().splitlines()]
+    assert len(lines) == MOST_A_MINUTE + 2 and lines[-1]["left_out"] == 5
--- a/thistlelever/carrier/clients.py
+++ b/thistlelever/carrier/clients.py
@@ -206,8 +206,7 @@
         except jsonrpc.Bad as why:
             self.tally.add("bad lines")
             self.bad += 1
-            if self.tally.counts["bad lines"] <= 20:
-                self.reception.log("bad line", why=why.why, line=str(message[:300], "latin-1"))
+            self.reception.log("bad line", why=why.why, line=str(message[:120], "latin-1"))
             # Risk: an error under a number that is open would be the answer to what is open under it.
             number = None if why.number in self.open else why.number
             self.write(jsonrpc.error(number, why.code, why.why))
--- a/thistlelever/carrier/directory.py
+++ b/thistlelever/carrier/directory.py
@@ -21,8 +21,6 @@
 PATIENCE = 0.25
 # So many times in a row what is no news is asked again at once; after that the pace holds.
 MOST_AT_ONCE = 8
-# Of each kind of trouble so many lines are logged; the counters hold the rest.
-FEW = 20
 
 
 class Inquiry:
@@ -96,8 +94,7 @@
             entries = [self.entry(found) for found in listing.engines]
         except (dns.Unreadable, KeyError, ValueError) as why:
             self.tally.add("directory answers out of form")
-            if self.tally.counts["directory answers out of form"] <= FEW:
-                self.desk.log("directory answer out of form", why=str(why))
+            self.desk.log("directory answer out of form", why=str(why))
             self.awaited.pop(number).cancel()
             self.missed()
             return
--- a/thistlelever/store/links.py
+++ b/thistlelever/store/links.py
@@ -24,7 +24,7 @@
 # Ours are closed at this share of the engines' idle time, so that a call never meets their closing.
 IDLE_SHARE = 0.8
 # A link rests this long between two calls: what an engine sends beside its reply is then seen to be that.
-REST = 0.005
+REST = 0.01
 # A reply that has begun goes on within this, or it has stopped short.
 STOPPED_SHORT = 0.25
 
@@ -119,20 +119,16 @@
         self.waiting: tuple[deque[tuple[EngineId, asyncio.Future]], ...] = (deque(), deque())
 
     async def take(self, entry: Entry, urgent: bool) -> Link:
-        """A link that carries nothing: the one kept longest, or a new one."""
+        """A link that carries nothing: a kept one, or a new one."""
         engine = entry.engine.id
         while True:
-            kept = self.kept.get(engine, ())
-            while kept and (not kept[0].fresh() or kept[0].idle_since <= monotonic() - REST):
-                link = kept.popleft()
-                if link.fresh():
-                    return link
-                self.tally.add("links that were not as left")
-                self.close(link)
+            link = self.rested(engine)
+            if link:
+                return link
             if self.count < (self.most if urgent else self.most_polls):
                 return await self.connect(entry)
-            if kept:
-                # It has not rested yet, and there is place for no other.
+            if self.kept.get(engine):
+                # They have not rested yet, and there is place for no other.
                 await asyncio.sleep(REST)
             elif not self.close_idle_one():
                 self.tally.add("links short")
@@ -140,6 +136,22 @@
                 if link:
                     return link
 
+    def rested(self, engine: EngineId) -> Link | None:
+        """The last one given back that has rested: those longer idle may then be closed for others."""
+        kept, before = self.kept.get(engine, deque()), monotonic() - REST
+        place = len(kept) - 1
+        while place >= 0:
+            link = kept[place]
+            if not link.fresh():
+                self.tally.add("links that were not as left")
+                del kept[place]
+                self.close(link)
+            elif link.idle_since <= before:
+                del kept[place]
+                return link
+            place -= 1
+        return None
+
     async def turn(self, engine: EngineId, urgent: bool) -> Link | None:
         """Wait for a link that is given back, or for the place of one that is closed."""
         turn = asyncio.get_running_loop().create_future()
