--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -286,6 +286,11 @@
         """The last calls that the engine got, as often as each came."""
         assert [c for c, _, _ in self.engines[name].calls][-len(calls):] == list(calls)
 
+    async def do_one_got(self, *calls):
+        """One engine got all calls, these in this order, and any other none."""
+        made = [[c for c, _, _ in engine.calls] for engine in self.engines.values()]
+        assert sorted(filter(None, made)) == [list(calls)], made
+
     async def do_volunteers(self, name, *words):
         """The engine sends what nobody asked for on its newest connection; the front has seen it."""
         kept = self.office.links.kept[name.encode()]
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -103,7 +103,7 @@
         raise Unreached
 
     async def run():
-        terms = SimpleNamespace(report_fields=(), cancel=True, connect_limit=0.25)
+        terms = SimpleNamespace(report_fields=(), cancel=True, connect_limit=0.25, tariffs=())
         links = SimpleNamespace(take=take)
         dispatcher = Dispatcher(terms, None, links, None, Tally(), None)
         with pytest.raises(TimeoutError):
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -36,6 +36,14 @@
 MOST_PAGES = 64
 
 
+class Ended(Exception):
+    """The dispatch is over without an answer."""
+
+    def __init__(self, fate: it.Fate) -> None:
+        super().__init__(fate.name)
+        self.fate = fate
+
+
 class Spoilt(Exception):
     """The reply is HTTP, and yet not what was asked for: the batch has run, and the reply is there still."""
 
@@ -67,6 +75,7 @@
                  log: Log) -> None:
         self.fields, self.cancels = manifest.report_fields, manifest.cancel
         self.probe_limit = manifest.connect_limit
+        self.once_only = frozenset(t.name for t in manifest.tariffs if t.repeat is it.Repeat.ONCE_ONLY)
         self.roll, self.links, self.desk, self.tally, self.log = roll, links, desk, tally, log
         self.asides: set[asyncio.Task] = set()
 
@@ -91,6 +100,8 @@
             end.fate = it.Fate.TIMED_OUT if sent.begun else it.Fate.UNSENT
         except asyncio.CancelledError:
             end.fate = it.Fate.CANCELLED
+        except Ended as why:
+            end.fate = why.fate
         except Exception as why:
             self.tally.add("dispatch failed")
             self.log("dispatch failed", why=repr(why), trace=traceback.format_exc())
@@ -105,52 +116,53 @@
                 with suppress(asyncio.CancelledError):
                     await asyncio.wait((given_up,), timeout=max(batch.limit_at - clock.now(), 0.0))
         self.roll.end(order.engine)
+        self.tally.add(f"dispatches {end.fate.name.lower()}")
         batch.inbox.put_nowait(end)
 
     async def converse(self, batch: Batch, end: End, sent: Sending, till: float) -> None:
         entry, path = self.roll.entries.get(end.engine), f"/fetch/{batch.asked.txn}/"
         if entry is None:
-            end.fate = it.Fate.UNSENT
-            return
+            raise Ended(it.Fate.UNSENT)
+        end.fate = it.Fate.ASTRAY
+        while end.fate is it.Fate.ASTRAY:
+            reply = await self.post(batch, entry, end, sent, till)
+            while reply is None or reply.status == 202:
+                reply = await self.ask(path, 0, entry, end, sent, batch)
+            end.fate = self.fate(reply, sent)
+            # What its engine never got was no dispatch so far, and goes there again. Of a once-only batch
+            # that the engine does not know of it is not proof enough.
+            if batch.lane in self.once_only or sent.posts >= MOST_SPOILT:
+                break
+        for page in range(1, sent.pages if end.fate is it.Fate.RETURNED else 0):
+            reply = await self.ask(path, page, entry, end, sent, batch)
+            end.fate = self.fate(reply, sent)
+            if end.fate is not it.Fate.RETURNED:
+                return
+
+    async def post(self, batch: Batch, entry: Entry, end: End, sent: Sending, till: float,
+                   ) -> http.Reply | None:
+        """The call that starts it, and its reply if it got one of use."""
         try:
             link = await self.link(entry)
         except (Refused, Unreached):
-            end.fate = it.Fate.UNREACHABLE
-            return
+            raise Ended(it.Fate.UNREACHABLE) from None
         except (Broken, Short):
-            end.fate = it.Fate.UNSENT
-            return
+            raise Ended(it.Fate.UNSENT) from None
         # The list may have changed while a connection came up; a drain counts from the first byte.
         if not self.roll.open_to(end.engine):
             self.links.give_back(link)
-            end.fate = it.Fate.UNSENT
-            return
-        sent.begun, sent.asked = True, clock.now()
-        reply = None
+            raise Ended(it.Fate.UNSENT)
+        sent.begun, sent.asked, sent.posts = True, clock.now(), sent.posts + 1
         try:
             reply = await link.call(self.request(batch, entry.address, till), NEWS_WITHIN)
             self.read(reply, 0, link, end, sent, batch)
             sent.heard = True
+            return reply
         except (Broken, Silent, Spoilt, http.Unreadable) as why:
             self.spoilt(why)
-            reply = None
+            return None
         finally:
             self.links.give_back(link)
-        while reply is None or reply.status == 202:
-            reply = await self.ask(path, 0, entry, end, sent, batch)
-            if reply is None:
-                return
-        if reply.status != 200:
-            end.fate = self.fate(reply, sent)
-            return
-        for page in range(1, sent.pages):
-            reply = await self.ask(path, page, entry, end, sent, batch)
-            if reply is None:
-                return
-            if reply.status != 200:
-                end.fate = self.fate(reply, sent)
-                return
-        end.fate = it.Fate.RETURNED
 
     async def link(self, entry: Entry) -> Link:
         """A link for what must not wait. A reset as it comes up is news of that connection alone."""
@@ -174,6 +186,8 @@
         return http.call("POST", "/fetch", address, fields, asked.statement)
 
     def fate(self, reply: http.Reply, sent: Sending) -> it.Fate:
+        if reply.status == 200:
+            return it.Fate.RETURNED
         unrun = reply.text(b"x-unrun") == "1"
         if reply.status == 503 and unrun:
             return it.Fate.FULL
@@ -184,12 +198,12 @@
         return it.Fate.ERRORED if sent.heard else it.Fate.ASTRAY
 
     async def ask(self, path: str, page: int, entry: Entry, end: End, sent: Sending, batch: Batch,
-                  ) -> http.Reply | None:
+                  ) -> http.Reply:
         """One question about a batch that is out, on new connections until it is answered.
 
         A poll or a page belongs to no connection, and a result lies at its engine until it is dropped, so
-        asking again is no further dispatch. None: the engine has died, or gives nothing that can be used.
-        A silent one is asked until the dispatch times out.
+        asking again is no further dispatch. It ends with an engine that has died or gives nothing that can be
+        used; a silent one is asked until the dispatch times out.
         """
         spoilt = 0
         while spoilt < MOST_SPOILT:
@@ -214,9 +228,8 @@
                 spoilt += 1
             finally:
                 self.links.give_back(link)
-            await asyncio.sleep(RETRY_PACE * spoilt)
-        end.fate = it.Fate.RESET
-        return None
+            await asyncio.sleep(RETRY_PACE * (spoilt - 1))
+        raise Ended(it.Fate.RESET)
 
     def spoilt(self, why: Exception) -> None:
         self.tally.add(f"calls without a reply of use: {type(why).__name__}")
@@ -338,4 +351,5 @@
     asked: float = 0.0
     heard: bool = False
     doubts: int = 0
+    posts: int = 0
     pages: int = 0
--- a/thistlelever/store/links.py
+++ b/thistlelever/store/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -23,6 +24,8 @@
 URGENT_SHARE = 0.25
 # Ours are closed at this share of the engines' idle time, so that a call never meets their closing.
 IDLE_SHARE = 0.8
+# What this side is out of, as no engine is to blame for it.
+OWN_WANT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 # A link rests this long between two calls: what an engine sends beside its reply is then seen to be that.
 REST = 0.01
 # A reply that has begun goes on within this, or it has stopped short.
@@ -192,7 +195,9 @@
         if isinstance(real, ConnectionRefusedError):
             return Refused(str(real))
         self.tally.add("connect failed otherwise")
-        return Broken(str(real)) if isinstance(real, ConnectionError) else Short(str(real))
+        if isinstance(real, ConnectionError):
+            return Broken(str(real))
+        return Short(str(real)) if getattr(real, "errno", None) in OWN_WANT else Unreached(str(real))
 
     def give_back(self, link: Link) -> None:
         """Keep a link for the next call, or close it where its call did not end well."""
