--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import struct
 from base64 import b64decode, b64encode
 from collections import defaultdict, deque
@@ -83,6 +84,7 @@
 
     def __init__(self, stir):
         self.stir, self.steps, self.calls = stir, defaultdict(deque), []
+        self.holds = False
         self.released, self.writers, self.connections = asyncio.Event(), [], 0
 
     async def start(self):
@@ -106,6 +108,8 @@
             writer.close()
 
     async def act(self, writer, call):
+        if call == "POST" and self.holds:
+            await self.released.wait()
         steps = self.steps[call]
         usual = {"POST": ["200", "Chunks=1", "body=rows"], "DELETE": ["204"], "PUT": ["204"]}
         what, *words = steps.popleft() if steps else usual.get(call, ["200"])
@@ -189,6 +193,9 @@
         self.engines[name] = Engine(self.stir)
         await self.engines[name].start()
 
+    async def do_holds(self, name):
+        self.engines[name].holds = True
+
     async def do_dead(self, name):
         self.engines[name].server.close()
 
@@ -220,6 +227,9 @@
                 self.stir.set()
 
     async def do_submit(self, number, group, *words):
+        self.writer.write(self.submission(number, group, *words))
+
+    def submission(self, number, group, *words):
         facts = dict(word.split("=", 1) for word in words)
         table = facts.pop("table", "sales_17.orders")
         facts.setdefault("bytes", b64encode(f"select a from {table}".encode()).decode())
@@ -228,8 +238,8 @@
             params[name] = int(word) if word.isdigit() and name != "id" else word
             if word == "none":
                 del params[name]
-        await self.do_send(json.dumps(
-            {"jsonrpc": "2.0", "id": int(number), "method": group, "params": params}))
+        call = {"jsonrpc": "2.0", "id": int(number), "method": group, "params": params}
+        return json.dumps(call).encode() + b"\n"
 
     async def do_send(self, *words):
         self.writer.write(" ".join(words).replace("\\n", "\n").encode() + b"\n")
@@ -303,6 +313,9 @@
         front = self.office.desk.front
         assert not front.doubt[front.index[name.encode()]]
 
+    async def do_posted(self, name, count):
+        await self.until(lambda: [c for c, _, _ in self.engines[name].calls].count("POST") >= int(count))
+
     async def do_release(self, name):
         self.engines[name].released.set()
 
@@ -373,6 +386,24 @@
         address = self.writer.get_extra_info("peername")
         self.crowd += [await asyncio.open_connection(*address) for _ in range(int(count))]
 
+    async def do_places(self, count):
+        """So many clients at once, whatever the descriptors allow."""
+        self.office.reception.bounds = self.office.reception.bounds._replace(sessions=int(count))
+
+    async def do_rush(self, count, silent):
+        """In one moment so many clients connect with a batch each, behind them others that say nothing."""
+        address = self.writer.get_extra_info("peername")
+        socks = [socket.create_connection(address) for _ in range(int(count) + int(silent))]
+        for n, sock in enumerate(socks[:int(count)], 500 + len(self.crowd)):
+            sock.sendall(self.submission(n, "lookup"))
+        self.crowd += [await asyncio.open_connection(sock=sock) for sock in socks]
+
+    async def do_answered(self, count):
+        """The first of the crowd get their rows."""
+        async with asyncio.timeout(LONGEST_WAIT):
+            for reader, _ in self.crowd[:int(count)]:
+                assert "result" in json.loads(await reader.readline())
+
     async def do_crowd_closed(self, count):
         """The front closes so many of them, those that came first before others."""
         async with asyncio.timeout(LONGEST_WAIT):
--- a/thistlelever/carrier/clients.py
+++ b/thistlelever/carrier/clients.py
@@ -25,14 +25,16 @@
 MOST_OPEN, MOST_UNREAD = 32, 32 * 66_000
 # A client is owed a word or a close 3 s after it connects, and closes what idles for 4 s itself.
 SILENT, IDLE = 1.5, 5.0
-# One that has said nothing so far is closed before one that has: it counts as idle for this much longer.
-SILENT_FIRST = 1.0
+# Who has said nothing in this time is closed before one that has: it counts as idle for so much longer.
+SILENT_SOON, SILENT_FIRST = 0.1, 1.0
+# At the bound connections wait at the port for a place; past this a close tells them that there is none.
+NO_PLACE = 1.0
 # A client at full speed gets so many lines in one turn of the loop, and so many connections are taken in one.
 LINES_A_TURN, TAKEN_A_TURN = 8, 32
 # After each line out of form the next is read this much later, and after so many in a row none.
 SLOWER, MOST_BAD = 0.01, 16
-# What a port that can take no more waits for, as it would say so again at once.
-REST = 0.05
+# A port that can take no more for now is looked at again after this, as it would say so again at once.
+REST = 0.005
 # An estimate past so many time limits on all threads, or so many times an engine's memory, is none.
 MOST_LIMITS, MOST_MEMORIES = 100.0, 4.0
 
@@ -49,6 +51,9 @@
         self.log, self.bounds = log, bounds
         self.ready: Callable[[], bool] = lambda: False
         self.stop_at, self.unread, self.purse = float("inf"), 0, Purse(bounds.unfinished)
+        # The connection that waits for a place, others behind it at the port, and since when some do.
+        self.waits: socket.socket | None = None
+        self.full_since = float("inf")
         self.sessions: dict[Session, asyncio.Task] = {}
         self.raw: socket.socket | None = None
 
@@ -59,26 +64,33 @@
     def stop(self) -> None:
         asyncio.get_running_loop().remove_reader(self.raw)
         self.raw.close()
+        if self.waits:
+            self.waits.close()
 
     def accept(self) -> None:
         """Take what waits at the port; one turn of the loop must not go to new connections alone."""
         for _ in range(TAKEN_A_TURN):
             try:
-                raw, _ = self.raw.accept()
+                raw, self.waits = self.waits or self.raw.accept()[0], None
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
             except OSError:
                 # Risk: a port that stays readable and can't be taken from turns the loop into a spin.
                 self.tally.add("connections that could not be taken")
-                loop = asyncio.get_running_loop()
-                loop.remove_reader(self.raw)
-                loop.call_later(REST, lambda: self.raw.fileno() < 0 or self.listen(self.raw))
+                self.look_away()
                 return
-            if len(self.sessions) >= self.bounds.sessions and not self.close_one():
+            place = len(self.sessions) < self.bounds.sessions or self.close_one()
+            if not place and clock.now() < self.full_since + NO_PLACE:
+                # Risk: closed unread, its first request is lost; a place may be free in a moment.
+                self.full_since, self.waits = min(self.full_since, clock.now()), raw
+                self.look_away()
+                return
+            if not place:
                 # All have batches open. A close is an answer too, and the next front may have a place.
                 self.tally.add("connections past the bound")
                 raw.close()
                 continue
+            self.full_since = float("inf")
             raw.setblocking(False)
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream = IOStream(raw, max_buffer_size=LONGEST_LINE, max_write_buffer_size=MOST_UNREAD,
@@ -86,16 +98,31 @@
             session = Session(stream, self)
             self.sessions[session] = asyncio.get_running_loop().create_task(session.run())
 
+    def look_away(self) -> None:
+        asyncio.get_running_loop().remove_reader(self.raw)
+        asyncio.get_running_loop().call_later(REST, self.look_again)
+
+    def look_again(self) -> None:
+        if self.raw.fileno() >= 0:
+            self.listen(self.raw)
+            self.accept()
+
     def close_one(self) -> bool:
-        """Make place: of those with nothing open the one longest idle goes. Risk: a first request that
-        meets its connection's close is a loss, and so is a client kept out by others that stay for good."""
-        idle = (session for session in self.sessions if not session.open)
-        oldest = min(idle, key=lambda s: s.since - SILENT_FIRST * (not s.spoken), default=None)
-        if oldest is None:
-            return False
-        self.tally.add("idle clients closed for others")
-        oldest.left()
-        return True
+        """Make place: of those with nothing open and nothing unread the one longest idle goes. Risk: a first
+        request that meets its connection's close is a loss, and so is a client kept out by others that stay
+        for good."""
+        now = clock.now()
+
+        def idle_since(session: Session) -> float:
+            silent = not session.spoken and now - session.since > SILENT_SOON
+            return session.since - SILENT_FIRST * silent
+
+        for session in sorted((s for s in self.sessions if not s.open), key=idle_since):
+            if now - session.since > SILENT or not session.unread():
+                self.tally.add("idle clients closed for others")
+                session.left()
+                return True
+        return False
 
     def sweep(self) -> None:
         """Close who has nothing open and said nothing whole for too long."""
@@ -189,6 +216,16 @@
         finally:
             self.left()
 
+    def unread(self) -> bool:
+        """Whether something has come that no batch was made of yet."""
+        if self.stream.closed():
+            return False
+        try:
+            waits = bool(self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            waits = False
+        return waits or self.inflow.start != self.inflow.end
+
     def take(self, message: memoryview) -> None:
         if not bytes(message[:64]).strip():
             return
--- a/thistlelever/store/bounds.py
+++ b/thistlelever/store/bounds.py
@@ -4,9 +4,10 @@
 
 from typing import NamedTuple
 
-# Clients may hold a third of the descriptors; these are for the ports, the log, the loop, a second
-# address of the directory while the first is let go, and a connection that is taken only to be closed.
-CLIENTS_SHARE, OWN_DESCRIPTORS = 1 / 3, 24
+# Clients may hold a third of the descriptors; the rest of their share is for those that only stay. Our own
+# are for the ports, the log, the loop, a second address of the directory while the first is let go, and a
+# connection that is taken only to be closed.
+CLIENTS_SHARE, OWN_DESCRIPTORS = 0.4, 24
 # The program with its libraries and an ordinary day's batches, in MB, and what is left at the least.
 AT_REST, LEAST_ROOM = 24.0, 4.0
 # Shares of the room beside that: answers not yet read by clients, and lines not yet whole.
