--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -68,8 +68,7 @@
     def __init__(self, manifest: it.Manifest, seed: int) -> None:
         m, groups = manifest, manifest.tariffs
         self.seed, self.draws, self.now, self.groups = seed, 0, 0.0, groups
-        self.fronts, self.tick = m.fronts, m.tick
-        self.home, self.crossing = m.zone, 10 * m.cross_price
+        self.fronts, self.tick, self.home, self.crossing = m.fronts, m.tick, m.zone, 10 * m.cross_price
         self.top = max(range(len(groups)), key=lambda g: groups[g].utility)
         top = groups[self.top].utility
         steps = sorted({t.utility for t in groups}, reverse=True)
@@ -260,6 +259,7 @@
         if b := self.open.get(told.batch):
             self.unhold(b)
             b.course.close()
+            self.actions += [it.Cancel(b.id, number) for number in b.out if self.cancel]
             # A client that leaves writes nothing: a zero would let its group crowd out those that wait.
             self.close(b, None)
 
