--- a/thistlelever/carrier/clients.py
+++ b/thistlelever/carrier/clients.py
@@ -310,6 +310,8 @@
         """The connection has ended, and with it the client's interest in all that is open on it."""
         self.reception.sessions.pop(self, None)
         self.inflow.drop()
+        for _ in self.open:
+            self.tally.add("left with the connection")
         for _ in self.open:
             self.tally.add("left with the connection")
         for batch in self.open.values():
--- a/thistlelever/store/links.py
+++ b/thistlelever/store/links.py
@@ -29,7 +29,7 @@
 # A link rests this long between two calls: what an engine sends beside its reply is then seen to be that.
 REST = 0.01
 # A reply that has begun goes on within this, or it has stopped short.
-STOPPED_SHORT = 0.25
+STOPPED_SHORT = 0.15
 
 
 class Refused(Exception):
