--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -19,8 +19,8 @@
 from thistlelever.store.tally import Tally
 from thistlelever.wire import http
 
-# News comes after 250 ms at the latest, other answers at once; what takes this long is silent. Risk: a look-up
-# whose answer got lost is given up and run again before its engine was asked for the answer once more.
+# News comes after 250 ms at the latest, other answers at once; what takes this long is silent. Risk: a short
+# batch whose answer got lost is given up and run again before its engine was asked for it once more.
 NEWS_WITHIN, WORD_WITHIN = 0.35, 0.15
 # An engine drops a batch that it has not been asked for in this time.
 DROPPED_AFTER = 2.0
