make build builds once; what waits for a restart is named by its key in the file

Seen as a new user: each make target installed anew, as the interpreter is a link older than requirements.txt; a start took seconds. Tried: build, check, serve, reload with a new dns and with a cut file, status, stop, exit 0.

--- a/Makefile
+++ b/Makefile
@@ -3,13 +3,15 @@
 
 .PHONY: build test lint run check clean
 
-build: .venv/bin/python
+build: .venv/.built
 
-.venv/bin/python: requirements.txt
+# A stamp, as the interpreter is a link to one that is older than any requirement: built again each time.
+.venv/.built: requirements.txt
 	python3 -m venv .venv
 	.venv/bin/pip install -q -r requirements.txt
+	touch $@
 
-.venv/bin/pytest: .venv/bin/python pyproject.toml
+.venv/bin/pytest: .venv/.built pyproject.toml
 	.venv/bin/pip install -q "pytest==8.4.2" "ruff==0.13.3"
 	touch $@
 
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -37,6 +37,9 @@
 BACKLOG = 512
 # What a SIGHUP renews, and what means something at a start only: neither waits for a restart.
 RENEWED = ("directory", "serial", "known", "seed")
+# The keys of the file that hold what goes by another name here.
+KEYS = {name: f"limits.{name}" for name in ("sockets", "memory_mb", "cores")} | dict.fromkeys(
+    ("zones", "kinds", "idle", "answer_slack", "manifest"), "settings")
 HOUSEKEEPING, COUNTS_EVERY = 0.5, 6.0
 
 
@@ -128,8 +131,8 @@
             except OSError as why:
                 self.log("reload refused", why=f"dns: can't be reached: {why}")
                 continue
-            waiting = [name for name, was in self.papers._asdict().items()
-                       if name not in RENEWED and getattr(new, name) != was]
+            waiting = sorted({KEYS.get(name, name) for name, was in self.papers._asdict().items()
+                              if name not in RENEWED and getattr(new, name) != was})
             self.papers = self.papers._replace(directory=new.directory)
             self.log("reloaded", dns=new.directory, needs_restart=waiting)
 
