Membership: the judgement, its wire, and a model of size under a virtual clock

Need: each front is to know which fronts are alive, through pauses, lost datagrams and one-sided cuts, and to say 'alone' where it can't.

Change: membership/ (no I/O, no clock) follows SWIM and Lifeguard, with a ring beside the random order, three tries of a probe, witnesses, own health and digests; wire/peers.py frames of 256 bytes at most with version, tier and CRC-32, bodies as MessagePack (msgspec).

--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,436 @@
+"""Membership: the wire's bad forms, each hard case on the model under a virtual clock, every way in which a
+few datagrams can be lost or late, and a machine that goes on at length."""
+
+from itertools import product
+
+import pytest
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from rigs.membership_model import TIER, Network
+from thistlelever.membership.facts import WINDOW, Member, Self, Terms, fresh
+from thistlelever.membership.fitness import LEAST, WITHIN, Fitness
+from thistlelever.membership.judge import Judge
+from thistlelever.membership.rumours import Rumours
+from thistlelever.wire import peers as wire
+from thistlelever.wire.peers import Kind, Message, Rumour, State
+
+WORD = Rumour("front-1", bytes((127, 0, 0, 1, 0, 9)), 7, 7, State.ALIVE)
+
+
+def message(rumours=(), **words):
+    facts = {"kind": Kind.PING, "name": "front-0", "life": 5, "incarnation": 5, "count": 1, "nonce": 3,
+             "digest": 9} | words
+    return Message(**facts, rumours=tuple(wire.packed(r) for r in rumours))
+
+
+def test_a_message_comes_back_as_it_went():
+    data = wire.encode(message([WORD], place="front-2"), TIER)
+    matter, body = wire.opened(data, TIER)
+    told, rumours = wire.decode(body)
+    assert (matter, told.name, told.place, rumours) == (wire.MEMBERSHIP, "front-0", "front-2", (WORD,))
+
+
+@pytest.mark.parametrize("spoil, kind", [
+    (lambda d: d + bytes(wire.LONGEST), "too long"), (lambda d: d[:5], "too short"),
+    (lambda d: bytes((2,)) + d[1:], "of another version"),
+    (lambda d: d[:2] + b"xxxx" + d[6:], "of another tier"),
+    (lambda d: d[:-1] + bytes((d[-1] ^ 1,)), "damaged"), (lambda d: d[:-1], "damaged"),
+    (lambda d: d[:1] + b"\7" + d[2:], "damaged"),
+])
+def test_what_is_no_word_of_this_tier_says_why(spoil, kind):
+    with pytest.raises(wire.Unfit) as why:
+        wire.opened(spoil(wire.encode(message(), TIER)), TIER)
+    assert why.value.kind == kind
+
+
+@pytest.mark.parametrize("body", [
+    b"", b"\xc1", wire._pack([1, 2]), wire._pack(message(name="")), wire._pack(message(name="x" * 65)),
+    wire._pack(message(incarnation=2**32)), wire._pack(message(count=-1)),
+    wire._pack(message([Rumour("a", b"short", 1, 1, State.ALIVE)])),
+    wire._pack(message([Rumour("a", bytes(6), 2**40, 1, State.ALIVE)])),
+])
+def test_a_body_out_of_form_raises_nothing_else(body):
+    with pytest.raises(wire.Unfit, match="out of form"):
+        wire.decode(body)
+
+
+def test_a_bit_turned_anywhere_is_seen():
+    data = wire.encode(message([WORD]), TIER)
+    for place in range(len(data) * 8):
+        spoilt = bytearray(data)
+        spoilt[place // 8] ^= 1 << place % 8
+        with pytest.raises(wire.Unfit):
+            wire.opened(bytes(spoilt), TIER)
+
+
+def test_rumours_fit_their_frame_and_each_gets_its_turn():
+    # Risk: under churn the newest crowd out the others, which are then never heard of.
+    news, seen = Rumours(), set()
+    for n in range(60):
+        news.tell(Rumour(f"front-{n}", bytes(6), 2**31, 2**31, State.SUSPECTED, 2**31))
+    for _ in range(60):
+        bare = message()
+        rumours = news.some(wire.ROOM - wire.size(bare), 5)
+        told = Message(*(getattr(bare, f) for f in bare.__struct_fields__[:-1]), rumours)
+        assert len(wire.encode(told, TIER)) <= wire.LONGEST
+        seen |= {r.name for r in wire.decode(wire._pack(told))[1]}
+    assert len(seen) == 60 and not news.items
+
+
+def test_a_number_is_taken_once_and_not_long_after():
+    member = Member("a", ("", 0), 1, 1, State.ALIVE, 0.0)
+    assert [fresh(member, n) for n in (5, 3, 5, 3, 4, 6, 6)] == [True, True, False, False, True, True, False]
+    assert fresh(member, 500) and not fresh(member, 500 - WINDOW) and fresh(member, 501 - WINDOW)
+
+
+def tier(many, seed=1, loss=0.0, way=Judge, **facts):
+    """So many members that know each other, after two seconds."""
+    net = Network(seed, loss, way, check=True, **facts)
+    names = [f"n{n}" for n in range(many)]
+    for name in names:
+        net.add(name, fronts=many)
+    for name in names:
+        net.judges[name].peers = tuple(net.judges[o].me.address for o in names if o != name)
+    net.run(net.now + 2.0)
+    assert net.agree()
+    return net
+
+
+def settle(net, within=4.0):
+    till = net.now + within
+    while net.now < till and not net.agree():
+        net.run(net.now + 0.1)
+    assert net.agree(), {n: net.judges[n].view(net.now) for n in net.living()}
+
+
+def states(net, of):
+    return {n: net.judges[n].members[of].state for n in net.living() if n != of}
+
+
+@pytest.mark.parametrize("loss", [0.0, 0.05, 0.2])
+@pytest.mark.parametrize("bursts", [False, True])
+def test_a_death_is_known_to_all_and_to_nobody_else(loss, bursts):
+    net = tier(8, loss=loss, bursts=bursts)
+    net.run(net.now + 5)
+    net.kill("n3")
+    at = net.now
+    settle(net)
+    assert all(net.held[n, "n3"] - at < 1.6 for n in net.living()) and not net.false
+
+
+@pytest.mark.parametrize("seconds", [0.3, 1.0, 3.0, 10.0])
+@pytest.mark.parametrize("who", ["one", "third", "all"])
+def test_who_was_paused_accuses_nobody_with_what_waited(seconds, who):
+    net = tier(9)
+    paused = {"one": ["n4"], "third": ["n0", "n4", "n8"], "all": list(net.judges)}[who]
+    for name in paused:
+        net.stop(name)
+    net.run(net.now + seconds)
+    for name in paused:
+        net.go_on(name)
+    woken = net.now
+    net.run(woken + 0.001)
+    # Held up, and nobody's list read since: nothing of its view is acted on.
+    assert seconds < 0.5 or all(net.judges[name].view(net.now).alone for name in paused)
+    settle(net)
+    by_woken = [c for log in net.changes.values() for c in log
+                if c[0] >= woken and c[1] in paused and c[2] is State.DEAD and c[3] == c[1]]
+    assert not by_woken and not net.false
+
+
+def test_a_broken_link_between_two_is_nobodys_death():
+    net = tier(6)
+    net.cut = lambda source, target: (source, target) == ("n1", "n2")
+    net.run(net.now + 10)
+    assert not net.false and net.agree()
+    doubts = [c for c in net.changes["n2"] if c[2] is State.SUSPECTED]
+    assert not doubts, doubts
+    # A true death behind the cut is still found.
+    net.kill("n2")
+    settle(net)
+
+
+@pytest.mark.parametrize("mute", [True, False])
+def test_who_is_cut_off_one_way_says_that_it_is_alone(mute):
+    net = tier(6)
+    net.cut = (lambda s, t: s == "n1") if mute else (lambda s, t: t == "n1")
+    net.run(net.now + 2.0)
+    judge = net.judges["n1"]
+    assert judge.view(net.now).alone == "nobody answers" and judge.view(net.now).fronts == 6
+    # It holds none dead by itself; to the others it is out of reach.
+    assert not [c for log in net.changes.values() for c in log if c[1] == c[3] == "n1" and c[2] is State.DEAD]
+    net.cut = lambda s, t: False
+    settle(net)
+    assert not judge.alone(net.now)
+    # The bound on flapping: one death and one return for one cut.
+    assert len([c for c in net.changes["n1"] if c[1] == "n0" and c[2] is State.DEAD]) <= 1
+
+
+def test_halves_apart_with_deaths_and_starts_meanwhile():
+    net = tier(10)
+    left = {f"n{n}" for n in range(4)}
+    net.cut = lambda s, t: (s in left) != (t in left)
+    net.run(net.now + 2)
+    assert all(net.judges[n].view(net.now).alive == (4 if n in left else 6) for n in net.living())
+    net.kill("n1")
+    net.kill("n8")
+    net.run(net.now + 1.5)
+    net.add("n8", peers=tuple(net.judges[n].me.address for n in ("n9", "n2")), fronts=10)
+    net.add("n10", peers=(net.judges["n2"].me.address,), fronts=10)
+    net.run(net.now + 1.5)
+    net.cut = lambda s, t: False
+    healed = net.now
+    settle(net, 6.0)
+    assert net.now - healed < 4.0
+
+
+def test_seven_in_ten_at_once_and_all_again_a_tenth_at_a_time():
+    net = tier(20, loss=0.05)
+    for n in range(14):
+        net.kill(f"n{n}")
+    settle(net, 6.0)
+    peers = tuple(j.me.address for j in net.judges.values())
+    for n in range(0, 20, 2):
+        for name in (f"n{n}", f"n{n + 1}"):
+            net.kill(name)
+            net.add(name, peers=peers, fronts=20)
+        net.run(net.now + 0.7)
+    settle(net, 6.0)
+
+
+def test_a_new_life_refutes_what_was_said_of_the_former():
+    net = tier(5)
+    before = net.judges["n2"].incarnation
+    net.kill("n2")
+    net.run(net.now + 2)
+    assert set(states(net, "n2").values()) == {State.DEAD}
+    # Its clock was set back: its life looks older than the one that died.
+    net.add("n2", peers=(net.judges["n0"].me.address,), life=before - 800, fronts=5)
+    settle(net)
+    assert net.judges["n2"].incarnation > before
+    # A rumour of its death that outlives its return.
+    old = Rumour("n2", wire.address_bytes(net.judges["n2"].me.address), before, before, State.DEAD)
+    for name in ("n0", "n1", "n3"):
+        net.judges[name].learn(net.now, old, "n4")
+    assert set(states(net, "n2").values()) == {State.ALIVE}
+
+
+def test_a_name_that_returns_at_another_address():
+    net = tier(5)
+    net.kill("n2")
+    net.run(net.now + 2)
+    net.names[net.judges.pop("n2").me.address] = "nobody"
+    net.add("n2", peers=(net.judges["n0"].me.address,), fronts=5)
+    settle(net)
+    where = {net.judges[n].members["n2"].address for n in net.living() if n != "n2"}
+    assert where == {net.judges["n2"].me.address}
+
+
+def test_of_two_processes_under_one_name_the_older_stands_down():
+    net = tier(4)
+    older = net.judges["n2"]
+    newer = Judge(Terms(), Self("n2", ("127.9.9.9", 1), older.me.life + 50),
+                  tuple(net.judges[n].me.address for n in ("n0", "n1")), 4, 77, net.now)
+    net.judges["twin"], net.names[newer.me.address] = newer, "twin"
+    net.at(net.now, "turn", "twin", newer)
+    net.run(net.now + 6)
+    assert older.twin and not newer.twin
+    assert "started later" in older.view(net.now).alone and older.view(net.now).fronts == 4
+    assert {net.judges[n].members["n2"].address for n in ("n0", "n1", "n3")} == {newer.me.address}
+
+
+def test_a_slow_one_is_not_dead():
+    net = tier(6)
+    datagram = net.do_datagram
+
+    def late(source, name, data, again=False):
+        # A tenth of a core: its loop comes round every 0.15 s.
+        if name == "n1" and not again:
+            net.at((int(net.now / 0.15) + 1) * 0.15, "datagram", source, name, data, True)
+        else:
+            datagram(source, name, data)
+
+    net.do_datagram = late
+    net.run(net.now + 10)
+    assert not net.false
+
+
+def test_one_that_serves_nobody_says_so_and_is_not_dead():
+    net = tier(4)
+    net.judges["n1"].fitness(net.now, False)
+    net.run(net.now + 1)
+    assert set(states(net, "n1").values()) == {State.UNFIT}
+    assert net.judges["n0"].view(net.now).unfit == 1 and net.judges["n0"].view(net.now).alive == 4
+    net.judges["n1"].fitness(net.now + 1, True)
+    net.run(net.now + 2)
+    assert set(states(net, "n1").values()) == {State.ALIVE}
+
+
+def test_fitness_is_judged_by_what_is_returned():
+    fit = Fitness()
+    assert fit.told(0.0, True, 0, 0, 0, 0)
+    assert fit.told(1.0, True, LEAST, LEAST, 0, 0)
+    assert not fit.told(WITHIN + 1, True, 2 * LEAST, 2 * LEAST, 0, 0)
+    assert fit.told(WITHIN + 2, True, 2 * LEAST + 1, 2 * LEAST + 1, 1, 0)
+    assert not fit.told(WITHIN + 3, False, 0, 0, 1, 0)
+
+
+def test_who_leaves_is_not_taken_for_dead():
+    net = tier(6)
+    net.carry("n3", net.judges["n3"], net.judges["n3"].leave(net.now))
+    net.run(net.now + 0.5)
+    net.kill("n3")
+    assert set(states(net, "n3").values()) == {State.LEFT}
+    assert net.judges["n0"].view(net.now).fronts == 5
+    net.add("n3", peers=(net.judges["n0"].me.address,), fronts=6)
+    settle(net)
+
+
+def test_no_peer_at_the_start_and_a_list_that_changes():
+    net = Network(3, 0.0, check=True)
+    net.add("a", peers=(("127.4.4.4", 4),), fronts=2)
+    net.run(net.now + 3)
+    assert net.judges["a"].view(net.now).alone == "no word yet" and net.judges["a"].view(net.now).fronts == 2
+    net.add("b", peers=(), fronts=2)
+    net.judges["a"].renew(net.now, (net.judges["b"].me.address,))
+    settle(net)
+    assert not net.judges["a"].view(net.now).alone
+
+
+def test_a_death_counts_only_once_it_is_sure():
+    net = tier(5)
+    net.kill("n1")
+    net.run(net.now + 1.2)
+    view = net.judges["n0"].view(net.now)
+    assert view.alive == 4 and view.fronts == 5
+    net.run(net.now + 3)
+    assert net.judges["n0"].view(net.now).fronts == 4
+
+
+def test_the_same_calls_give_the_same_sends():
+    one, other = tier(6, seed=5, loss=0.2), tier(6, seed=5, loss=0.2)
+    one.run(one.now + 5)
+    other.run(other.now + 5)
+    assert (one.sent, one.bytes, one.changes) == (other.sent, other.bytes, other.changes)
+
+
+EVENTS = ("kill", "pause", "restart")
+
+
+@pytest.mark.parametrize("event", EVENTS)
+def test_every_way_in_which_a_few_datagrams_are_lost_or_late(event):
+    """Three members; each of the next datagrams is delivered, lost or half a second late, in every way."""
+    for fates in product("dl2", repeat=5):
+        net = Network(2, 0.0)
+        names = ["n0", "n1", "n2"]
+        for name in names:
+            net.add(name, peers=(), fronts=3)
+        for name in names:
+            net.judges[name].peers = tuple(net.judges[o].me.address for o in names if o != name)
+        net.known(names)
+        net.run(net.now + 0.3)
+        seen = {}
+        if event == "pause":
+            net.stop("n1")
+            net.run(net.now + 0.7)
+            net.go_on("n1")
+        else:
+            net.kill("n1")
+            if event == "restart":
+                net.run(net.now + 0.2)
+                net.add("n1", peers=net.judges["n0"].peers, life=net.judges["n1"].me.life - 1, fronts=3)
+        left = list(fates)
+
+        def lossy(source, target, left=left, net=net):
+            fate = left.pop(0) if left else "d"
+            lossy.late = fate == "2"
+            return fate == "l"
+
+        carry, net.cut = net.at, lossy
+
+        def at(when, what, *facts, carry=carry, lossy=lossy):
+            carry(when + 0.5 * (what == "datagram" and lossy.late), what, *facts)
+
+        net.at = at
+        for _ in range(18):
+            net.run(net.now + 0.1)
+            for name in net.living():
+                for other, member in net.judges[name].members.items():
+                    key = name, net.judges[name].me.life, other
+                    assert member.incarnation >= seen.get(key, 0), "an incarnation went back"
+                    seen[key] = member.incarnation
+        settle(net, 4.0)
+
+
+class Tier(RuleBasedStateMachine):
+    """Deaths, starts, pauses, cuts and losses in any order; once it is calm all agree."""
+
+    def __init__(self):
+        super().__init__()
+        self.net = tier(5, seed=9)
+        self.peers = tuple(j.me.address for j in self.net.judges.values())
+        self.seen = {}
+
+    @rule(seconds=st.sampled_from((0.05, 0.3, 1.0)))
+    def time_passes(self, seconds):
+        self.net.run(self.net.now + seconds)
+
+    @precondition(lambda self: len(self.net.living()) > 2)
+    @rule(place=st.integers(0, 4))
+    def dies(self, place):
+        if f"n{place}" in self.net.living():
+            self.net.kill(f"n{place}")
+
+    @rule(place=st.integers(0, 4), back=st.sampled_from((0, 0, 90)))
+    def starts(self, place, back):
+        if f"n{place}" in self.net.dead:
+            self.net.add(f"n{place}", peers=self.peers, life=int(self.net.now * 8) - back, fronts=5)
+
+    @precondition(lambda self: len(self.net.living()) > 2)
+    @rule(place=st.integers(0, 4))
+    def stops(self, place):
+        if f"n{place}" in self.net.living():
+            self.net.stop(f"n{place}")
+
+    @rule()
+    def go_on(self):
+        for name in list(self.net.stopped):
+            self.net.go_on(name)
+
+    @rule(pairs=st.sets(st.tuples(st.integers(0, 4), st.integers(0, 4)), max_size=5),
+          loss=st.sampled_from((0.0, 0.2)))
+    def network(self, pairs, loss):
+        cut = {(f"n{a}", f"n{b}") for a, b in pairs}
+        self.net.cut, self.net.loss = lambda s, t: (s, t) in cut, loss
+
+    @invariant()
+    def incarnations_never_go_back(self):
+        for name in self.net.living():
+            judge = self.net.judges[name]
+            for other, member in judge.members.items():
+                key = name, judge.me.life, other
+                assert member.incarnation >= self.seen.get(key, 0)
+                self.seen[key] = member.incarnation
+            assert judge.digest == digest(judge)
+
+    def teardown(self):
+        self.go_on()
+        self.net.cut, self.net.loss = lambda s, t: False, 0.0
+        settle(self.net, 15.0)
+
+
+def digest(judge):
+    from zlib import crc32
+
+    found = 0
+    for member in judge.members.values():
+        if member.lives:
+            found ^= crc32(b"%s %d" % (member.name.encode(), member.incarnation))
+    return found
+
+
+TestTier = Tier.TestCase
+TestTier.settings = settings(max_examples=60, stateful_step_count=30, deadline=None, derandomize=True,
+                             suppress_health_check=list(HealthCheck))
--- /dev/null
+++ b/thistlelever/wire/peers.py
@@ -0,0 +1,160 @@
+"""Datagrams between fronts: frames of 256 bytes at most, and the messages of membership in them.
+
+A frame is its version, the matter that it is about, the tier's tag, a CRC-32 of all that (zlib) and a body. A
+body of membership is one `Message` as MessagePack (msgspec), with as many rumours behind it as the frame has
+room for. Pure functions: no socket, no clock.
+"""
+
+from __future__ import annotations
+
+import struct
+from enum import IntEnum
+from zlib import crc32
+
+import msgspec
+from msgspec import Raw, Struct
+
+# The most that a datagram between fronts may hold on the platform; longer ones are neither sent nor read.
+LONGEST = 256
+VERSION = 1
+HEAD = struct.Struct(">BBII")
+MEMBERSHIP = 1
+
+
+class Unfit(Exception):
+    """A datagram that is no word of this tier; `kind` says why, and is what is counted."""
+
+    def __init__(self, kind: str) -> None:
+        super().__init__(kind)
+        self.kind = kind
+
+
+class Kind(IntEnum):
+    """What a message of membership wants."""
+
+    PING = 0
+    ACK = 1
+    # Please ping another for me; and: it did not answer me either.
+    ASK = 2
+    NACK = 3
+    # The records after a name, whole; and a piece of them.
+    LIST_ASK = 4
+    LIST = 5
+
+
+class State(IntEnum):
+    """What is said of a member. At one incarnation a later one outweighs an earlier one."""
+
+    ALIVE = 0
+    # It answers probes and serves nobody, by its own word.
+    UNFIT = 1
+    SUSPECTED = 2
+    DEAD = 3
+    LEFT = 4
+
+
+class Rumour(Struct, array_like=True, frozen=True):
+    """What is said of one member: its address as four bytes and a port, and of a suspicion the tag of who
+    accuses."""
+
+    name: str
+    address: bytes
+    incarnation: int
+    life: int
+    state: State
+    accuser: int = 0
+
+
+class Message(Struct, array_like=True, frozen=True):
+    """One word of membership. `count` numbers the sender's datagrams from 1, `nonce` ties an answer to its
+    question, `digest` is that of the sender's view, `place` a member or where in the list to go on."""
+
+    kind: Kind
+    name: str
+    life: int
+    incarnation: int
+    count: int
+    nonce: int
+    digest: int
+    place: str = ""
+    rumours: tuple[Raw, ...] = ()
+
+
+_pack = msgspec.msgpack.Encoder().encode
+_message = msgspec.msgpack.Decoder(Message).decode
+_rumour = msgspec.msgpack.Decoder(Rumour).decode
+# An array of more than 15 rumours has a longer head; no frame has room for so many that it matters.
+ROOM = LONGEST - HEAD.size - 2
+
+
+def tag(word: str) -> int:
+    """A word's 32 bits: of a tier's name, or of an accuser's."""
+    return crc32(word.encode())
+
+
+def frame(matter: int, tier: int, body: bytes) -> bytes:
+    """The datagram; `ValueError` where the body is too long for one."""
+    if HEAD.size + len(body) > LONGEST:
+        raise ValueError(f"{HEAD.size + len(body)} bytes in a datagram of {LONGEST}")
+    check = crc32(body, crc32(HEAD.pack(VERSION, matter, tier, 0)))
+    return HEAD.pack(VERSION, matter, tier, check) + body
+
+
+def opened(data: bytes, tier: int) -> tuple[int, bytes]:
+    """The matter and the body of a datagram; `Unfit` where it is not of this tier or not whole."""
+    if len(data) > LONGEST:
+        raise Unfit("too long")
+    if len(data) < HEAD.size:
+        raise Unfit("too short")
+    version, matter, whose, check = HEAD.unpack_from(data)
+    if version != VERSION:
+        raise Unfit("of another version")
+    if whose != tier:
+        raise Unfit("of another tier")
+    body = data[HEAD.size:]
+    if check != crc32(body, crc32(HEAD.pack(version, matter, whose, 0))):
+        raise Unfit("damaged")
+    return matter, body
+
+
+def packed(rumour: Rumour) -> Raw:
+    """A rumour as it goes on the wire, made once and sent often."""
+    return Raw(_pack(rumour))
+
+
+def size(message: Message) -> int:
+    """Bytes of a message without rumours."""
+    return len(_pack(message))
+
+
+def encode(message: Message, tier: int) -> bytes:
+    return frame(MEMBERSHIP, tier, _pack(message))
+
+
+def decode(body: bytes) -> tuple[Message, tuple[Rumour, ...]]:
+    """A message and its rumours; `Unfit` where either is out of form."""
+    try:
+        message = _message(body)
+        rumours = tuple(_rumour(raw) for raw in message.rumours)
+    except (msgspec.DecodeError, UnicodeDecodeError) as why:
+        raise Unfit("out of form") from why
+    numbers = (message.life, message.incarnation, message.count, message.nonce, message.digest)
+    bad = not sound(message.name, *numbers) or any(
+        not sound(r.name, r.incarnation, r.life, r.accuser) or len(r.address) != 6 for r in rumours)
+    if bad:
+        raise Unfit("out of form")
+    return message, rumours
+
+
+def sound(name: str, *numbers: int) -> bool:
+    """Risk: an incarnation without measure can never be outbid, and its member never refute anything."""
+    return 0 < len(name) <= 64 and all(0 <= number < 2**32 for number in numbers)
+
+
+def address_bytes(address: tuple[str, int]) -> bytes:
+    host, port = address
+    return bytes(int(part) for part in host.split(".")) + port.to_bytes(2, "big")
+
+
+def address_of(data: bytes) -> tuple[str, int]:
+    return ".".join(map(str, data[:4])), int.from_bytes(data[4:], "big")
