Membership in the front: one carrier of peers' datagrams, operator section, commands

Need: the judgement has to be told datagrams, turns and facts, and its view to reach who counts fronts; lifecycle's parts named run.

The decisions are told FrontsCounted: steps, bounds and what others are taken to add follow it, a cold engine's room does not. SIGHUP renews peers.

Fixed on the way: an operator file changed and changed back at a second SIGHUP was not taken, as it was compared with that of the start.

Measured: off, nothing of it is imported (test_operator).

--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -65,7 +65,8 @@
     # Risk: a library of an extra in a front without it takes more memory than the platform gives.
     code = ("import sys, thistlelever.__main__, thistlelever.lifecycle.run, thistlelever.wirehost.host\n"
             "extra = ('grpc', 'pyarrow', 'google', 'msgspec', 'itsdangerous', 'thistlelever.flight', "
-            "'thistlelever.state', 'thistlelever.standins')\n"
+            "'thistlelever.state', 'thistlelever.standins', 'thistlelever.membership', "
+            "'thistlelever.carrier.peers', 'thistlelever.wire.peers', 'thistlelever.lifecycle.parts')\n"
             "print([m for m in sys.modules if m.startswith(extra)])")
     root = Path(__file__).parents[1]
     said = subprocess.run([sys.executable, "-c", code], cwd=root, capture_output=True, text=True, check=True)
--- a/thistlelever/__main__.py
+++ b/thistlelever/__main__.py
@@ -82,10 +82,7 @@
                f"a naive one by {errors['naive_p90']:.0%} (90th)")
     columns = (
         "path", "held", "backlog_core_s", "out", "guarantee", "ceiling", "lends", "borrows", "oldest_s")
-    rows = [columns, *(tuple(str(node[name]) for name in columns) for node in said["nodes"])]
-    widths = [max(len(row[place]) for row in rows) for place in range(len(columns))]
-    for row in rows:
-        click.echo("  ".join(word.ljust(width) for word, width in zip(row, widths, strict=True)).rstrip())
+    table(columns, [tuple(str(node[name]) for name in columns) for node in said["nodes"]])
 
 
 @budgets.command("explain")
@@ -100,6 +97,74 @@
         sys.exit(1)
 
 
+@main.group()
+def members() -> None:
+    """Which fronts a living front holds for alive, asked over its administration's socket."""
+
+
+@members.command("show")
+@OPERATOR
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def members_show(operator: str | None, as_json: bool) -> None:
+    """Who is alive, suspected, dead or has left; exit 1 where this front is alone."""
+    said = asked(operator, "members.show")
+    if as_json:
+        click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2).decode())
+    else:
+        alone = f"ALONE ({said['alone']}): the settings' figures hold; " if said["alone"] else ""
+        click.echo(f"{said['name']}: {alone}{said['alive']} alive, {said['suspected']} of them suspected, "
+                   f"{said['unfit']} unfit; {said['fronts']} counted; own health {said['health']} of 8")
+        columns = ("name", "address", "state", "for_s", "answered_ago_s", "incarnation", "refutals")
+        table(columns, [tuple(str(one[name]) for name in columns) for one in said["members"]])
+    sys.exit(1 if said["alone"] else 0)
+
+
+@members.command("explain")
+@click.argument("name")
+@OPERATOR
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def members_explain(name: str, operator: str | None, as_json: bool) -> None:
+    """Why NAME is held to be what it is: who said so, over which path, how late."""
+    said = asked(operator, "members.explain", name=name)
+    if as_json:
+        click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2).decode())
+    else:
+        click.echo(f"{said['name']}: {said['state']}")
+        columns = ("ago_s", "was", "state", "by", "late_s", "path")
+        table(columns, [tuple(str(one[name]) for name in columns) for one in said["story"]])
+    sys.exit(0 if said["story"] else 1)
+
+
+@members.command("watch")
+@OPERATOR
+@click.option("--json", "as_json", is_flag=True, help="One line of JSON a change.")
+@click.option("--for", "seconds", type=click.FloatRange(min=0.1), help="End after so many seconds.")
+def members_watch(operator: str | None, as_json: bool, seconds: float | None) -> None:
+    """Print each change of the view until interrupted."""
+    from time import monotonic, sleep
+
+    began, before = monotonic(), {}
+    while seconds is None or monotonic() - began < seconds:
+        said = asked(operator, "members.show")
+        now = {one["name"]: one["state"] for one in said["members"]}
+        now[said["name"]] = said["alone"] or "together"
+        for name in sorted(now.keys() | before.keys()):
+            if (was := before.get(name, "")) != (state := now.get(name, "forgotten")):
+                change = {"name": name, "was": was, "state": state}
+                line = f"{name}: {was or 'unknown'} -> {state}"
+                click.echo(orjson.dumps(change).decode() if as_json else line)
+        before = now
+        sleep(0.2)
+
+
+def table(columns: tuple[str, ...], rows: list[tuple[str, ...]]) -> None:
+    """Columns as wide as what stands in them."""
+    rows = [columns, *rows]
+    widths = [max(len(row[place]) for row in rows) for place in range(len(columns))]
+    for row in rows:
+        click.echo("  ".join(word.ljust(width) for word, width in zip(row, widths, strict=True)).rstrip())
+
+
 def asked(path: str | None, question: str, **words) -> dict:
     """What a living front answers; exit 2 where it can't be asked."""
     from thistlelever.lifecycle import admin
--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -81,10 +81,9 @@
         self.any_yields = any(t.yields_to_loads for t in groups)
         self.narrow = max(t.width for t in groups)
         self.usual = [t.goal * t.width / (2 + 2 * t.goal_stretch) for t in groups]
-        threads = max(m.kind_cores, default=0) * THREADS_A_CORE
-        fill = threads * len(groups) / sum(t.width for t in groups)
-        self.alike = max(m.fronts * fill / (m.fronts + fill), 1.0)
-        self.step = min(threads / self.narrow / m.fronts, 1.0)
+        self.threads = max(m.kind_cores, default=0) * THREADS_A_CORE
+        self.fill = self.threads * len(groups) / sum(t.width for t in groups)
+        self.counted(it.FrontsCounted(m.fronts))
         self.flowing, self.turn, self.mean_busy = True, 0.0, 0.0
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
         self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
@@ -111,7 +110,7 @@
         self.handlers = {
             it.BatchTaken: self.taken, it.DispatchEnded: self.ended, it.ProgressNote: self.noted,
             it.ClientLeft: self.left, it.ProbeEnded: self.probed, it.ListTold: self.listed_anew,
-            it.FrontStops: self.stops,
+            it.FrontStops: self.stops, it.FrontsCounted: self.counted,
         }
 
     def handle(self, now: float, events: list[it.Event]) -> list[it.Action]:
@@ -271,6 +270,13 @@
             b.goal_at = min(b.goal_at, told.at)
         self.queues = [sorted(queue) for queue in self.queues]
 
+    def counted(self, told: it.FrontsCounted) -> None:
+        """How many share the engines. A cold engine's room stays the settings': who is taken for dead may
+        only be cut off from here, and send as before."""
+        self.fronts = max(told.fronts, 1)
+        self.alike = max(self.fronts * self.fill / (self.fronts + self.fill), 1.0)
+        self.step = min(self.threads / self.narrow / self.fronts, 1.0)
+
     def probed(self, told: it.ProbeEnded) -> None:
         if (i := self.index.get(told.engine)) is not None:
             self.probe_at[i] = -1e9
--- a/thistlelever/carrier/gate.py
+++ b/thistlelever/carrier/gate.py
@@ -66,6 +66,11 @@
         self.carry(self.judge.renew(clock.now(), plan, terms))
         self.look_soon()
 
+    def counted(self, fronts: int) -> None:
+        """So many fronts share the engines' threads from now on."""
+        self.fronts, self.serial = max(fronts, 1), -1
+        self.look_soon()
+
     def stop(self, at: float) -> None:
         self.carry(self.judge.stops(clock.now(), at))
 
--- a/thistlelever/ground/interface.py
+++ b/thistlelever/ground/interface.py
@@ -211,6 +211,12 @@
     at: float
 
 
+class FrontsCounted(NamedTuple):
+    """How many fronts share the engines, where that is known better than from the settings."""
+
+    fronts: int
+
+
 class TimerDue(NamedTuple):
     token: int
 
@@ -246,8 +252,8 @@
 
 
 Event = (
-    BatchTaken | DispatchEnded | ResponseStarted | ProgressNote | ClientLeft | FrontStops | TimerDue
-    | ProbeEnded | ListTold | PeerNote
+    BatchTaken | DispatchEnded | ResponseStarted | ProgressNote | ClientLeft | FrontStops
+    | FrontsCounted | TimerDue | ProbeEnded | ListTold | PeerNote
 )
 
 
--- a/thistlelever/ground/operator.py
+++ b/thistlelever/ground/operator.py
@@ -93,6 +93,15 @@
     waste: Part = 0.05
 
 
+class Membership(Struct, frozen=True, forbid_unknown_fields=True):
+    """Which fronts of the tier are alive, by datagrams to `peers` of the configuration."""
+
+    tier: Word
+    period_s: Annotated[float, Meta(ge=0.02, le=10)] = 0.1
+    suspect_s: Annotated[float, Meta(ge=0.05, le=60)] = 0.4
+    knock_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.0
+
+
 class Admin(Struct, frozen=True, forbid_unknown_fields=True):
     """A local socket for questions about a living front, open to its own user alone."""
 
@@ -104,6 +113,7 @@
 
     flight: Flight | None = None
     budgets: Budgets | None = None
+    membership: Membership | None = None
     admin: Admin | None = None
 
 
--- a/thistlelever/ground/papers.py
+++ b/thistlelever/ground/papers.py
@@ -37,6 +37,9 @@
     memory_mb: float
     cores: float
     peer_listen: Address | None
+    # One address for each front of the tier; `rank` is this front's place among them, or -1.
+    peers: tuple[Address, ...]
+    rank: int
     directory: Address
     serial: int
     known: tuple[Entry, ...]
@@ -136,7 +139,7 @@
     conf = Conf(pairs(root.at("settings")))
     zones, kinds = tuple(conf.words("FailureDomains")), tuple(conf.words("Kinds"))
     known = root.at("known")
-    peer = root.get("peer_listen")
+    peer, peers = root.get("peer_listen"), root.get("peers")
     return Papers(
         name=name.string(),
         listen=listen.address(),
@@ -145,6 +148,8 @@
         memory_mb=memory.number(1.0) if memory else DEFAULT_MEMORY_MB,
         cores=cores.number() if cores else DEFAULT_CORES,
         peer_listen=peer.address() if peer else None,
+        peers=tuple(node.address() for node in peers.items()) if peers else (),
+        rank=conf.whole("Rank") if "Rank" in conf.pairs else -1,
         directory=root.at("dns").address(),
         serial=known.at("pos").whole(),
         known=tuple(listed(known.at("entries").items(), zones, kinds)),
--- a/thistlelever/lifecycle/budgets.py
+++ b/thistlelever/lifecycle/budgets.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 from thistlelever.budgets import views
 from thistlelever.budgets.judge import Terms
@@ -10,10 +10,9 @@
 from thistlelever.carrier.gate import Gate
 from thistlelever.ground import clock
 from thistlelever.ground.manifest import Unreadable
-from thistlelever.ground.operator import Budgets
-
-if TYPE_CHECKING:
-    from thistlelever.lifecycle.run import Office
+from thistlelever.ground.operator import Budgets, Operator
+from thistlelever.ground.papers import Papers
+from thistlelever.lifecycle.parts import Parts
 
 
 def plan(section: Budgets) -> Plan:
@@ -30,33 +29,41 @@
         raise Unreadable(f"operator file: budgets: {why}") from None
 
 
-def terms(section: Budgets, office: Office) -> Terms:
-    manifest = office.papers.manifest
-    longest = manifest.longest_return if manifest.names_return else 0.0
-    return Terms(manifest.cancel, section.waste, longest, section.depth)
+class BudgetsSide:
+    """The gate that batches pass before the decisions hear of them."""
 
+    def __init__(self, parts: Parts, section: Budgets) -> None:
+        self.parts, papers = parts, parts.papers
+        self.gate = parts.courses.gate = Gate(
+            papers.manifest, plan(section), self.terms(section), section.threads_a_core, papers.seed,
+            parts.batches, parts.roll, parts.tally, parts.log)
 
-def gate(office: Office, section: Budgets) -> Gate:
-    papers = office.papers
-    return Gate(papers.manifest, plan(section), terms(section, office), section.threads_a_core, papers.seed,
-                office.batches, office.roll, office.tally, office.log)
+    def terms(self, section: Budgets) -> Terms:
+        manifest = self.parts.papers.manifest
+        longest = manifest.longest_return if manifest.names_return else 0.0
+        return Terms(manifest.cancel, section.waste, longest, section.depth)
 
+    async def open(self) -> dict:
+        return {}
 
-def renew(office: Office, section: Budgets) -> None:
-    office.courses.gate.renew(plan(section), terms(section, office), section.threads_a_core)
+    def renew(self, operator: Operator, papers: Papers) -> None:
+        if section := operator.budgets:
+            self.gate.renew(plan(section), self.terms(section), section.threads_a_core)
 
+    def questions(self) -> dict[str, Callable[..., dict]]:
+        return {
+            "budgets.show": lambda: views.show(self.gate.judge, clock.now()),
+            "budgets.explain": self.explained,
+        }
 
-def answers(office: Office) -> dict:
-    """What the front's administration is asked of budgets."""
-    judge = office.courses.gate.judge
-    return {
-        "budgets.show": lambda: views.show(judge, clock.now()),
-        "budgets.explain": lambda batch: explained(office, batch),
-    }
+    def explained(self, batch: str) -> dict:
+        """By the client's id of the batch, or the front's number of it."""
+        found = self.parts.batches.by_txn.get(batch)
+        number = found.number if found else int(batch) if batch.isdigit() and len(batch) < 16 else 0
+        return views.explain(self.gate.judge, number, clock.now())
 
+    def stopping(self) -> None:
+        """The courses tell the gate themselves."""
 
-def explained(office: Office, name: str) -> dict:
-    """By the client's id of the batch, or the front's number of it."""
-    judge, found = office.courses.gate.judge, office.batches.by_txn.get(name)
-    number = found.number if found else int(name) if name.isdigit() and len(name) < 16 else 0
-    return views.explain(judge, number, clock.now())
+    async def close(self, grace: float) -> None:
+        """Nothing of it outlives the batches."""
--- a/thistlelever/lifecycle/flight.py
+++ b/thistlelever/lifecycle/flight.py
@@ -2,17 +2,15 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from collections.abc import Callable
 
 from thistlelever.carrier.flight_engines import FlightEngines
 from thistlelever.flight.door import Door
-from thistlelever.ground.operator import Flight, address
-from thistlelever.ground.papers import Entry
+from thistlelever.ground.operator import Flight, Operator, address
+from thistlelever.ground.papers import Entry, Papers
+from thistlelever.lifecycle.parts import Parts
 from thistlelever.wire.inflow import Purse
 
-if TYPE_CHECKING:
-    from thistlelever.lifecycle.run import Office
-
 # The least that may lie between an engine and its client, so that a message of usual size passes whole.
 LEAST_BETWEEN = 65_536
 
@@ -20,13 +18,13 @@
 class FlightSide:
     """The door for clients and the way to engines, either or both."""
 
-    def __init__(self, office: Office, terms: Flight) -> None:
-        papers, self.terms = office.papers, terms
+    def __init__(self, parts: Parts, terms: Flight) -> None:
+        papers, self.terms = parts.papers, terms
         between = max(terms.held_bytes_all // terms.streams, LEAST_BETWEEN)
-        self.engines = FlightEngines(papers.manifest, office.roll, office.desk, office.tally,
+        self.engines = FlightEngines(papers.manifest, parts.roll, parts.desk, parts.tally,
                                      terms.held_bytes, between, Purse(terms.held_bytes_all))
         self.kinds = papers.kinds
-        self.door = Door(terms, papers.name, office.intake, office.courses, office.tally, office.log)
+        self.door = Door(terms, papers.name, parts.intake, parts.courses, parts.tally, parts.log)
 
     def speaks(self, entry: Entry) -> bool:
         """Whether an engine speaks Flight SQL, by its kind or its own id."""
@@ -40,8 +38,15 @@
         await self.door.listen(address(self.terms.listen))
         return {"flight": (address(self.terms.listen)[0], self.door.port)}
 
-    def renew(self, terms: Flight) -> None:
-        self.terms = self.door.terms = terms
+    def renew(self, operator: Operator, papers: Papers) -> None:
+        if operator.flight:
+            self.terms = self.door.terms = operator.flight
+
+    def questions(self) -> dict[str, Callable[..., dict]]:
+        return {}
+
+    def stopping(self) -> None:
+        self.door.stopping = True
 
     async def close(self, grace: float) -> None:
         await self.door.stop(grace)
--- /dev/null
+++ b/thistlelever/lifecycle/membership.py
@@ -0,0 +1,97 @@
+"""Puts together what the operator's section `membership` switches on. Imported only where it is there."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from time import time
+
+from thistlelever.carrier.members import Members
+from thistlelever.carrier.peers import Peers
+from thistlelever.ground import clock
+from thistlelever.ground import interface as it
+from thistlelever.ground.manifest import Unreadable
+from thistlelever.ground.operator import Membership, Operator
+from thistlelever.ground.papers import Papers
+from thistlelever.lifecycle.parts import Parts
+from thistlelever.membership import views
+from thistlelever.membership.facts import Self, Terms, View
+from thistlelever.membership.fitness import Fitness
+from thistlelever.membership.judge import Judge
+
+# Lives are counted from here, in eighths of a second: the Unix second of 2020's first.
+EPOCH = 1_577_836_800
+# How often the front looks whether it serves whom it takes.
+LOOK = 0.5
+
+
+def sound(section: Membership, papers: Papers) -> None:
+    """`Unreadable` with the key where the section can't be kept."""
+    if papers.peer_listen is None:
+        raise Unreadable("operator file: membership: peer_listen in the configuration expected; found none")
+
+
+class MembershipSide:
+    """Who else is alive, told to whoever counts fronts."""
+
+    def __init__(self, parts: Parts, section: Membership) -> None:
+        papers = parts.papers
+        sound(section, papers)
+        self.parts, self.fitness = parts, Fitness()
+        # Behind a relay or an address translation others know this front by another address than it binds.
+        rank = papers.rank
+        known_as = papers.peers[rank] if 0 <= rank < len(papers.peers) else papers.peer_listen
+        self.peers = Peers(papers.peer_listen, section.tier, parts.tally)
+        terms = Terms(period=section.period_s, suspect=section.suspect_s, knock=section.knock_s)
+        me = Self(papers.name, known_as, int((time() - EPOCH) * 8))
+        judge = Judge(terms, me, papers.peers, papers.manifest.fronts, papers.seed, clock.now())
+        self.members = Members(judge, self.peers, parts.tally, parts.log, self.counted)
+        self.fronts, self.task, self.left = papers.manifest.fronts, None, False
+        self.on_view: list[Callable[[View], None]] = []
+
+    async def open(self) -> dict:
+        self.peers.open()
+        self.members.open()
+        self.task = asyncio.get_running_loop().create_task(self.looking())
+        return {"membership": self.members.judge.me.address}
+
+    def renew(self, operator: Operator, papers: Papers) -> None:
+        self.members.judge.renew(clock.now(), papers.peers)
+
+    def questions(self) -> dict[str, Callable[..., dict]]:
+        judge = self.members.judge
+        return {
+            "members.show": lambda: views.show(judge, clock.now()),
+            "members.explain": lambda name: views.explain(judge, name, clock.now()),
+        }
+
+    def counted(self, view: View) -> None:
+        """As many fronts as share the engines: a fact for the decisions and the budgets."""
+        if view.fronts != self.fronts:
+            self.fronts = view.fronts
+            self.parts.log("fronts counted", fronts=view.fronts, alone=view.alone)
+            self.parts.desk.tell(it.FrontsCounted(view.fronts))
+            if self.parts.courses.gate:
+                self.parts.courses.gate.counted(view.fronts)
+        for told in self.on_view:
+            told(view)
+
+    async def looking(self) -> None:
+        counts, batches = self.parts.tally.counts, self.parts.batches
+        while True:
+            await asyncio.sleep(LOOK)
+            answered = counts["End"] + counts["PushBack"] + counts["Error"]
+            serves = self.fitness.told(clock.now(), not self.left, counts["taken"], answered, counts["End"],
+                                       len(batches.by_number))
+            self.members.judge.fitness(clock.now(), serves)
+
+    def stopping(self) -> None:
+        self.left = True
+        self.members.leave()
+
+    async def close(self, grace: float) -> None:
+        if self.task:
+            self.task.cancel()
+        self.members.leave()
+        self.members.close()
+        self.peers.close()
--- /dev/null
+++ b/thistlelever/lifecycle/parts.py
@@ -0,0 +1,53 @@
+"""What the parts of a front that are switched on beyond the platform's own are given, and how they are spoken
+to. `lifecycle.run` opens, renews, asks and closes them by this alone; a part is handed what it works with and
+knows nothing of who put it together.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from thistlelever.carrier.course import Courses
+from thistlelever.carrier.desk import Desk
+from thistlelever.carrier.intake import Intake
+from thistlelever.ground.log import Log
+from thistlelever.ground.papers import Papers
+from thistlelever.ground.tally import Tally
+from thistlelever.store.batches import Batches
+from thistlelever.store.roll import Roll
+
+if TYPE_CHECKING:
+    from thistlelever.ground.operator import Operator
+
+
+class Parts(NamedTuple):
+    """What a front is made of, as far as further parts work with it."""
+
+    papers: Papers
+    log: Log
+    tally: Tally
+    batches: Batches
+    roll: Roll
+    desk: Desk
+    intake: Intake
+    courses: Courses
+
+
+class Side(Protocol):
+    """A part that the operator file switches on."""
+
+    async def open(self) -> dict:
+        """Start; what the line `ready` of the log says of it."""
+
+    def renew(self, operator: Operator, papers: Papers) -> None:
+        """Take from what was read again what can change at once."""
+
+    def questions(self) -> dict[str, Callable[..., dict]]:
+        """What the administration may be asked of it."""
+
+    def stopping(self) -> None:
+        """SIGTERM has come: what is open is answered first."""
+
+    async def close(self, grace: float) -> None:
+        """All is answered; be gone within `grace` seconds or soon after."""
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -35,6 +35,8 @@
     from thistlelever.ground.operator import Operator
     from thistlelever.lifecycle.admin import Administration
     from thistlelever.lifecycle.flight import FlightSide
+    from thistlelever.lifecycle.membership import MembershipSide
+    from thistlelever.lifecycle.parts import Side
 
 # After a SIGTERM, requests go on coming for 0.6 s; the kill comes no sooner than the longest time limit,
 # or 3 s if that is less, and 0.7 s more after it. The last answers are written before.
@@ -44,7 +46,7 @@
 # Many clients come at once when a front is taken in.
 BACKLOG = 512
 # What a SIGHUP renews, and what means something at a start only: neither waits for a restart.
-RENEWED = ("directory", "serial", "known", "seed")
+RENEWED = ("directory", "serial", "known", "seed", "peers")
 # The keys of the file that hold what goes by another name here.
 KEYS = {name: f"limits.{name}" for name in ("sockets", "memory_mb", "cores")} | dict.fromkeys(
     ("zones", "kinds", "idle", "answer_slack", "manifest"), "settings")
@@ -71,6 +73,7 @@
         over_http = HttpEngines(manifest, self.roll, self.links, self.desk, self.tally)
         self.dispatcher = Dispatcher(manifest, self.roll, lambda entry: over_http, self.desk, self.tally, log)
         self.flight: FlightSide | None = None
+        self.membership: MembershipSide | None = None
         self.courses = Courses(self.desk, self.dispatcher, self.batches, self.tally, log)
         self.pulse = Pulse()
         self.intake = Intake(manifest, self.pulse, self.batches)
@@ -79,19 +82,38 @@
                                papers.seed)
         self.desk.on_probe = self.dispatcher.probe
         self.desk.on_ask_list = lambda: self.inquiry.ask(by_order=True)
-        if flight:
-            from thistlelever.lifecycle.flight import FlightSide
-
-            side = self.flight = FlightSide(self, flight)
+        # What the operator file switches on beside that, in the order in which it is opened.
+        self.sides: list[Side] = self.switched_on(operator) if operator else []
+        if self.flight:
+            side = self.flight
             self.dispatcher.speech = lambda entry: side.engines if side.speaks(entry) else over_http
         self.admin: Administration | None = None
-        if operator and operator.budgets:
-            from thistlelever.lifecycle import budgets
-
-            self.courses.gate = budgets.gate(self, operator.budgets)
         self.stop, self.renew = asyncio.Event(), asyncio.Event()
         self.tasks: list[asyncio.Task] = []
 
+    def switched_on(self, operator: Operator) -> list[Side]:
+        """Each section that is there, put together; the others are not even imported."""
+        from thistlelever.lifecycle.parts import Parts
+
+        parts = Parts(self.papers, self.log, self.tally, self.batches, self.roll, self.desk, self.intake,
+                      self.courses)
+        sides: list[Side] = []
+        if operator.flight:
+            from thistlelever.lifecycle.flight import FlightSide
+
+            self.flight = FlightSide(parts, operator.flight)
+            sides.append(self.flight)
+        if operator.budgets:
+            from thistlelever.lifecycle.budgets import BudgetsSide
+
+            sides.append(BudgetsSide(parts, operator.budgets))
+        if operator.membership:
+            from thistlelever.lifecycle.membership import MembershipSide
+
+            self.membership = MembershipSide(parts, operator.membership)
+            sides.append(self.membership)
+        return sides
+
     def forget(self, engine: it.EngineId) -> None:
         """Connections to an engine that is gone or was started anew."""
         self.links.forget(engine)
@@ -106,12 +128,14 @@
             loop.add_signal_handler(number, self.stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.renew.set)
         await self.inquiry.open(self.papers.directory)
-        if self.papers.peer_listen:
+        if self.papers.peer_listen and not (self.operator and self.operator.membership):
             await loop.create_datagram_endpoint(lambda: Deaf(self.tally), local_addr=self.papers.peer_listen)
         self.desk.tell(it.ListTold(it.ListKind.CACHED, self.roll.serial, self.roll.told()))
         raw = listener(self.papers.listen)
         self.reception.listen(raw)
-        further = await self.flight.open() if self.flight else {}
+        further: dict = {}
+        for side in self.sides:
+            further |= await side.open()
         if self.operator and self.operator.admin:
             from thistlelever.lifecycle.admin import Administration
 
@@ -126,10 +150,8 @@
     def questions(self) -> dict[str, Callable[..., dict]]:
         """What the administration may be asked, by the parts that are on."""
         asked: dict[str, Callable[..., dict]] = {"counts": lambda: dict(self.tally.counts)}
-        if self.courses.gate:
-            from thistlelever.lifecycle import budgets
-
-            asked |= budgets.answers(self)
+        for side in self.sides:
+            asked |= side.questions()
         return asked
 
     async def run(self) -> None:
@@ -144,8 +166,8 @@
         stop_at = clock.now() + min(longest, LONGEST_LIMIT) + LAST_ANSWER
         self.log("stopping", open=len(self.batches.by_number))
         self.intake.stop_at = stop_at
-        if self.flight:
-            self.flight.door.stopping = True
+        for side in self.sides:
+            side.stopping()
         self.courses.stop(stop_at)
         await asyncio.sleep(STILL_COMING)
         while self.courses.tasks and clock.now() < stop_at + LAST_BYTES:
@@ -156,8 +178,8 @@
             async with asyncio.timeout(LAST_BYTES):
                 while self.reception.unread:
                     await asyncio.sleep(0.005)
-        if self.flight:
-            await self.flight.close(LAST_BYTES)
+        for side in self.sides:
+            await side.close(LAST_BYTES)
         if self.admin:
             await self.admin.close()
         for task in self.tasks:
@@ -190,24 +212,21 @@
                 continue
             waiting = sorted({KEYS.get(name, name) for name, was in self.papers._asdict().items()
                               if name not in RENEWED and getattr(new, name) != was})
-            self.papers = self.papers._replace(directory=new.directory)
+            self.papers = self.papers._replace(directory=new.directory, peers=new.peers)
             waiting += self.renewed(operator)
             self.log("reloaded", dns=new.directory, needs_restart=waiting)
 
     def renewed(self, new: Operator | None) -> list[str]:
         """Take from the operator file what can change at once; the keys that wait for a restart."""
-        if new is None or new == self.operator:
+        if new is None:
+            return []
+        for side in self.sides:
+            side.renew(new, self.papers)
+        if new == self.operator:
             return []
         from thistlelever.ground.operator import AT_ONCE, differing
 
-        waiting = differing(self.operator, new, AT_ONCE)
-        if self.flight and new.flight:
-            self.flight.renew(new.flight)
-        if self.courses.gate and new.budgets:
-            from thistlelever.lifecycle import budgets
-
-            budgets.renew(self, new.budgets)
-        return waiting
+        return differing(self.operator, new, AT_ONCE)
 
     def unforeseen(self, loop: asyncio.AbstractEventLoop, context: dict) -> None:
         """What no task heeded: logged and counted, and the front goes on."""
