A yard of many processes, and rigs.membership in it: kills, stops, cuts, halves, returns

Need: how fronts behave together when some fail is to be shown on real processes, with books that can disagree.

Each of three sabotages is named.

--- /dev/null
+++ b/rigs/membership.py
@@ -0,0 +1,288 @@
+"""Fronts that lose each other: killed, stopped, cut one way and in halves, started again under their names,
+all with datagrams lost, doubled, late and out of order; the books of the rig against each front's log and
+view.
+
+`python -m rigs.membership --seed 1` plays five processes in at most 25 s; `--full` thirty, and the same
+faults without membership for the share of batches in time. `--sabotage NAME` takes one guard out of all.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections import Counter
+from time import time
+
+import click
+
+from rigs.fleet import ROOT, Fleet
+from rigs.sabotaged import GUARDS
+from rigs.verdict import Chance, close
+from thistlelever.standins.papers import SETTINGS
+
+# A paused or cut front is not at fault in others' eyes for so long after it is back: word has to travel.
+BACK = 1.5
+GOAL, LIMIT_MS = 2.0, 2_000
+# How long views may take to agree once a fault is over.
+AGREE = 5.0
+# How often one may be doubted in one view over the run; each refutation makes the next doubt last longer.
+MOST_DOUBTS = 10
+# Datagrams that each front sends in a second, at the loss that is played.
+PACE = 90
+
+
+class Play:
+    """One run: what is done to the fleet, in the order and at the counts that the seed gives."""
+
+    def __init__(self, fleet, chance):
+        self.fleet, self.chance, self.broken, self.healing = fleet, chance, [], []
+        self.steps = [self.one_way, self.short_pause, self.kill, self.long_pause, self.one_to_all, self.leave,
+                      self.halves]
+
+    async def run(self):
+        fleet, wire = self.fleet, self.fleet.wire
+        if await fleet.agree(10.0) is None:
+            self.broken.append("views never agreed at the start")
+        wire.loss, wire.double, wire.jitter, wire.late = 0.2, 0.05, 0.02, 0.01
+        order = list(self.steps)
+        for place in range(len(order) - 1, 0, -1):
+            other = self.chance.below(place + 1, "order", place)
+            order[place], order[other] = order[other], order[place]
+        for step in order:
+            await wire.after(20 + self.chance.below(60, "rest", step.__name__))
+            await step()
+            if (took := await fleet.agree(AGREE)) is None:
+                self.broken.append(f"views do not agree after: {step.__name__}")
+            else:
+                self.healing.append(took)
+        for name in ("loss", "double", "jitter", "late"):
+            setattr(wire, name, 0.0)
+
+    def one(self, what):
+        return self.fleet.fronts[self.chance.below(self.fleet.many, what)]
+
+    def datagrams(self, seconds):
+        """About so long, counted in datagrams."""
+        return int(PACE * self.fleet.many * seconds)
+
+    async def one_way(self):
+        """One pair, one way: nobody's death, and no doubt for long."""
+        a, b = self.one("one way from").place, self.one("one way to").place
+        b = (b + (a == b)) % self.fleet.many
+        told = self.fleet.fault("pair", a, b)
+        self.fleet.wire.cuts.add((a, b))
+        await self.fleet.wire.after(self.datagrams(1.5))
+        self.fleet.wire.cuts.clear()
+        self.fleet.end(told)
+
+    async def pause(self, kind, seconds):
+        front = self.one(kind)
+        told = self.fleet.fault("stopped", front.name)
+        front.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        front.signal(signal.SIGCONT)
+        self.fleet.end(told)
+
+    async def short_pause(self):
+        await self.pause("short pause", 0.3)
+
+    async def long_pause(self):
+        await self.pause("long pause", 2.5)
+
+    async def kill(self):
+        front = self.one("kill")
+        told = self.fleet.fault("killed", front.name)
+        await front.kill()
+        living = [f.name for f in self.fleet.fronts if f is not front]
+        if await self.fleet.agree(AGREE, living) is None:
+            self.broken.append("a death was not known to all the living")
+        await front.start()
+        self.fleet.end(told)
+
+    async def leave(self):
+        front = self.one("leave")
+        told = self.fleet.fault("left", front.name)
+        await front.stop()
+        await front.start()
+        self.fleet.end(told)
+
+    async def one_to_all(self):
+        """Its word reaches nobody: it has to find that out about itself."""
+        front = self.one("one to all")
+        told = self.fleet.fault("cut off", front.name)
+        others = [other for other in self.fleet.fronts if other is not front]
+        self.fleet.wire.cuts |= {(front.place, other.place) for other in others}
+        await self.fleet.wire.after(self.datagrams(1.5))
+        if not ((await front.ask("members.show")) or {}).get("alone"):
+            self.broken.append("own health: a front that nobody answers does not say that it is alone")
+        self.fleet.wire.cuts.clear()
+        self.fleet.end(told)
+
+    async def halves(self):
+        """Two sides that don't hear each other; one dies on one side meanwhile."""
+        fronts = self.fleet.fronts
+        few = max(2, len(fronts) * 2 // 5)
+        one, other = fronts[:few], fronts[few:]
+        told = self.fleet.fault("halves", [f.name for f in one], [f.name for f in other])
+        for a in one:
+            for b in other:
+                self.fleet.wire.cuts |= {(a.place, b.place), (b.place, a.place)}
+        await self.fleet.wire.after(self.datagrams(0.8))
+        victim = other[self.chance.below(len(other), "halves' victim")]
+        died = self.fleet.fault("killed", victim.name)
+        await victim.kill()
+        await self.fleet.wire.after(self.datagrams(0.8))
+        self.fleet.wire.cuts.clear()
+        self.fleet.end(told)
+        await victim.start()
+        self.fleet.end(died)
+
+
+def covered(fault, at):
+    return fault["from"] - 0.05 <= at <= fault["till"] + BACK
+
+
+def judged(fleet, play):
+    """The books against each other: figures, and what is broken."""
+    broken, detect = list(play.broken), []
+    false, changes, flaps, alone_accuses = [], Counter(), 0, 0
+    for front in fleet.fronts:
+        deaths = Counter()
+        for line in front.lines:
+            if not line["event"].startswith("member "):
+                continue
+            at, name, state = line["at"], line["member"], line["event"].removeprefix("member ")
+            changes[front.name, name] += state == "suspected"
+            if state != "dead":
+                continue
+            deaths[name] += 1
+            due = [f for f in fleet.faults if covered(f, at) and (
+                f["kind"] in ("killed", "stopped", "left", "cut off") and name in f["names"]
+                or f["kind"] == "halves" and any(front.name in s and name not in s for s in f["names"]))]
+            mine = [f for f in fleet.faults if f["kind"] == "cut off" and front.name in f["names"] and
+                    f["from"] <= at <= f["till"]]
+            if mine:
+                alone_accuses += 1
+            elif not due:
+                false.append({"at": round(at, 2), "in": front.name, "of": name, "by": line["by"],
+                              "path": line["path"]})
+        suffered = Counter(n for f in fleet.faults if f["kind"] != "pair" for n in flat(f["names"]))
+        flaps += sum(max(0, many - suffered[name]) for name, many in deaths.items())
+    if false:
+        old = any("incarnation" in f["path"] for f in false)
+        broken.append("false death" + (": an old incarnation" if old else ""))
+    if alone_accuses:
+        broken.append("own health: a front that is cut off held others dead")
+    missed = 0
+    for fault in (f for f in fleet.faults if f["kind"] == "killed"):
+        halves = [f for f in fleet.faults
+                  if f["kind"] == "halves" and f["from"] <= fault["from"] <= f["till"]]
+        for front in fleet.fronts:
+            if front.name == fault["names"][0] or any(front.name in h["names"][0] for h in halves):
+                continue
+            at = next((line["at"] for line in front.lines
+                       if line["event"] == "member dead" and line["at"] >= fault["from"]
+                       and line["member"] == fault["names"][0]), None)
+            if at is None or at > fault["till"] + BACK:
+                missed += 1
+            else:
+                detect.append(at - fault["from"])
+    if missed:
+        broken.append("a death that some of the living never held")
+    doubts = max(changes.values(), default=0)
+    pairs = [f["names"] for f in fleet.faults if f["kind"] == "pair"]
+    if any(doubted(fleet, f) > 2 for f in fleet.faults if f["kind"] == "pair"):
+        broken.append("detours: a link broken between two is doubt of one of them")
+    if doubts > MOST_DOUBTS:
+        broken.append("incarnations: one that refuted is doubted again and again")
+    if flaps:
+        broken.append("flapping")
+    detect.sort()
+    return broken, {
+        "false_deaths": len(false), "false": false[:4], "missed_deaths": missed, "flaps": flaps,
+        "most_doubts_of_one_in_one_view": doubts, "pairs_cut": pairs,
+        "detect_p50_s": round(detect[len(detect) // 2], 3) if detect else None,
+        "detect_p99_s": round(detect[int(len(detect) * 0.99)], 3) if detect else None,
+        "agree_after_s": [round(took, 2) for took in play.healing],
+    }
+
+
+def flat(names):
+    return [n for name in names for n in (name if isinstance(name, list) else [name])]
+
+
+def doubted(fleet, fault):
+    """How often the sender of a cut pair came to doubt its receiver meanwhile."""
+    source, target = fault["names"]
+    return sum(line["event"] == "member suspected" and
+               line["member"] == fleet.fronts[target].name and line["by"] == fleet.fronts[source].name and
+               fault["from"] <= line["at"] <= fault["till"] + 0.2 for line in fleet.fronts[source].lines)
+
+
+async def shown(front):
+    """What the command says, as an operator would ask."""
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "thistlelever", "members", "show", "--json", "--operator", str(front.operator),
+        cwd=ROOT, stdout=asyncio.subprocess.PIPE)
+    said, _ = await process.communicate()
+    return json.loads(said)
+
+
+async def played(seed, fronts, program, membership=True):
+    chance = Chance(seed)
+    sections = {"membership": {"tier": "yard"}} if membership else {}
+    async with Fleet(chance, fronts, 3, sections, SETTINGS, program) as fleet:
+        fleet.traffic(0.05, LIMIT_MS)
+        play = Play(fleet, chance)
+        if not membership:
+            fleet.agree = lambda within, living=None: asyncio.sleep(0.5, 0.5)
+            fleet.wire.after = lambda datagrams: asyncio.sleep(datagrams / PACE / fronts)
+        began = time()
+        await play.run()
+        await asyncio.sleep(0.3)
+        broken, figures = judged(fleet, play) if membership else ([], {})
+        figures |= {"seconds": round(time() - began, 1), "in_time": round(fleet.in_time(GOAL), 4)}
+        if membership:
+            said = await asyncio.gather(*(shown(front) for front in fleet.fronts[:8]))
+            digests, alive = {told["alive"] for told in said}, {told["alone"] for told in said}
+            figures["views_agree"] = digests == {fronts} and alive == {""}
+            if not figures["views_agree"]:
+                broken.append("views do not agree at the end")
+            wire = fleet.wire
+            figures |= {"datagrams": wire.passed, "lost": wire.lost, "longest": wire.longest}
+            if fleet.wire.longest > 256:
+                broken.append("a datagram of more than 256 bytes")
+        for client in fleet.clients:
+            client.task.cancel()
+        await asyncio.sleep(LIMIT_MS / 1e3)
+        figures["answers"] = fleet.answers(LIMIT_MS / 1e3 + 0.1)
+        faults = Counter(line["event"] for f in fleet.fronts for line in f.lines if "failed" in line["event"])
+        if faults:
+            broken.append(f"fronts failed: {dict(faults)}")
+    return broken, figures
+
+
+@click.command()
+@click.option("--seed", default=1)
+@click.option("--fronts", type=int)
+@click.option("--full", is_flag=True)
+@click.option("--sabotage", type=click.Choice(sorted(GUARDS)))
+def main(seed, fronts, full, sabotage):
+    fronts = fronts or (30 if full else 5)
+    program = ("thistlelever",)
+    if sabotage:
+        os.environ["SABOTAGE"], program = sabotage, ("rigs.sabotaged",)
+    broken, figures = asyncio.run(played(seed, fronts, program))
+    if figures["answers"]["0"] or figures["answers"]["2+"]:
+        broken.append("1: one final answer")
+    if full:
+        _, without = asyncio.run(played(seed, fronts, program, membership=False))
+        figures["in_time_without"] = without["in_time"]
+        if figures["in_time"] < without["in_time"] - 0.01:
+            broken.append("fewer batches in time than without membership")
+    close("membership", seed, broken, {"fronts": fronts, **figures})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/rigs/sabotaged.py
@@ -0,0 +1,40 @@
+"""The front with one guard taken out on purpose, for rigs that have to say no: `python -m rigs.sabotaged
+serve`, where SABOTAGE names the guard."""
+
+import os
+
+from thistlelever.__main__ import main
+from thistlelever.membership.judge import Judge
+
+
+def health():
+    """A front that believes itself well whatever befalls it."""
+    Judge.awake = lambda self, now: setattr(self, "turned_at", now)
+    Judge.alone = lambda self, now: "" if self.joined else "no word yet"
+    Judge.worse = lambda self, by: None
+
+
+def detour():
+    """Nobody is asked to try for another, and nobody that hears of a suspicion sees for itself."""
+    Judge.ask_others = lambda self, now, nonce, member: 0
+
+
+def incarnation():
+    """What is said of a life long past is believed of the present one."""
+    learn = Judge.learn
+
+    def believing(self, now, rumour, by):
+        member = self.members.get(rumour.name)
+        if member and rumour.incarnation < member.incarnation and rumour.name != self.me.name:
+            rumour = type(rumour)(rumour.name, rumour.address, member.incarnation, rumour.life, rumour.state,
+                                  rumour.accuser)
+        learn(self, now, rumour, by)
+
+    Judge.learn = believing
+
+
+GUARDS = {"health": health, "detour": detour, "incarnation": incarnation}
+
+if __name__ == "__main__":
+    GUARDS[os.environ["SABOTAGE"]]()
+    main()
--- a/tests/test_rigs.py
+++ b/tests/test_rigs.py
@@ -37,6 +37,19 @@
     assert not last["holds"] and broken in last["broken_rules"], last
 
 
+def test_membership():
+    last = played("membership", "--seed", "1")
+    assert last["holds"], last
+    assert last["views_agree"] and last["answers"]["0"] == last["answers"]["2+"] == last["missed_deaths"] == 0
+
+
+@pytest.mark.parametrize("guard, broken", [
+    ("health", "own health"), ("detour", "detours"), ("incarnation", "incarnations")])
+def test_membership_says_no(guard, broken):
+    last = played("membership", "--seed", "2", "--sabotage", guard)
+    assert not last["holds"] and any(broken in rule for rule in last["broken_rules"]), last
+
+
 def test_budgets():
     # How near estimates come and who is in time are the rig's to judge, at length; here that none is lost.
     last = played("budgets", "--seed", "1", "--seconds", "3")
