--- a/thistlelever/membership/facts.py
+++ b/thistlelever/membership/facts.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import NamedTuple
 
 from thistlelever.wire.peers import Message, State
@@ -86,15 +85,16 @@
                  now: float) -> None:
         self.name, self.address, self.incarnation, self.life = name, address, incarnation, life
         self.state, self.since, self.met_at = state, now, now
-        # Tags of those that suspect it, and until when it has to refute them.
-        self.accusers: set[int] = set()
+        # Tags of those that suspect it, and until when it has to refute them. Most members never have any of
+        # these, and thousands of empty ones would be most of what a view takes.
+        self.accusers: frozenset[int] = frozenset()
         self.until = float("inf")
         # When it last answered a question of this front, itself or by way of others.
         self.heard_at = -1e9
-        self.refutals: deque[float] = deque()
+        self.refutals: tuple[float, ...] = ()
         # The latest number of its datagrams, and a bit for each of those before it that came.
         self.last, self.seen = 0, 0
-        self.story: deque[Change] = deque(maxlen=STORY)
+        self.story: tuple[Change, ...] = ()
 
     @property
     def lives(self) -> bool:
--- a/thistlelever/membership/judge.py
+++ b/thistlelever/membership/judge.py
@@ -18,7 +18,8 @@
 from math import log, log2, log10
 from zlib import crc32
 
-from thistlelever.membership.facts import Address, Change, Member, Self, Send, Terms, View, fresh
+from thistlelever.membership.facts import (
+    STORY, Address, Change, Member, Self, Send, Terms, View, fresh)
 from thistlelever.membership.rumours import Rumours
 from thistlelever.wire.peers import (
     ROOM, Kind, Message, Rumour, State, address_bytes, address_of, packed, size, tag)
@@ -380,7 +381,7 @@
         if member.state not in (State.ALIVE, State.UNFIT, State.SUSPECTED) or accuser in member.accusers:
             return
         if member.state is not State.SUSPECTED:
-            member.accusers = {accuser}
+            member.accusers = frozenset((accuser,))
             self.believe(now, member, State.SUSPECTED, by, path)
             self.doubted.add(member.name)
             member.until = now + self.lasts(member)
@@ -390,7 +391,7 @@
                 self.probe(now, member)
         elif len(member.accusers) < self.terms.accusers:
             before = self.lasts(member)
-            member.accusers.add(accuser)
+            member.accusers |= {accuser}
             member.until -= before - self.lasts(member)
         else:
             return
@@ -542,9 +543,7 @@
         if member.lives:
             self.mixed(now, member)
         if member.state in (State.SUSPECTED, State.DEAD) and life == member.life:
-            member.refutals.append(now)
-            while member.refutals and member.refutals[0] < now - REFUTALS_WITHIN:
-                member.refutals.popleft()
+            member.refutals = (*(at for at in member.refutals if at > now - REFUTALS_WITHIN), now)
         if life != member.life:
             member.last, member.seen, member.heard_at = 0, 0, -1e9
         if self.at.get(member.address) == member.name:
@@ -559,7 +558,7 @@
         was, lived = member.state, member.lives
         if state is not State.SUSPECTED:
             self.doubted.discard(member.name)
-            member.accusers, member.until = set(), float("inf")
+            member.accusers, member.until = frozenset(), float("inf")
         if was is state:
             return
         late = now - member.since if state is State.DEAD else 0.0
@@ -577,7 +576,7 @@
              late: float) -> None:
         change = Change(now, name, state, was, by, path, late)
         if name in self.members:
-            self.members[name].story.append(change)
+            self.members[name].story = (*self.members[name].story, change)[-STORY:]
         self.changes.append(change)
 
     def mixed(self, now: float, member: Member) -> None:
