Fleet of fronts: cold engines get their shares, no early cut, paces forgotten, half by chance

Lines at fault: cold_room (a share below one batch was never enough), patience (cut at the goal for a try that earns no more), ended/needs/spacing (a pace without age), sample (the same ten engines for all).

Change: where a share is less than a batch, a cold engine gets one for each time in which the shares add up to it, first at a moment of each front's own; no cut at the goal where a late answer earns; five of ten engines by chance; a group's pace is forgotten without news.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -32,8 +32,8 @@
 ASKS = 2
 HOLD, WAIT = "hold", "wait"
 # The figures about engines: those that the list gives, and the others with their first value.
-LISTED = ("id", "zone", "cell", "kind", "cores", "memory", "started", "bound", "reported", "slow_at", "own",
-          "cold")
+LISTED = ("id", "zone", "cell", "kind", "cores", "memory", "started", "bound", "reported", "slow_at",
+          "fresh_at", "own", "cold")
 FIRST = {"listed": False, "down": False, "last": (), "gap": 0.5, "told_at": -1e9, "probe_at": -1e9,
          "slow": 1.0, "busy": 0.0, "granted": 0.0, "shun": 0.0, "doubt": 0.0, "width": 0}
 NEVER_RAN = frozenset((it.Fate.FULL, it.Fate.UNREACHABLE, it.Fate.UNSENT))
@@ -87,6 +87,7 @@
         self.flowing, self.turn, self.mean_busy = True, 0.0, 0.0
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
         self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
+        self.paced_at = [0.0] * len(groups)
         self.spent = [work / t.width for work, t in zip(self.usual, groups, strict=True)]
         self.meant = self.spent[:]
         self.kind_cores, self.kind_memory, self.most_grant = m.kind_cores, m.kind_memory, m.most_grant
@@ -227,9 +228,10 @@
         if told.fate is it.Fate.RETURNED or told.fate is it.Fate.TIMED_OUT:
             # Of sums, as a mean of ratios is ruled by the batches whose cost was put too low. Time-outs
             # count, or a day on which all are slow would cut off just the dispatches that show it.
+            self.spent[g] = self.meant[g] * self.pace_now(g)
             self.spent[g] += PACE * (told.took - self.spent[g])
             self.meant[g] += PACE * (b.run - self.meant[g])
-            self.pace[g] = self.spent[g] / self.meant[g]
+            self.pace[g], self.paced_at[g] = self.spent[g] / self.meant[g], self.now
             # Risk: an engine that swallows some of what it gets, or errs in no time, looks well by its
             # answers alone. A time-out counts for the time it took, an error for the goal that it cost.
             self.paced(i, told.took * s.width / (told.true_work or s.work))
@@ -291,7 +293,7 @@
                 i = self.index[e.id] = self.spare.pop() if self.spare else len(self.id)
                 cores = self.kind_cores[e.kind]
                 known = (e.id, e.zone, e.cell, e.kind, cores, self.kind_memory[e.kind], e.started or -1e9,
-                         cores * THREADS_A_CORE / self.fronts, self.now, self.now, {}, deque())
+                         cores * THREADS_A_CORE / self.fronts, self.now, self.now, self.now, {}, deque())
                 for row, first in (*zip(LISTED, known, strict=True), *FIRST.items()):
                     vars(self)[row][i:i + 1] = [first]
             elif e.started > max(self.started[i], 0.0):
@@ -340,6 +342,11 @@
         """An engine's pace, forgotten over the longest goal without news: it is then tried again."""
         return self.slow[i] ** exp((self.slow_at[i] - self.now) / self.forget)
 
+    def pace_now(self, g: int) -> float:
+        """A group's pace, forgotten without news as an engine's is. Risk: a front that turns a group away for
+        its pace hears nothing of it any more, and goes on turning it away when engines are long free."""
+        return self.pace[g] ** exp((self.paced_at[g] - self.now) / self.forget)
+
     def fared(self, i: int, fate: it.Fate) -> None:
         if fate is it.Fate.RETURNED:
             self.lives(i)
@@ -358,7 +365,7 @@
 
     def restarted(self, i: int, when: float) -> None:
         """Back to the start: a bound that it earned before it went down lets all fronts flood it."""
-        self.started[i] = max(self.started[i], when)
+        self.started[i], self.fresh_at[i] = max(self.started[i], when), self.now
         self.bound[i] = self.cores[i] * THREADS_A_CORE / self.fronts
         self.slow[i], self.down[i] = 1.0, False
         self.lives(i)
@@ -418,7 +425,7 @@
 
     def spacing(self, b: Batch) -> float:
         pool = sum(bound for bound, listed in zip(self.bound, self.listed, strict=True) if listed)
-        return min(b.work * max(self.pace[b.group], 1.0) / max(pool, 1e-9), self.forget)
+        return min(b.work * max(self.pace_now(b.group), 1.0) / max(pool, 1e-9), self.forget)
 
     def placed(self, t, i: int) -> bool:
         return (t.zones is None or self.zone[i] in t.zones) and (t.kinds is None or self.kind[i] in t.kinds)
@@ -428,14 +435,21 @@
         return scope is it.Scope.ALL or row[i] == row[j]
 
     def cold_room(self, b: Batch, i: int) -> bool:
-        """A fresh engine gets a thin slice of the keys, and never more than this front's share."""
+        """A fresh engine gets a thin slice of the keys, and never more than this front's share. Risk: with
+        hundreds of fronts a share of a window is less than one batch, and an engine that none may send to is
+        lost to all until it is warm. There a batch goes for each time in which the shares add up to it, the
+        first at a moment that is each front's own."""
         if crc32(b"%a %b" % (b.tables, self.id[i])) / 2**32 > self.warmth(i):
             return False
-        sent = self.cold[i]
-        while sent and sent[0][0] < self.now - self.fall_window - self.connect_limit:
+        sent, window = self.cold[i], self.fall_window + self.connect_limit
+        room, work = self.fall_room * self.warmth(i) * self.cores[i], max(self.usual[b.group], b.work)
+        if work > room:
+            first = crc32(b"%d %b" % (self.seed, self.id[i])) / 2**32
+            since, part = (sent[-1][0], 1.0) if sent else (self.fresh_at[i], first)
+            return self.now - since >= part * window * work / room
+        while sent and sent[0][0] < self.now - window:
             sent.popleft()
-        return sum(w for _, w in sent) + max(self.usual[b.group], b.work) <= (
-            self.fall_room * self.warmth(i) * self.cores[i])
+        return sum(w for _, w in sent) + work <= room
 
     def order(self, tables: float) -> list[tuple[int, int]]:
         """Every front agrees without a word on which engines keep a table group warm."""
@@ -452,7 +466,9 @@
         free, pressed, asks = [], [], ASKS if self.probing else 0
         places = self.order(b.tables)[::-1 if loads and self.any_yields else 1]
         if len(places) > NEAR:
-            places = [places[int(self.chance() * len(places))] for _ in range(FAR)] + places
+            # Risk: hundreds of fronts that hear little all look at the same few, and fill them together.
+            far = FAR if self.step == 1.0 else NEAR // 2
+            places = [places[int(self.chance() * len(places))] for _ in range(far)] + places
         for rank, i in places:
             takes = self.takes(b, i)
             if takes and self.within(b, i):
@@ -534,7 +550,7 @@
 
     def needs(self, b: Batch) -> float:
         """One run at its group's pace, and half as much again, as a mean leaves too many to end late."""
-        return 1.5 * b.run * max(self.pace[b.group], 0.5)
+        return 1.5 * b.run * max(self.pace_now(b.group), 0.5)
 
     def release_from(self, g: int) -> bool:
         for b in self.queues[g]:
@@ -613,11 +629,15 @@
         Never under four times the group's usual, so that it does not trip while all are slow. None where
         copies are allowed: work that a time-out does not stop costs more there, and probes find silence."""
         t = self.groups[b.group]
-        if self.copies or t.repeat is it.Repeat.ONCE_ONLY or b.dispatches + 1 >= self.most[b.group]:
+        # Where a share is less than a batch, what is cut off at its goal is done twice over the whole fleet,
+        # to earn what the late answer would have earned.
+        if self.copies or self.step < 1.0 and t.late_share or t.repeat is it.Repeat.ONCE_ONLY:
+            return 0.0
+        if b.dispatches + 1 >= self.most[b.group]:
             return 0.0
         # Where a late answer earns too, one that only runs long must not be cut off for a swallowed one.
         left = b.goal_at - self.now - (0.0 if t.late_share else self.needs(b))
-        return max(left, 4 * b.run * max(self.pace[b.group], 1.0))
+        return max(left, 4 * b.run * max(self.pace_now(b.group), 1.0))
 
     def upkeep(self) -> None:
         if self.asks and self.now - self.asked_at > self.ask_within / 2:
