--- a/rigs/membership.py
+++ b/rigs/membership.py
@@ -12,6 +12,7 @@
 import signal
 import sys
 from collections import Counter
+from pathlib import Path
 from time import time
 
 import click
@@ -229,7 +230,38 @@
     return json.loads(said)
 
 
-async def played(seed, fronts, program, membership=True):
+def picture(fleet, folder, seed):
+    """One row a member: what was done to it as a bar, and when each other front came to hold it for what."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    rows = {front.name: place for place, front in enumerate(fleet.fronts)}
+    begun = min(line["at"] for front in fleet.fronts for line in front.lines)
+    figure, axes = pyplot.subplots(figsize=(12, 1 + 0.6 * len(rows)))
+    marks = {"suspected": ("tab:orange", "|"), "dead": ("tab:red", "x"), "alive": ("tab:green", "."),
+             "left": ("tab:blue", "v"), "unfit": ("tab:purple", "s")}
+    for fault in fleet.faults:
+        names = [fleet.fronts[n].name for n in fault["names"]] if fault["kind"] == "pair" else fault["names"]
+        for name in flat(names):
+            axes.barh(rows[name], fault["till"] - fault["from"], left=fault["from"] - begun, height=0.7,
+                      color="lightgrey")
+            axes.text(fault["from"] - begun, rows[name] + 0.36, fault["kind"], fontsize=7)
+    for state, (colour, mark) in marks.items():
+        found = [(line["at"] - begun, rows[line["member"]] - 0.25 + 0.5 * place / len(rows))
+                 for place, front in enumerate(fleet.fronts) for line in front.lines
+                 if line["event"] == f"member {state}" and line["member"] in rows]
+        if found:
+            axes.scatter(*zip(*found, strict=True), color=colour, marker=mark, s=18, label=state)
+    axes.set_yticks(list(rows.values()), list(rows))
+    axes.set_xlabel("seconds; bars: what was done to a front; marks: what each other came to believe of it")
+    axes.legend(loc="upper right", fontsize=7)
+    Path(folder).mkdir(parents=True, exist_ok=True)
+    figure.savefig(Path(folder) / f"membership-{seed}.png", dpi=120, bbox_inches="tight")
+
+
+async def played(seed, fronts, program, membership=True, plot=None):
     chance = Chance(seed)
     sections = {"membership": {"tier": "yard"}} if membership else {}
     async with Fleet(chance, fronts, 3, sections, SETTINGS, program) as fleet:
@@ -257,6 +289,8 @@
             client.task.cancel()
         await asyncio.sleep(LIMIT_MS / 1e3)
         figures["answers"] = fleet.answers(LIMIT_MS / 1e3 + 0.1)
+        if plot:
+            picture(fleet, plot, seed)
         faults = Counter(line["event"] for f in fleet.fronts for line in f.lines if "failed" in line["event"])
         if faults:
             broken.append(f"fronts failed: {dict(faults)}")
@@ -267,13 +301,14 @@
 @click.option("--seed", default=1)
 @click.option("--fronts", type=int)
 @click.option("--full", is_flag=True)
+@click.option("--plot", type=click.Path(file_okay=False), help="A picture of the run, into this folder.")
 @click.option("--sabotage", type=click.Choice(sorted(GUARDS)))
-def main(seed, fronts, full, sabotage):
+def main(seed, fronts, full, plot, sabotage):
     fronts = fronts or (30 if full else 5)
     program = ("thistlelever",)
     if sabotage:
         os.environ["SABOTAGE"], program = sabotage, ("rigs.sabotaged",)
-    broken, figures = asyncio.run(played(seed, fronts, program))
+    broken, figures = asyncio.run(played(seed, fronts, program, plot=plot))
     if figures["answers"]["0"] or figures["answers"]["2+"]:
         broken.append("1: one final answer")
     if full:
