membership without peer_listen: one line and exit 2 from check and serve, no trace

Seen: with a section membership and no peer_listen in the configuration check said that it is on, and serve ended with a trace, exit 1. Cause: lifecycle/membership.sound was asked in the constructor alone, where __main__ catches OSError only. Change: switched_on asks it with the papers, for both commands. The test fails without.

--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -84,6 +84,17 @@
     assert said.exit_code == 2 and "budgets: x: the guarantees below it are 0.6" in said.output
 
 
+@pytest.mark.parametrize("verb", ["check", "serve"])
+def test_membership_without_an_address_for_peers_is_named(tmp_path, verb):
+    # Risk: a section that the configuration can't carry ends the start with a trace instead of a line.
+    config, extra = tmp_path / "config.json", tmp_path / "operator.json"
+    config.write_text(json.dumps(configuration()))
+    extra.write_text('{"membership": {"tier": "x"}}')
+    said = CliRunner().invoke(command.main, [verb, "--operator", str(extra)],
+                              env={"BALANCER_CONFIG": str(config)})
+    assert said.exit_code == 2 and "membership: peer_listen" in said.output and "Trace" not in said.output
+
+
 def test_a_living_front_is_asked_and_a_dead_one_said_to_be(tmp_path):
     # The commands run in a thread of their own, as each has a loop; the front answers in this one's.
     extra = tmp_path / "operator.json"
--- a/thistlelever/__main__.py
+++ b/thistlelever/__main__.py
@@ -30,7 +30,8 @@
     """Serve as one front; BALANCER_CONFIG names the configuration."""
     from thistlelever.lifecycle.run import serve as run
 
-    told, extra = load(), switched_on(operator)
+    told = load()
+    extra = switched_on(operator, told)
     log = Log(told.name)
     logging.basicConfig(handlers=[Libraries(log)], level=logging.WARNING)
     try:
@@ -45,7 +46,8 @@
 @OPERATOR
 def check(operator: str | None) -> None:
     """Read the configuration, say what it holds, and start nothing."""
-    told, extra = load(), switched_on(operator)
+    told = load()
+    extra = switched_on(operator, told)
     click.echo(f"{told.name}: listens at {told.listen[0]}:{told.listen[1]}, "
                f"{len(told.manifest.tariffs)} service groups, {len(told.known)} engines known")
     for section in (name for name in extra.__struct_fields__ if getattr(extra, name)) if extra else ():
@@ -224,12 +226,18 @@
     return [plain(inner) for inner in value] if isinstance(value, tuple) else value
 
 
-def switched_on(path: str | None):
-    """What the operator file says, or None where none is named: then nothing of it is imported."""
+def switched_on(path: str | None, told: papers.Papers | None = None):
+    """What the operator file says, or None where none is named: then nothing of it is imported. Where papers
+    are given, what a section wants of them is checked too."""
     if not path:
         return None
     try:
-        return read_operator(path)
+        found = read_operator(path)
+        if told and found.membership:
+            from thistlelever.lifecycle.membership import sound
+
+            sound(found.membership, told)
+        return found
     except Unreadable as why:
         click.echo(f"thistlelever: {why}", err=True)
         sys.exit(2)
