--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -13,6 +13,7 @@
 import socket
 import sys
 import tempfile
+from base64 import b64encode
 from collections import Counter, defaultdict
 from contextlib import suppress
 from itertools import count
@@ -195,8 +196,6 @@
         self.task = asyncio.create_task(self.run())
 
     async def run(self):
-        from base64 import b64encode
-
         body = b64encode(b"select a from sales_17.orders").decode()
         loop = asyncio.get_running_loop()
         while True:
@@ -253,6 +252,8 @@
         self.folder = self.temporary.name
 
     async def __aenter__(self):
+        # Risk: a rig that is ended by a signal leaves its fronts behind.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         for name in self.names:
             self.engines[name] = Engine(self.stir)
             await self.engines[name].start()
--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -88,8 +88,7 @@
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
         self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
         self.paced_at = [0.0] * len(groups)
-        self.spent = [work / t.width for work, t in zip(self.usual, groups, strict=True)]
-        self.meant = self.spent[:]
+        self.meant = [work / t.width for work, t in zip(self.usual, groups, strict=True)]
         self.kind_cores, self.kind_memory, self.most_grant = m.kind_cores, m.kind_memory, m.most_grant
         self.grants, self.priorities, self.tells_cost = m.grants, m.priorities, m.tells_cost
         self.pages, self.cancel, self.copies = m.shortage is it.Shortage.PAGE, m.cancel, m.copies
@@ -228,10 +227,10 @@
         if told.fate is it.Fate.RETURNED or told.fate is it.Fate.TIMED_OUT:
             # Of sums, as a mean of ratios is ruled by the batches whose cost was put too low. Time-outs
             # count, or a day on which all are slow would cut off just the dispatches that show it.
-            self.spent[g] = self.meant[g] * self.pace_now(g)
-            self.spent[g] += PACE * (told.took - self.spent[g])
+            spent = self.meant[g] * self.pace_now(g)
+            spent += PACE * (told.took - spent)
             self.meant[g] += PACE * (b.run - self.meant[g])
-            self.pace[g], self.paced_at[g] = self.spent[g] / self.meant[g], self.now
+            self.pace[g], self.paced_at[g] = spent / self.meant[g], self.now
             # Risk: an engine that swallows some of what it gets, or errs in no time, looks well by its
             # answers alone. A time-out counts for the time it took, an error for the goal that it cost.
             self.paced(i, told.took * s.width / (told.true_work or s.work))
--- a/thistlelever/lifecycle/membership.py
+++ b/thistlelever/lifecycle/membership.py
@@ -47,7 +47,6 @@
         judge = Judge(terms, me, papers.peers, papers.manifest.fronts, papers.seed, clock.now())
         self.members = Members(judge, self.peers, parts.tally, parts.log, self.counted)
         self.fronts, self.task, self.left = papers.manifest.fronts, None, False
-        self.on_view: list[Callable[[View], None]] = []
 
     async def open(self) -> dict:
         self.peers.open()
@@ -73,8 +72,6 @@
             self.parts.desk.tell(it.FrontsCounted(view.fronts))
             if self.parts.courses.gate:
                 self.parts.courses.gate.counted(view.fronts)
-        for told in self.on_view:
-            told(view)
 
     async def looking(self) -> None:
         counts, batches = self.parts.tally.counts, self.parts.batches
@@ -92,6 +89,7 @@
     async def close(self, grace: float) -> None:
         if self.task:
             self.task.cancel()
+        # Once more, as what was said at the signal may have been lost.
         self.members.leave()
         self.members.close()
         self.peers.close()
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -128,7 +128,7 @@
             loop.add_signal_handler(number, self.stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.renew.set)
         await self.inquiry.open(self.papers.directory)
-        if self.papers.peer_listen and not (self.operator and self.operator.membership):
+        if self.papers.peer_listen and not self.membership:
             await loop.create_datagram_endpoint(lambda: Deaf(self.tally), local_addr=self.papers.peer_listen)
         self.desk.tell(it.ListTold(it.ListKind.CACHED, self.roll.serial, self.roll.told()))
         raw = listener(self.papers.listen)
--- a/thistlelever/membership/facts.py
+++ b/thistlelever/membership/facts.py
@@ -79,12 +79,12 @@
     """One other front, as it is believed to be."""
 
     __slots__ = ("name", "address", "incarnation", "life", "state", "since", "accusers", "until", "heard_at",
-                 "met_at", "refutals", "last", "seen", "story")
+                 "refutals", "last", "seen", "story")
 
     def __init__(self, name: str, address: Address, incarnation: int, life: int, state: State,
                  now: float) -> None:
         self.name, self.address, self.incarnation, self.life = name, address, incarnation, life
-        self.state, self.since, self.met_at = state, now, now
+        self.state, self.since = state, now
         # Tags of those that suspect it, and until when it has to refute them. Most members never have any of
         # these, and thousands of empty ones would be most of what a view takes.
         self.accusers: frozenset[int] = frozenset()
--- a/thistlelever/membership/judge.py
+++ b/thistlelever/membership/judge.py
@@ -15,12 +15,15 @@
 
 from bisect import bisect_right, insort
 from collections import Counter
+from heapq import nsmallest
 from math import log, log2, log10
 from zlib import crc32
 
+from msgspec import structs
+
 from thistlelever.membership.facts import (
     STORY, Address, Change, Member, Self, Send, Terms, View, fresh)
-from thistlelever.membership.rumours import Rumours
+from thistlelever.membership.rumours import MOST_A_FRAME, Rumours
 from thistlelever.wire.peers import (
     ROOM, Kind, Message, Rumour, State, address_bytes, address_of, packed, size, tag)
 
@@ -54,6 +57,11 @@
         self.nonce = 0
 
 
+def trace(name: str, incarnation: int) -> int:
+    """What one living member adds to the digest of a view."""
+    return crc32(b"%s %d" % (name.encode(), incarnation))
+
+
 class Judge:
     """The beliefs of one front about its tier."""
 
@@ -581,9 +589,13 @@
 
     def mixed(self, now: float, member: Member) -> None:
         """In or out of the digest: two views that agree on who lives, and since when, have the same one."""
-        self.digest ^= crc32(b"%s %d" % (member.name.encode(), member.incarnation))
+        self.digest ^= trace(member.name, member.incarnation)
         self.changed_at = now
 
+    def shown(self) -> int:
+        """The digest as it is told to others: with this front itself."""
+        return self.digest ^ trace(self.me.name, self.incarnation)
+
     def announce(self, now: float, incarnation: int) -> None:
         self.incarnation = max(self.incarnation, incarnation)
         self.rumours.tell(self.own_word())
@@ -603,8 +615,7 @@
     def compare(self, now: float, source: Address, message: Message, returned: bool) -> None:
         """Where another's view differs and nothing has changed here for long, its list is asked for; at once
         where one that was held dead is back: the link between two parts of the tier has healed."""
-        mine = self.digest ^ crc32(b"%s %d" % (self.me.name.encode(), self.incarnation))
-        differs = message.digest != mine
+        differs = message.digest != self.shown()
         if not self.pull and (self.stale or returned or differs and now - self.changed_at > QUIET):
             self.changed_at = now
             self.ask_list(now, source, "", 0)
@@ -618,7 +629,9 @@
 
     def give_list(self, now: float, member: Member, message: Message) -> None:
         """One piece: the records of the living after a name, as many as fit, and where to go on."""
-        names = sorted(n for n, m in self.members.items() if n > message.place and n != member.name)
+        # One more than fits tells whether there is more.
+        names = nsmallest(MOST_A_FRAME + 1, (
+            n for n in self.members if n > message.place and n != member.name))
         room = ROOM - size(self.message(Kind.LIST, message.nonce, "x" * 64))
         pieces, place = [], ""
         if not message.place:
@@ -685,14 +698,13 @@
         self.count += 1
         if self.state is State.LEFT:
             first = first or self.own_word()
-        room = ROOM - size(self.message(kind, nonce, place))
-        rumours = self.rumours.some(room, self.times(), first)
-        self.sends.append(Send(address, self.message(kind, nonce, place, rumours)))
+        bare = self.message(kind, nonce, place)
+        rumours = self.rumours.some(ROOM - size(bare), self.times(), first)
+        self.sends.append(Send(address, structs.replace(bare, rumours=rumours)))
 
     def message(self, kind: Kind, nonce: int, place: str = "", rumours: tuple = ()) -> Message:
-        digest = self.digest ^ crc32(b"%s %d" % (self.me.name.encode(), self.incarnation))
-        return Message(kind, self.me.name, self.me.life, self.incarnation, self.count, nonce, digest, place,
-                       rumours)
+        return Message(kind, self.me.name, self.me.life, self.incarnation, self.count, nonce, self.shown(),
+                       place, rumours)
 
     def times(self) -> int:
         return TIMES * int(1 + log2(len(self.ring) + 2))
