Takeover: records of work in hand at other fronts, heirs that ask on, clients led back

Need: a front dies with batches held, out on engines or half answered, and their clients come again: the work is done twice or, once-only, lost until somebody looks. What is passed on is small, as a query belongs to no connection and gives its result to whoever asks by its id.

takeover/ judges (no I/O, no clock): each mark is a register at three fronts by rendezvous hashing (xxHash); to own it a front needs a majority's promise, and before what may not run twice goes out a majority must know where. A lease leads clients that come again to the run that is on. Heirs ask engines on for the work of the dead, call off what nobody can come back for, and let go what is too much, by utility. wire/work.py, carrier/wards.py, lifecycle/takeover.py, section takeover, commands inhand show and explain; off by default. The decisions are told of a batch that another front has begun (out_at): its first dispatch goes on with that run.

--- a/rigs/sabotaged.py
+++ b/rigs/sabotaged.py
@@ -34,7 +34,8 @@
 
 
 GUARDS = {"health": health, "detour": detour, "incarnation": incarnation}
+WORK_GUARDS = {}
 
 if __name__ == "__main__":
-    GUARDS[os.environ["SABOTAGE"]]()
+    (GUARDS | WORK_GUARDS)[os.environ["SABOTAGE"]]()
     main()
--- a/thistlelever/__main__.py
+++ b/thistlelever/__main__.py
@@ -186,6 +186,48 @@
     return said["answer"]
 
 
+@main.group()
+def inhand() -> None:
+    """Work in hand of a living front, asked over its administration's socket: whose it is, what was taken
+    over."""
+
+
+@inhand.command("show")
+@OPERATOR
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def inhand_show(operator: str | None, as_json: bool) -> None:
+    """What is its own, kept for others and taken over; exit 1 where it can keep nothing."""
+    said = asked(operator, "inhand.show")
+    if as_json:
+        click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2).decode())
+    else:
+        click.echo(f"{said['own']} batches of its own that can be come back for, {said['protected']} of them "
+                   f"protected, {said['unprotected']} not; {said['kept']} records kept for others"
+                   + (" (too young to know all)" if said["young"] else "")
+                   + (f"; FAILING: {said['failing']}" if said["failing"] else ""))
+        columns = "batch", "engine", "owner", "for_s", "claimed", "engine_says"
+        table(columns, [tuple(str(one[name]) for name in columns) for one in said["taken"]])
+    sys.exit(1 if said["failing"] else 0)
+
+
+@inhand.command("explain")
+@OPERATOR
+@click.argument("batch")
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def inhand_explain(operator: str | None, batch: str, as_json: bool) -> None:
+    """Whose BATCH is and what is known of its fate, by its id or its mark; exit 1 where nothing is."""
+    said = asked(operator, "inhand.explain", batch=batch)
+    if as_json:
+        click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2).decode())
+    else:
+        for kind in ("own", "kept", "taken"):
+            for one in said.get(kind, ()):
+                click.echo(f"{kind}: " + ", ".join(f"{name} {value}" for name, value in one.items()))
+        if not said["found"]:
+            click.echo("not known here")
+    sys.exit(0 if said["found"] else 1)
+
+
 @main.command()
 def schema() -> None:
     """Print the JSON schema of the operator file."""
@@ -237,6 +279,10 @@
             from thistlelever.lifecycle.membership import sound
 
             sound(found.membership, told)
+        if told and found.takeover:
+            from thistlelever.lifecycle.takeover import sound as takeover_sound
+
+            takeover_sound(found.takeover, told)
         return found
     except Unreadable as why:
         click.echo(f"thistlelever: {why}", err=True)
--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -208,7 +208,14 @@
             b.line = self.keys.setdefault(b.key, b.line)
             b.line.append(b)
         b.course = self.course(b)
-        self.advance(b, None)
+        if (i := self.index.get(told.out_at)) is None:
+            self.advance(b, None)
+        else:
+            # Another front has begun it there: what is out goes on, and what comes after is a further
+            # dispatch.
+            next(b.course)
+            self.advance(b, i)
+            b.may_have_run[0] = (0, i, self.now - told.out_for)
 
     def ended(self, told: it.DispatchEnded) -> None:
         s = self.sent.pop((told.batch, told.number))
--- a/thistlelever/carrier/course.py
+++ b/thistlelever/carrier/course.py
@@ -5,6 +5,7 @@
 import asyncio
 import traceback
 from collections.abc import Callable
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from thistlelever.ground import interface as it
@@ -13,12 +14,13 @@
 from thistlelever.carrier.flow import Begun
 from thistlelever.ground import clock
 from thistlelever.ground.log import Log
-from thistlelever.ground.orders import Preempt, Refuse, Release
+from thistlelever.ground.orders import Preempt, Refuse, Release, TakenOver
 from thistlelever.store.batches import Batch, Batches
 from thistlelever.ground.tally import Tally
 
 if TYPE_CHECKING:
     from thistlelever.carrier.gate import Gate
+    from thistlelever.carrier.wards import Wards
 
 # What a batch's task is told beside the actions and the ends of its dispatches.
 LEFT, OVERDUE = "left", "overdue"
@@ -35,8 +37,10 @@
     """Runs one task a batch."""
 
     def __init__(self, desk: Desk, dispatcher: Dispatcher, batches: Batches, tally: Tally, log: Log) -> None:
-        # Where budgets are on, what batches pass before the decisions hear of them.
+        # Where budgets are on, what batches pass before the decisions hear of them; where takeover is, who
+        # knows whose they are.
         self.gate: Gate | None = None
+        self.wards: Wards | None = None
         self.desk, self.dispatcher, self.batches = desk, dispatcher, batches
         self.tally, self.log = tally, log
         self.tasks: set[asyncio.Task] = set()
@@ -65,6 +69,8 @@
         finally:
             if self.gate:
                 self.gate.ended(batch, batch.true_work)
+            if batch.ward:
+                batch.ward.close()
             batch.backstop.cancel()
             self.batches.drop(batch)
 
@@ -89,6 +95,8 @@
             self.gate.stop(at)
 
     async def life(self, batch: Batch, answer: Answer) -> None:
+        if self.wards and not await self.led(batch, answer):
+            return
         if self.gate and not await self.admitted(batch, answer):
             return
         self.desk.tell(batch.taken)
@@ -120,14 +128,19 @@
                 case End():
                     del batch.out[told.number]
                     batch.true_work += told.true_work
+                    if batch.ward:
+                        batch.ward.came_back(told)
                     if told.fate is it.Fate.RETURNED and not batch.answered:
-                        self.final(batch, answer, told)
+                        await self.settle(batch, answer, told)
                     self.desk.tell(told.event(batch.number, batch.answered))
                 # Risk: orders cross a client that has left, or the backstop; neither owes another answer.
                 case it.PushBack() | it.Error() if not batch.answered:
-                    self.final(batch, answer, told)
+                    await self.settle(batch, answer, told)
+                case TakenOver() if not batch.answered:
+                    self.final(batch, answer, it.Error(batch.number))
+                    self.desk.tell(it.ClientLeft(batch.number))
                 case Preempt() if not batch.answered:
-                    self.final(batch, answer, self.gate.preempted(batch, told))
+                    await self.settle(batch, answer, self.gate.preempted(batch, told))
                     self.desk.tell(it.ClientLeft(batch.number))
                 case Preempt():
                     self.gate.too_late(batch)
@@ -142,6 +155,45 @@
                     self.final(batch, answer, it.Error(batch.number))
                     self.desk.tell(it.ClientLeft(batch.number))
 
+    async def led(self, batch: Batch, answer: Answer) -> bool:
+        """Find out whose the batch is before anything is done for it; whether it is this front's to go on
+        with, and its client still there."""
+        if not batch.asked.reference:
+            self.wards.enter_lazy(batch)
+            return True
+        loop = asyncio.get_running_loop()
+        leading, hearing = loop.create_task(self.wards.enter(batch)), loop.create_task(batch.inbox.get())
+        await asyncio.wait((leading, hearing), return_when=asyncio.FIRST_COMPLETED)
+        if hearing.done() and not leading.done():
+            leading.cancel()
+            with suppress(asyncio.CancelledError):
+                await leading
+            told = hearing.result()
+            if told is LEFT:
+                batch.answered = True
+            elif told is OVERDUE:
+                # Nothing of it was sent from here. One that has come before may be another front's by now,
+                # and what becomes of it there is not known here.
+                again = it.Error(batch.number) if batch.asked.repeat else it.PushBack(batch.number, 0.0)
+                self.final(batch, answer, again)
+            return False
+        hearing.cancel()
+        if hearing.done():
+            batch.inbox.put_nowait(hearing.result())
+        told = leading.result()
+        if told:
+            self.final(batch, answer, told)
+            return False
+        # What looking for it took is time that the batch no longer has.
+        batch.taken = batch.taken._replace(time_limit=batch.limit_at - clock.now())
+        return True
+
+    async def settle(self, batch: Batch, answer: Answer, told: it.Action | End) -> None:
+        """The final answer, once it is sure that the batch still is this front's to answer."""
+        if batch.ward:
+            told = await batch.ward.settled(told)
+        self.final(batch, answer, told)
+
     async def admitted(self, batch: Batch, answer: Answer) -> bool:
         """Wait for the budgets' turn; whether it came before the client left or the time was up."""
         self.gate.enter(batch)
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -78,6 +78,17 @@
         """The whole dispatch: sets `end.fate` and the result, or raises `Ended`. `sent.begun` holds from the
         first byte that may make the engine run it. Risk: a fate told as never run of what may have run."""
 
+    async def resume(self, batch: Batch, entry: Entry, end: End, sent: Sending, till: float) -> None:
+        """Go on with a dispatch that another front has begun, by its id in `batch.under`: as `converse`, and
+        nothing is begun. `ASTRAY` where the engine does not know of it."""
+
+    async def ask_on(self, entry: Entry, txn: str) -> str:
+        """Ask for a batch that nobody waits for here, so that its engine goes on with it or keeps its result:
+        `running`, `over`, `unknown` or `silent`."""
+
+    async def call_off(self, entry: Entry, txn: str) -> None:
+        """Give up a batch that another front had out."""
+
     async def give_up(self, batch: Batch, entry: Entry, sent: Sending) -> None:
         """Returns once the engine surely runs the batch no more, or can't be told so."""
 
@@ -113,10 +124,10 @@
         try:
             entry = self.roll.entries.get(order.engine)
             if batch.answered or till <= begun or entry is None:
-                end.fate = it.Fate.UNSENT
+                end.fate = self.unsent(batch, number)
             else:
                 async with asyncio.timeout_at(clock.on_loop(till)) as batch.limits[number]:
-                    await self.speech(entry).converse(batch, entry, end, sent, till)
+                    await self.sending(batch, entry, end, sent, till)
         except TimeoutError:
             # Risk: a wait for a connection of our own, told as an engine out of reach, makes that one cold.
             end.fate = it.Fate.TIMED_OUT if sent.begun else it.Fate.UNSENT
@@ -133,7 +144,7 @@
             end.flow.end(end.fate)
         batch.limits.pop(number, None)
         if sent.begun and self.cancels and end.fate in MAY_RUN_ON:
-            given_up = self.aside(self.speech(entry).give_up(batch, entry, sent))
+            given_up = self.aside(self.give_up(batch, entry, sent))
             if end.fate is not it.Fate.TIMED_OUT or till < batch.limit_at:
                 # Risk: a further dispatch that comes before the DELETE makes two out at once, and an end
                 # that a second order to give up swallows leaves the batch open for good.
@@ -143,6 +154,23 @@
         self.tally.add(f"dispatches {end.fate.name.lower()}")
         batch.inbox.put_nowait(end)
 
+    async def sending(self, batch: Batch, entry: Entry, end: End, sent: Sending, till: float) -> None:
+        if batch.ward and not await batch.ward.out(end.number, end.engine):
+            raise Ended(self.unsent(batch, end.number))
+        if end.number in batch.under:
+            await self.speech(entry).resume(batch, entry, end, sent, till)
+        else:
+            await self.speech(entry).converse(batch, entry, end, sent, till)
+
+    def unsent(self, batch: Batch, number: int) -> it.Fate:
+        """Risk: what another front has begun, told as never sent, is taken for what never ran."""
+        return it.Fate.ASTRAY if number in batch.under else it.Fate.UNSENT
+
+    async def give_up(self, batch: Batch, entry: Entry, sent: Sending) -> None:
+        """Risk: a front that was stopped and wakes calls off what another has gone on with."""
+        if not batch.ward or await batch.ward.may_call_off():
+            await self.speech(entry).give_up(batch, entry, sent)
+
     def reprioritise(self, batch: Batch) -> None:
         """The batch's priority also holds for what is out."""
         for number in batch.out:
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from math import ceil
 
 from thistlelever.carrier.desk import Desk
@@ -45,7 +46,7 @@
         self.roll, self.links, self.desk, self.tally = roll, links, desk, tally
 
     async def converse(self, batch: Batch, entry: Entry, end: End, sent: Sending, till: float) -> None:
-        path = f"/fetch/{batch.asked.txn}/"
+        path = way(batch, end.number)
         end.fate = it.Fate.ASTRAY
         while end.fate is it.Fate.ASTRAY:
             reply = await self.post(batch, entry, end, sent, till)
@@ -56,6 +57,18 @@
             # that the engine does not know of it is not proof enough.
             if batch.lane in self.once_only or sent.posts >= MOST_SPOILT:
                 break
+        await self.further(path, batch, entry, end, sent)
+
+    async def resume(self, batch: Batch, entry: Entry, end: End, sent: Sending, till: float) -> None:
+        path, sent.begun = way(batch, end.number), True
+        reply = await self.ask(path, 0, entry, end, sent, batch)
+        while reply.status == 202:
+            reply = await self.ask(path, 0, entry, end, sent, batch)
+        end.fate = self.fate(reply, sent)
+        await self.further(path, batch, entry, end, sent)
+
+    async def further(self, path: str, batch: Batch, entry: Entry, end: End, sent: Sending) -> None:
+        """The pages behind the first."""
         for page in range(1, sent.pages if end.fate is it.Fate.RETURNED else 0):
             reply = await self.ask(path, page, entry, end, sent, batch)
             end.fate = self.fate(reply, sent)
@@ -72,7 +85,7 @@
         except (Broken, Short):
             raise Ended(it.Fate.UNSENT) from None
         # The list may have changed while a connection came up; a drain counts from the first byte.
-        if not self.roll.open_to(end.engine):
+        if not self.roll.open_to(end.engine) or batch.ward and not batch.ward.sure():
             self.links.give_back(link)
             raise Ended(it.Fate.UNSENT)
         sent.begun, sent.asked, sent.posts = True, clock.now(), sent.posts + 1
@@ -211,10 +224,29 @@
     async def give_up(self, batch: Batch, entry: Entry, sent: Sending) -> None:
         """The DELETE, until the engine has it, or no longer holds the batch anyway: it is dead, out of reach,
         or has not been asked for it in so long. What a client has left waits behind what others wait for."""
-        path = f"/fetch/{batch.asked.txn}"
-        while clock.now() < sent.asked + DROPPED_AFTER:
+        await self.delete(entry, way(batch, sent.number)[:-1], sent.asked + DROPPED_AFTER,
+                          lambda: not batch.answered)
+
+    async def call_off(self, entry: Entry, txn: str) -> None:
+        await self.delete(entry, f"/fetch/{txn}", clock.now() + DROPPED_AFTER, lambda: False)
+
+    async def ask_on(self, entry: Entry, txn: str) -> str:
+        try:
+            link = await self.links.take(entry, urgent=False)
             try:
-                link = await self.links.take(entry, urgent=not batch.answered)
+                reply = await link.call(http.call("GET", f"/fetch/{txn}/0", entry.address, {}), NEWS_WITHIN)
+            finally:
+                self.links.give_back(link)
+        except Refused:
+            return "unknown"
+        except (Unreached, Short, Broken, Silent, http.Unreadable):
+            return "silent"
+        return {200: "over", 202: "running"}.get(reply.status, "unknown")
+
+    async def delete(self, entry: Entry, path: str, till: float, urgent: Callable[[], bool]) -> None:
+        while clock.now() < till:
+            try:
+                link = await self.links.take(entry, urgent=urgent())
                 try:
                     await link.call(http.call("DELETE", path, entry.address, {}), WORD_WITHIN)
                     return
@@ -241,3 +273,9 @@
             return it.Fate.TIMED_OUT, ()
         except (Broken, Short):
             return it.Fate.ASTRAY, ()
+
+
+def way(batch: Batch, number: int) -> str:
+    """Where its engine is asked for a dispatch: under the id that it was begun with, by this front or
+    another."""
+    return f"/fetch/{batch.under.get(number, batch.asked.txn)}/"
--- a/thistlelever/ground/interface.py
+++ b/thistlelever/ground/interface.py
@@ -173,6 +173,10 @@
     memory: float
     tables: float
     repeat: bool
+    # Where another front has begun it: the engine that may be running it, or have run it, and for how long by
+    # now. The first dispatch goes on with that one, and is none anew.
+    out_at: EngineId = b""
+    out_for: float = 0.0
 
 
 class DispatchEnded(NamedTuple):
--- a/thistlelever/ground/operator.py
+++ b/thistlelever/ground/operator.py
@@ -20,7 +20,7 @@
 Part = Annotated[float, Meta(ge=0, le=1)]
 Seconds = Annotated[float, Meta(gt=0, le=86_400)]
 # What each section imports beside the core: the extra of the same name installs it.
-EXTRAS = {"flight": ("grpc", "google.rpc", "pyarrow", "itsdangerous")}
+EXTRAS = {"flight": ("grpc", "google.rpc", "pyarrow", "itsdangerous"), "takeover": ("xxhash",)}
 
 
 # What takes effect at a reload; the rest waits for a restart.
@@ -102,6 +102,19 @@
     knock_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.0
 
 
+class Takeover(Struct, frozen=True, forbid_unknown_fields=True):
+    """Work in hand that survives the loss of its front; wants `membership`. Groups that `demand` protection
+    are refused where a batch of theirs can't be protected; others go on as a front alone would."""
+
+    places: Annotated[int, Meta(ge=2, le=7)] = 3
+    lease_s: Annotated[float, Meta(ge=0.2, le=10)] = 1.0
+    wait_s: Annotated[float, Meta(ge=0.005, le=2)] = 0.06
+    keep_s: Annotated[float, Meta(ge=0.5, le=600)] = 5.0
+    most_kept: Count = 20_000
+    most_taken: Count = 256
+    demand: tuple[Word, ...] | None = None
+
+
 class Admin(Struct, frozen=True, forbid_unknown_fields=True):
     """A local socket for questions about a living front, open to its own user alone."""
 
@@ -114,6 +127,7 @@
     flight: Flight | None = None
     budgets: Budgets | None = None
     membership: Membership | None = None
+    takeover: Takeover | None = None
     admin: Admin | None = None
 
 
@@ -147,6 +161,8 @@
                              f"'thistlelever[{section}]'); {missing[0]} is not installed")
     if operator.flight and not (operator.flight.listen or operator.flight.kinds or operator.flight.engines):
         raise Unreadable("operator file: flight: a listen address, kinds or engines expected; found none")
+    if operator.takeover and not operator.membership:
+        raise Unreadable("operator file: takeover: a section membership expected; found none")
     return operator
 
 
--- a/thistlelever/ground/orders.py
+++ b/thistlelever/ground/orders.py
@@ -1,4 +1,4 @@
-"""What a judge of budgets asks of a batch's task. Off, nothing sends them."""
+"""What judges of budgets and of takeover ask of a batch's task. Off, nothing sends them."""
 
 from __future__ import annotations
 
@@ -26,4 +26,10 @@
     after: float
 
 
-Order = Release | Refuse | Preempt
+class TakenOver(NamedTuple):
+    """Another front has it, or it was handed over: nothing more may be done for it here."""
+
+    number: int
+
+
+Order = Release | Refuse | Preempt | TakenOver
--- a/thistlelever/lifecycle/parts.py
+++ b/thistlelever/lifecycle/parts.py
@@ -10,6 +10,7 @@
 
 from thistlelever.carrier.course import Courses
 from thistlelever.carrier.desk import Desk
+from thistlelever.carrier.dispatch import Dispatcher
 from thistlelever.carrier.intake import Intake
 from thistlelever.ground.log import Log
 from thistlelever.ground.papers import Papers
@@ -32,6 +33,7 @@
     desk: Desk
     intake: Intake
     courses: Courses
+    dispatcher: Dispatcher
 
 
 class Side(Protocol):
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -96,7 +96,7 @@
         from thistlelever.lifecycle.parts import Parts
 
         parts = Parts(self.papers, self.log, self.tally, self.batches, self.roll, self.desk, self.intake,
-                      self.courses)
+                      self.courses, self.dispatcher)
         sides: list[Side] = []
         if operator.flight:
             from thistlelever.lifecycle.flight import FlightSide
@@ -112,6 +112,10 @@
 
             self.membership = MembershipSide(parts, operator.membership)
             sides.append(self.membership)
+        if operator.takeover and self.membership:
+            from thistlelever.lifecycle.takeover import TakeoverSide
+
+            sides.append(TakeoverSide(parts, operator.takeover, self.membership))
         return sides
 
     def forget(self, engine: it.EngineId) -> None:
--- /dev/null
+++ b/thistlelever/lifecycle/takeover.py
@@ -0,0 +1,92 @@
+"""Puts together what the operator's section `takeover` switches on. Imported only where it is there."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from thistlelever.carrier.wards import Wards, groups
+from thistlelever.ground import clock
+from thistlelever.ground.manifest import Unreadable
+from thistlelever.ground.operator import Operator, Takeover
+from thistlelever.ground.papers import Papers
+from thistlelever.lifecycle.membership import MembershipSide
+from thistlelever.lifecycle.parts import Parts
+from thistlelever.takeover import views
+from thistlelever.takeover.facts import Address, Standing, Terms
+from thistlelever.takeover.judge import Judge
+from thistlelever.wire.peers import State
+
+# Before a front ends what is out is handed over, with time left to tell its clients.
+HAND_OVER = 0.15
+GONE = frozenset((State.DEAD, State.LEFT))
+
+
+def sound(section: Takeover, papers: Papers) -> None:
+    """`Unreadable` with the key where the section can't be kept."""
+    known = {tariff.name for tariff in papers.manifest.tariffs}
+    if unknown := sorted(set(section.demand or ()) - known):
+        raise Unreadable(f"operator file: takeover.demand: service groups of the settings expected; found "
+                         f"{unknown[0]!r}")
+    if len(papers.peers) < 2:
+        raise Unreadable("operator file: takeover: two peers or more in the configuration expected; found "
+                         f"{len(papers.peers)}")
+
+
+class TakeoverSide:
+    """Who owns which work, told to the batches' tasks."""
+
+    def __init__(self, parts: Parts, section: Takeover, membership: MembershipSide) -> None:
+        papers = parts.papers
+        sound(section, papers)
+        self.parts, self.members = parts, membership.members.judge
+        terms = Terms(places=section.places, lease=section.lease_s, renew=section.lease_s * 0.4,
+                      wait=section.wait_s, keep=section.keep_s, most_kept=section.most_kept,
+                      most_taken=section.most_taken)
+        me = self.members.me
+        self.judge = Judge(terms, me.address, me.life, papers.peers, groups(papers.manifest, section.demand),
+                           papers.seed, clock.now())
+        heirs = self.judge.heirs
+        heirs.standing, heirs.alive, heirs.alone = self.standing, self.alive, self.alone
+        self.wards = parts.courses.wards = Wards(
+            self.judge, membership.peers, papers.manifest, parts.roll,
+            lambda entry: parts.dispatcher.speech(entry), parts.tally, parts.log)
+
+    def standing(self, address: Address, life: int) -> Standing:
+        """What membership holds a front in that life for. Another life at its address: that one is gone."""
+        if address == self.members.me.address:
+            return Standing.ALIVE if life == self.members.me.life else Standing.GONE
+        member = self.members.members.get(self.members.at.get(address, ""))
+        if member is None or member.life > life or member.state in GONE:
+            return Standing.GONE
+        return Standing.SUSPECTED if member.state is State.SUSPECTED else Standing.ALIVE
+
+    def alive(self, address: Address) -> bool:
+        member = self.members.members.get(self.members.at.get(address, ""))
+        return member is not None and member.lives
+
+    def alone(self) -> bool:
+        return bool(self.members.alone(clock.now()))
+
+    async def open(self) -> dict:
+        self.wards.open()
+        return {"takeover": len(self.judge.places.fronts)}
+
+    def renew(self, operator: Operator, papers: Papers) -> None:
+        self.judge.places.renew((*papers.peers, self.members.me.address))
+
+    def questions(self) -> dict[str, Callable[..., dict]]:
+        return {
+            "inhand.show": lambda: views.show(self.judge, clock.now()),
+            "inhand.explain": lambda batch: views.explain(self.judge, batch, clock.now()),
+        }
+
+    def stopping(self) -> None:
+        at = clock.on_loop(self.parts.intake.stop_at) - HAND_OVER
+        asyncio.get_running_loop().call_at(at, self.wards.hand_over)
+
+    async def close(self, grace: float) -> None:
+        # What was handed over last may not have been heard yet; nothing is waited for longer than that.
+        if self.judge.asked:
+            await asyncio.sleep(min(grace, self.judge.terms.wait))
+        self.wards.close()
--- a/thistlelever/standins/http_engine.py
+++ b/thistlelever/standins/http_engine.py
@@ -39,6 +39,8 @@
         # The work in milliseconds that a batch's end tells, by its statement; None for no word of it.
         self.cost = lambda statement: None
         self.kept, self.costs, self.mute, self.holds = {}, {}, set(), False
+        # When each batch was last asked for; what has not been for so long is dropped, at work or over.
+        self.asked, self.drops_after = {}, float("inf")
         self.released, self.writers, self.connections = asyncio.Event(), [], 0
 
     async def start(self):
@@ -68,6 +70,9 @@
     async def act(self, writer, call, fields, path, body):
         txn = fields.get("x-txn") or (path.split("/") + ["", ""])[2]
         batch = txn, fields.get("x-dedupe", ""), fields.get("x-lane", "")
+        self.sweep()
+        if call in ("POST", "GET0"):
+            self.asked[txn] = asyncio.get_running_loop().time()
         if call == "POST":
             self.book.arrives(*batch)
             if self.holds:
@@ -144,6 +149,18 @@
         cost = self.costs.pop(batch[0], None) if not number else None
         return ["200", *said, *([f"Elapsed-Work={cost:g}"] if cost is not None else ())]
 
+    def sweep(self):
+        """Drop what nobody has asked for in so long."""
+        till = asyncio.get_running_loop().time() - self.drops_after
+        for txn in [txn for txn, at in self.asked.items() if at < till]:
+            del self.asked[txn]
+            if txn in self.running:
+                work, batch, _ = self.running.pop(txn)
+                work.cancel()
+                self.book.ends(*batch, "dropped unasked")
+            if kept := self.kept.pop(txn, None):
+                self.book.ends(*kept[1], "dropped unasked")
+
     async def stop(self):
         self.server.close()
         self.hang_up()
--- a/thistlelever/store/batches.py
+++ b/thistlelever/store/batches.py
@@ -35,6 +35,10 @@
     update: bool = False
     # The result that has begun to go on, of type `carrier.flow.Flow`.
     flow: Any = None
+    # Where takeover is on: the batch's hold on itself, of type `carrier.wards.Guard`; and the ids at their
+    # engines of dispatches that another front has begun.
+    ward: Any = None
+    under: dict[int, str] = field(default_factory=dict)
     backstop: asyncio.TimerHandle | None = None
 
 
--- /dev/null
+++ b/thistlelever/takeover/places.py
@@ -0,0 +1,28 @@
+"""Where the record of a batch lies: rendezvous hashing (Thaler and Ravishankar 1998) by xxHash over all
+fronts that the configuration names, dead or alive, so that two fronts agree on it whatever they believe of
+others."""
+
+from __future__ import annotations
+
+from heapq import nlargest
+
+from xxhash import xxh3_64_intdigest
+
+from thistlelever.takeover.facts import Address
+
+
+class Places:
+    """The fronts of the tier by their addresses as others know them, this one among them."""
+
+    def __init__(self, fronts: tuple[Address, ...], many: int) -> None:
+        self.renew(fronts)
+        self.many = many
+
+    def renew(self, fronts: tuple[Address, ...]) -> None:
+        self.fronts = [(f"{host}:{port}|".encode(), (host, port)) for host, port in sorted(set(fronts))]
+
+    def of(self, key: bytes) -> tuple[Address, ...]:
+        """The places of a key, the first before the next: a front that is added or leaves moves only the keys
+        that it gains or had."""
+        best = nlargest(self.many, self.fronts, key=lambda front: xxh3_64_intdigest(front[0] + key))
+        return tuple(address for _, address in best)
--- /dev/null
+++ b/thistlelever/takeover/ward.py
@@ -0,0 +1,100 @@
+"""One batch in hand as its owner knows it, and one question about it that is out to its places."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from thistlelever.takeover.facts import Address, Terms
+from thistlelever.wire.work import Owner, State, Value, Verb, Word
+
+
+class Phase(Enum):
+    """Whose the batch is."""
+
+    ASKING = "asking"
+    OWNED = "owned"
+    # Another has taken it over, or it was handed over; nothing more may be done for it here.
+    LOST = "lost"
+    CLOSED = "closed"
+
+
+class Run(Enum):
+    """How one dispatch ended, as far as it matters here."""
+
+    NEVER_RAN = "never ran"
+    RETURNED = "returned"
+    UNKNOWN = "unknown"
+
+
+class Question:
+    """A claim or a put, from its first sending to a majority's answer or its end."""
+
+    __slots__ = ("verb", "nonce", "word", "at", "due", "pause", "waited", "regains", "yes", "no")
+
+    def __init__(self, word: Word, now: float, due: float, pause: float, waited: bool, regains: bool) -> None:
+        self.verb, self.nonce, self.word = word.verb, word.nonce, word
+        self.at, self.due, self.pause = now, due, pause
+        # Whether the batch's path waits for the answer; whether it wins back what an heir has.
+        self.waited, self.regains = waited, regains
+        self.yes: dict[Address, Word] = {}
+        self.no: dict[Address, Word] = {}
+
+
+class Ward:
+    """One submission that is open at this front: what its places know of it, and until when it is surely this
+    front's. `marked`: a client can come back for it."""
+
+    def __init__(self, key: bytes, owner: Owner, group: int, limit_at: float, places: tuple[Address, ...],
+                 marked: bool) -> None:
+        self.key, self.owner, self.group, self.limit_at = key, owner, group, limit_at
+        self.places, self.marked = places, marked
+        self.need = len(places) // 2 + 1 if marked else 1
+        self.phase, self.epoch, self.step = Phase.ASKING, 0, 0
+        self.state, self.engine, self.txn, self.ran_at = State.HELD, "", b"", 0.0
+        # The first dispatch that may have run: engine, id there, when. What comes after it hangs on it.
+        self.first: tuple[str, bytes, float] | None = None
+        self.lease_till, self.sure_at, self.told = 0.0, 0.0, False
+        # Why it is not protected, or empty; whether it is an heir's.
+        self.bare, self.heir = "", False
+        self.question: Question | None = None
+        self.tries = 0
+
+    def value(self, now: float) -> Value:
+        self.step += 1
+        left = max(round((self.limit_at - now) * 1e3), 0)
+        ran = max(round((now - self.ran_at) * 1e3), 0) if self.state is not State.HELD else 0
+        return Value(self.epoch, self.step, self.state, self.group, left, self.engine, self.txn, ran)
+
+    def found(self, now: float, value: Value) -> None:
+        """What another front had begun is this one's from now on."""
+        self.state, self.engine, self.txn = value.state, value.engine, value.txn
+        self.ran_at = now - value.ran_ms / 1e3
+        self.first = value.engine, value.txn, self.ran_at
+
+    def goes_out(self, now: float, engine: str, txn: bytes) -> None:
+        """A dispatch is about to go there."""
+        if self.first is None:
+            self.ran_at = now
+        self.state, self.engine, self.txn = State.OUT, engine, txn
+
+    def came_back(self, run: Run) -> None:
+        """That dispatch has ended."""
+        if run is Run.NEVER_RAN:
+            if self.first:
+                self.engine, self.txn, self.ran_at = self.first
+                self.state = State.UNKNOWN
+            else:
+                self.state, self.engine, self.txn = State.HELD, "", b""
+            return
+        self.first = self.first or (self.engine, self.txn, self.ran_at)
+        self.state = State.RETURNED if run is Run.RETURNED else State.UNKNOWN
+
+    def holds(self, now: float) -> bool:
+        """Whether it surely is this front's at this moment, without asking."""
+        return bool(self.bare) or not self.marked or self.phase is Phase.OWNED and now < self.lease_till
+
+
+def asked(ward: Ward, verb: Verb, nonce: int, value: Value | None, terms: Terms, lease: bool = True) -> Word:
+    """The question as it goes to each place."""
+    ms = round(terms.lease * 1e3) if lease else 0
+    return Word(verb, nonce, ward.key, ward.epoch, ward.owner, value, ms, ward.heir)
