--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -246,10 +246,14 @@
 class Fleet:
     """All of it: `async with Fleet(...) as fleet`."""
 
-    def __init__(self, chance, fronts, engines, sections, settings, program=("thistlelever",)):
+    def __init__(self, chance, fronts, engines, sections, settings, program=("thistlelever",), flight=0):
         self.chance, self.many, self.sections, self.settings = chance, fronts, sections, settings
         self.program, self.stir, self.engines = program, asyncio.Event(), {}
         self.names = [f"e-{place}" for place in range(engines)]
+        # Engines that speak Flight SQL, beside them.
+        self.flight = [f"f-{place}" for place in range(flight)]
+        if flight:
+            self.sections = sections | {"flight": {"engines": self.flight}}
         self.wire, self.fronts, self.clients, self.faults = Wire(chance), [], [], []
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = self.temporary.name
@@ -260,6 +264,11 @@
         for name in self.names:
             self.engines[name] = Engine(self.stir)
             await self.engines[name].start()
+        for name in self.flight:
+            from thistlelever.standins import flight_engine
+
+            self.engines[name] = flight_engine.Engine(self.stir)
+            await self.engines[name].start()
         self.fronts = [Front(self, place) for place in range(self.many)]
         for front in self.fronts:
             await front.open()
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -16,7 +16,7 @@
 from thistlelever.ground.log import Log
 from thistlelever.ground.papers import Entry
 from thistlelever.ground.tally import Tally
-from thistlelever.store.batches import Batch
+from thistlelever.store.batches import Batch, Name
 from thistlelever.store.roll import Roll
 
 # After these the engine may hold the batch still.
@@ -82,11 +82,11 @@
         """Go on with a dispatch that another front has begun, by its id in `batch.under`: as `converse`, and
         nothing is begun. `ASTRAY` where the engine does not know of it."""
 
-    async def ask_on(self, entry: Entry, txn: str) -> str:
+    async def ask_on(self, entry: Entry, name: Name) -> str:
         """Ask for a batch that nobody waits for here, so that its engine goes on with it or keeps its result:
         `running`, `over`, `unknown` or `silent`."""
 
-    async def call_off(self, entry: Entry, txn: str) -> None:
+    async def call_off(self, entry: Entry, name: Name) -> None:
         """Give up a batch that another front had out."""
 
     async def give_up(self, batch: Batch, entry: Entry, sent: Sending) -> None:
--- a/thistlelever/carrier/flight_engines.py
+++ b/thistlelever/carrier/flight_engines.py
@@ -20,7 +20,7 @@
 from thistlelever.ground import interface as it
 from thistlelever.ground.papers import Entry
 from thistlelever.ground.tally import Tally
-from thistlelever.store.batches import Batch
+from thistlelever.store.batches import Batch, Name
 from thistlelever.store.roll import Roll
 from thistlelever.wire.flight import columns
 from thistlelever.wire.flight import flight_pb2 as pb
@@ -53,6 +53,10 @@
 BROKEN = frozenset((StatusCode.UNAVAILABLE, StatusCode.CANCELLED, StatusCode.UNKNOWN, StatusCode.INTERNAL))
 Connectivity = grpc.ChannelConnectivity
 Metadata = tuple[tuple[str, str], ...]
+# Nothing is begun by such a call: the engine answers as to the one that began the dispatch, once it can.
+RESUMED: Metadata = (("x-resume", "1"),)
+NOTHING = pb.FlightDescriptor(type=pb.FlightDescriptor.CMD, cmd=b"").SerializeToString()
+SAID = {StatusCode.DEADLINE_EXCEEDED: "running", StatusCode.NOT_FOUND: "unknown"}
 REFUSED = frozenset((StatusCode.RESOURCE_EXHAUSTED, StatusCode.UNAVAILABLE))
 
 
@@ -101,15 +105,30 @@
             raise Ended(it.Fate.ERRORED) from None
         channel = await self.channel(entry)
         # The list may have changed while the connection came up; a drain counts from the first byte.
-        if not self.roll.open_to(end.engine):
+        if not self.roll.open_to(end.engine) or batch.ward and not batch.ward.sure():
             raise Ended(it.Fate.UNSENT)
+        await self.fetch(channel, order, batch, entry, end, sent, till)
+
+    async def resume(self, batch: Batch, entry: Entry, end: End, sent: Sending, till: float) -> None:
+        if batch.update:
+            # Its count is in the one answer to its call, which went to another front.
+            raise Ended(it.Fate.ASTRAY)
+        try:
+            channel = await self.channel(entry)
+        except Ended:
+            raise Ended(it.Fate.RESET) from None
+        await self.fetch(channel, command(batch), batch, entry, end, sent, till, RESUMED)
+
+    async def fetch(self, channel: aio.Channel, order: bytes, batch: Batch, entry: Entry, end: End,
+                    sent: Sending, till: float, further: Metadata = ()) -> None:
+        """The calls of one dispatch."""
         sent.begun, sent.asked = True, clock.now()
         hold = Hold(self.held if batch.columns else MOST_FOR_ROWS, self.purse)
         try:
             if batch.update:
                 await self.update(channel, order, batch, end, sent, till)
                 return
-            terms = self.terms(batch, end.number, till)
+            terms = self.terms(batch, end.number, till, further)
             call = channel.unary_unary(SERVICE + "GetFlightInfo")(order, **terms)
             info = read(pb.FlightInfo, await call)
             sent.heard, sent.asked = True, clock.now()
@@ -123,6 +142,8 @@
             self.whole(batch, end, hold)
         except aio.AioRpcError as why:
             self.figures(why.trailing_metadata(), end)
+            if further and why.code() is StatusCode.NOT_FOUND:
+                raise Ended(it.Fate.ASTRAY) from None
             raise Ended(await self.fate(why, entry, batch, sent)) from None
         except aio.UsageError:
             # Its channel was let go between two calls, as its engine is gone or its connection was lost.
@@ -212,15 +233,16 @@
             return it.Fate.ERRORED
         # Risk: an engine that never got the batch is taken for ill; on a day when connections break, all are.
         # Called off there as it is asked, so that what still lies in a buffer is not begun after that.
-        if not sent.heard and await self.call_off(entry, batch, sent.number) is StatusCode.NOT_FOUND:
+        name = batch.name(sent.number)
+        if not sent.heard and await self.cancel(entry, name, command(batch)) is StatusCode.NOT_FOUND:
             return it.Fate.ASTRAY
         return it.Fate.RESET
 
-    def terms(self, batch: Batch, number: int, till: float) -> dict:
+    def terms(self, batch: Batch, number: int, till: float, further: Metadata = ()) -> dict:
         """A call's time limit and headers. The call may last as long as the client waits, as a result that
         has begun to go on does; the dispatch's own end, when it comes sooner, is told to the engine."""
         asked, left = batch.asked, max(ceil((till - clock.now()) * 1e3), 1)
-        fields = [*which(batch, number), ("x-lane", batch.lane), ("x-limit-ms", str(left))]
+        fields = [*which(batch.name(number)), *further, ("x-lane", batch.lane), ("x-limit-ms", str(left))]
         if asked.reference:
             fields.append(("x-dedupe", asked.reference))
         if batch.grant >= 1:
@@ -245,11 +267,31 @@
             value = min(value, 1.0) if tidings is it.Tidings.PROGRESS else value
             self.desk.tell(it.ProgressNote(batch.number, end.number, end.engine, tidings, value))
 
+    async def ask_on(self, entry: Entry, name: Name) -> str:
+        try:
+            channel = await self.channel(entry)
+            call = channel.unary_unary(SERVICE + "GetFlightInfo")
+            await call(NOTHING, timeout=WORD_WITHIN, metadata=(*which(name), *RESUMED))
+        except Ended:
+            return "silent"
+        except aio.AioRpcError as why:
+            return SAID.get(why.code(), "silent")
+        except aio.UsageError:
+            return "silent"
+        return "over"
+
+    async def call_off(self, entry: Entry, name: Name) -> None:
+        await self.until_called_off(entry, name, NOTHING, clock.now() + DROPPED_AFTER)
+
     async def give_up(self, batch: Batch, entry: Entry, sent: Sending) -> None:
+        name, till = batch.name(sent.number), sent.asked + DROPPED_AFTER
+        await self.until_called_off(entry, name, command(batch), till)
+
+    async def until_called_off(self, entry: Entry, name: Name, order: bytes, till: float) -> None:
         """The cancel, until the engine has it, can't cancel at all, or is out of reach for as long as it goes
         on with a batch that nobody reads."""
-        while clock.now() < sent.asked + DROPPED_AFTER:
-            code = await self.call_off(entry, batch, sent.number)
+        while clock.now() < till:
+            code = await self.cancel(entry, name, order)
             if code in (StatusCode.OK, StatusCode.NOT_FOUND, StatusCode.UNIMPLEMENTED):
                 return
             if code is None:
@@ -257,14 +299,14 @@
             await asyncio.sleep(RETRY_PACE)
         self.tally.add("flight cancel failed")
 
-    async def call_off(self, entry: Entry, batch: Batch, number: int) -> StatusCode | None:
+    async def cancel(self, entry: Entry, name: Name, order: bytes) -> StatusCode | None:
         """What the engine says to one cancel; NOT_FOUND: it never had this dispatch, and will not begin it.
         None where it is out of reach."""
-        descriptor = read(pb.FlightDescriptor, command(batch))
-        info = pb.FlightInfo(flight_descriptor=descriptor, app_metadata=batch.asked.txn.encode())
+        descriptor = read(pb.FlightDescriptor, order)
+        info = pb.FlightInfo(flight_descriptor=descriptor, app_metadata=name.txn.encode())
         try:
             body = pb.CancelFlightInfoRequest(info=info).SerializeToString()
-            await self.act(entry, CANCEL, body, which(batch, number))
+            await self.act(entry, CANCEL, body, which(name))
             return StatusCode.OK
         except aio.AioRpcError as why:
             return why.code()
@@ -275,7 +317,7 @@
 
     async def put(self, batch: Batch, entry: Entry, number: int) -> None:
         try:
-            await self.act(entry, PRIORITY, b"%d" % batch.priority, which(batch, number))
+            await self.act(entry, PRIORITY, b"%d" % batch.priority, which(batch.name(number)))
         except (aio.AioRpcError, Ended):
             self.tally.add("flight priority failed")
 
@@ -349,9 +391,9 @@
             await asyncio.wait(self.closing, timeout=0.2)
 
 
-def which(batch: Batch, number: int) -> Metadata:
+def which(name: Name) -> Metadata:
     """What names a dispatch: an engine that has called one off may get the same batch's next."""
-    return ("x-txn", batch.asked.txn), ("x-dispatch", str(number))
+    return ("x-txn", name.txn), ("x-dispatch", str(name.number))
 
 
 def command(batch: Batch) -> bytes:
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -12,7 +12,7 @@
 from thistlelever.ground import interface as it
 from thistlelever.ground.papers import Entry
 from thistlelever.ground.tally import Tally
-from thistlelever.store.batches import Batch
+from thistlelever.store.batches import Batch, Name
 from thistlelever.store.links import Broken, Link, Links, Refused, Short, Silent, Unreached
 from thistlelever.store.roll import Roll
 from thistlelever.wire import http
@@ -227,14 +227,15 @@
         await self.delete(entry, way(batch, sent.number)[:-1], sent.asked + DROPPED_AFTER,
                           lambda: not batch.answered)
 
-    async def call_off(self, entry: Entry, txn: str) -> None:
-        await self.delete(entry, f"/fetch/{txn}", clock.now() + DROPPED_AFTER, lambda: False)
+    async def call_off(self, entry: Entry, name: Name) -> None:
+        await self.delete(entry, f"/fetch/{name.txn}", clock.now() + DROPPED_AFTER, lambda: False)
 
-    async def ask_on(self, entry: Entry, txn: str) -> str:
+    async def ask_on(self, entry: Entry, name: Name) -> str:
         try:
             link = await self.links.take(entry, urgent=False)
             try:
-                reply = await link.call(http.call("GET", f"/fetch/{txn}/0", entry.address, {}), NEWS_WITHIN)
+                request = http.call("GET", f"/fetch/{name.txn}/0", entry.address, {})
+                reply = await link.call(request, NEWS_WITHIN)
             finally:
                 self.links.give_back(link)
         except Refused:
@@ -279,4 +280,4 @@
 def way(batch: Batch, number: int) -> str:
     """Where its engine is asked for a dispatch: under the id that it was begun with, by this front or
     another."""
-    return f"/fetch/{batch.under.get(number, batch.asked.txn)}/"
+    return f"/fetch/{batch.name(number).txn}/"
--- a/thistlelever/carrier/wards.py
+++ b/thistlelever/carrier/wards.py
@@ -15,7 +15,7 @@
 from thistlelever.ground.orders import TakenOver
 from thistlelever.ground.papers import Entry
 from thistlelever.ground.tally import Tally
-from thistlelever.store.batches import Batch
+from thistlelever.store.batches import Batch, Name
 from thistlelever.store.roll import Roll
 from thistlelever.takeover.facts import Address, AskOn, CallOff, Enough, Group, Say, Told, may_have_run
 from thistlelever.takeover.judge import Judge
@@ -48,11 +48,11 @@
     async def out(self, number: int, engine: it.EngineId) -> bool:
         """A dispatch is about to go there; whether it may. Risk: its front dies between its first byte and
         the word of it, and whoever comes after takes it for one that never ran."""
-        txn = bytes.fromhex(self.batch.under.get(number, self.batch.asked.txn))
-        wards, ward = self.wards, self.ward
+        name, wards, ward = self.batch.name(number), self.wards, self.ward
         if wards.lost(ward):
             return False
-        if not wards.judge.goes_out(clock.now(), ward, engine.decode("latin-1"), txn):
+        if not wards.judge.goes_out(clock.now(), ward, engine.decode("latin-1"), bytes.fromhex(name.txn),
+                                    name.number):
             wards.soon()
             return True
         told = await wards.answer(ward)
@@ -197,7 +197,7 @@
             self.tally.add("takeover: adopted")
             self.log("work adopted", batch=batch.asked.txn, began_as=value.txn.hex(), engine=value.engine,
                      state=value.state.name.lower(), ran_s=value.ran_ms / 1e3)
-            batch.under[0] = value.txn.hex()
+            batch.under[0] = Name(value.txn.hex(), value.number)
             batch.taken = batch.taken._replace(out_at=engine, out_for=value.ran_ms / 1e3)
             return True
         dropped = tariff.repeat is it.Repeat.REFERENCED and tariff.scope is it.Scope.ALL
@@ -209,7 +209,7 @@
         if entry is None:
             return None
         end, sent = End(READING, entry.engine.id), Sending(READING)
-        batch.under[READING] = value.txn.hex()
+        batch.under[READING] = Name(value.txn.hex(), value.number)
         self.roll.begin(end.engine)
         try:
             await self.speech(entry).resume(batch, entry, end, sent, batch.limit_at)
@@ -314,7 +314,8 @@
         """Until the judge says that it is enough."""
         while True:
             entry = self.roll.entries.get(order.engine.encode("latin-1"))
-            said = await self.speech(entry).ask_on(entry, order.txn.hex()) if entry else "unknown"
+            name = Name(order.txn.hex(), order.number)
+            said = await self.speech(entry).ask_on(entry, name) if entry else "unknown"
             self.tally.add(f"takeover: asked on: {said}")
             self.judge.heirs.asked(order.key, said)
             self.soon()
@@ -322,7 +323,7 @@
 
     async def call_off(self, order: CallOff) -> None:
         if entry := self.roll.entries.get(order.engine.encode("latin-1")):
-            await self.speech(entry).call_off(entry, order.txn.hex())
+            await self.speech(entry).call_off(entry, Name(order.txn.hex(), order.number))
 
 
 def groups(manifest: it.Manifest, demand: tuple[str, ...] | None) -> tuple[Group, ...]:
--- a/thistlelever/standins/flight_engine.py
+++ b/thistlelever/standins/flight_engine.py
@@ -42,6 +42,10 @@
         self.kept, self.begun, self.called_off = {}, set(), set()
         self.released = asyncio.Event()
         self.options, self.held_up, self.sent = options, set(), 0
+        # Where it is on a dispatch runs on when its calls break, and its result lies here until nobody has
+        # asked for it in so long; runs by batch and dispatch, when each was last asked for, and what runs
+        # each.
+        self.drops_after, self.runs, self.asked, self.works = None, {}, {}, None
 
     async def start(self, port=0):
         self.server = aio.server(options=(("grpc.so_reuseport", 0), *self.options))
@@ -105,16 +109,42 @@
 
     async def get_flight_info(self, request, context):
         descriptor = pb.FlightDescriptor.FromString(request)
-        statement = parcels.command(descriptor.cmd).query.encode()
+        resumed = ("x-resume", "1") in context.invocation_metadata()
+        statement = b"" if resumed else parcels.command(descriptor.cmd).query.encode()
         batch, which = self.arrived("GetFlightInfo", context, statement)
-        await self.begin(batch, which, context)
-        await self.act("GetFlightInfo", batch, context)
-        self.book.runs(*batch)
-        self.kept[which] = self.result(statement), batch
+        self.asked[which] = asyncio.get_running_loop().time()
+        if resumed and which not in self.runs:
+            await context.abort(StatusCode.NOT_FOUND, "no such dispatch")
+        if not resumed:
+            await self.begin(batch, which, context)
+            await self.act("GetFlightInfo", batch, context)
+            run = self.run(batch, which, statement)
+            if self.drops_after is None:
+                await run
+            else:
+                self.runs[which] = asyncio.create_task(run)
+        if which in self.runs:
+            await asyncio.shield(self.runs[which])
         ticket = pb.Ticket(ticket="/".join(which).encode())
         return pb.FlightInfo(flight_descriptor=descriptor, endpoint=[pb.FlightEndpoint(ticket=ticket)],
                              total_records=-1, total_bytes=-1).SerializeToString()
 
+    async def run(self, batch, which, statement):
+        if self.works:
+            await self.works(batch[0], statement)
+        self.book.runs(*batch)
+        self.kept[which] = self.result(statement), batch
+
+    def sweep(self):
+        """Drop what nobody has asked for in so long."""
+        till = asyncio.get_running_loop().time() - self.drops_after
+        for which in [which for which, at in self.asked.items() if at < till]:
+            del self.asked[which]
+            if run := self.runs.pop(which, None):
+                run.cancel()
+            if kept := self.kept.pop(which, None):
+                self.book.ends(*kept[1], "dropped unasked")
+
     async def do_get(self, request, context):
         which = tuple(pb.Ticket.FromString(request).ticket.decode().split("/"))
         self.arrived("DoGet", context, b"")
@@ -144,7 +174,8 @@
             self.book.ends(*batch, "lost")
             await context.abort(StatusCode.UNAVAILABLE, "cut", self.trailers)
         context.set_trailing_metadata(self.trailers)
-        if self.kept.pop(which, None):
+        self.asked[which] = asyncio.get_running_loop().time()
+        if self.drops_after is None and self.kept.pop(which, None):
             self.book.ends(*batch, "answered")
 
     async def do_put(self, requests, context):
@@ -167,6 +198,8 @@
             if not self.cancels:
                 await context.abort(StatusCode.UNIMPLEMENTED, "CancelFlightInfo")
             self.called_off.add(which)
+            if run := self.runs.pop(which, None):
+                run.cancel()
             whose = self.kept.pop(which, (None, batch))[1]
             if which in self.begun:
                 self.book.ends(*whose, "given up")
--- a/thistlelever/store/batches.py
+++ b/thistlelever/store/batches.py
@@ -4,12 +4,20 @@
 
 import asyncio
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, NamedTuple
 
 from thistlelever.ground import interface as it
 from thistlelever.ground.submission import Submission
 
 
+class Name(NamedTuple):
+    """A dispatch as its engine knows it: the id of the batch, and which of its dispatches it was where it was
+    begun."""
+
+    txn: str
+    number: int
+
+
 @dataclass(slots=True, eq=False)
 class Batch:
     """One batch from its reading to its one final answer and the end of its last dispatch."""
@@ -38,9 +46,13 @@
     # Where takeover is on: the batch's hold on itself, of type `carrier.wards.Guard`; and the ids at their
     # engines of dispatches that another front has begun.
     ward: Any = None
-    under: dict[int, str] = field(default_factory=dict)
+    under: dict[int, Name] = field(default_factory=dict)
     backstop: asyncio.TimerHandle | None = None
 
+    def name(self, number: int) -> Name:
+        """How its engine knows a dispatch."""
+        return self.under.get(number) or Name(self.asked.txn, number)
+
 
 class Batches:
     """All open batches, by the number that the decisions know them by and by the client's id."""
--- a/thistlelever/takeover/facts.py
+++ b/thistlelever/takeover/facts.py
@@ -89,7 +89,7 @@
     key: bytes
     engine: str
     txn: bytes
-    group: int
+    number: int
 
 
 class CallOff(NamedTuple):
@@ -98,7 +98,7 @@
     key: bytes
     engine: str
     txn: bytes
-    group: int
+    number: int
 
 
 class Enough(NamedTuple):
--- a/thistlelever/takeover/heirs.py
+++ b/thistlelever/takeover/heirs.py
@@ -92,7 +92,7 @@
         over = standing is Standing.GONE and kept.left(now) == 0
         if kept.lazy and self.groups[value.group].repeatable:
             if over:
-                self.orders.append(CallOff(kept.key, value.engine, value.txn, value.group))
+                self.orders.append(CallOff(kept.key, value.engine, value.txn, value.number))
                 self.note("called off", kept.key, value.txn, engine=value.engine)
                 self.holder.drop(kept)
             return []
@@ -126,7 +126,7 @@
             self.stop(least)
             self.lets_go(least.key, least.txn)
         taken = self.taken[kept.key] = Taken(kept, now, kept.forget_at)
-        self.orders.append(AskOn(taken.key, taken.engine, taken.txn, taken.group))
+        self.orders.append(AskOn(taken.key, taken.engine, taken.txn, kept.value.number))
         owner = "{}:{}".format(*address_of(kept.behind.address))
         self.note("asked on for", taken.key, taken.txn, engine=taken.engine, owner=owner,
                   after=round(now - kept.heard_at, 3))
--- a/thistlelever/takeover/holder.py
+++ b/thistlelever/takeover/holder.py
@@ -179,4 +179,4 @@
         past = max(round((now - kept.valued_at) * 1e3), 0)
         ran = value.ran_ms + past if value.state is not State.HELD else 0
         return Value(value.epoch, value.step, value.state, value.group, max(value.left_ms - past, 0),
-                     value.engine, value.txn, ran)
+                     value.engine, value.txn, ran, value.number)
--- a/thistlelever/takeover/judge.py
+++ b/thistlelever/takeover/judge.py
@@ -82,10 +82,10 @@
         ward = self.wards[txn] = Ward(key, owner, group, limit_at, places, marked)
         return ward
 
-    def goes_out(self, now: float, ward: Ward, engine: str, txn: bytes) -> bool:
+    def goes_out(self, now: float, ward: Ward, engine: str, txn: bytes, number: int = 0) -> bool:
         """A dispatch is about to go there; whether its first byte has to wait for `done`. Of what may run
         twice nobody need know first."""
-        ward.goes_out(now, engine, txn)
+        ward.goes_out(now, engine, txn, number)
         if not ward.marked:
             if not ward.told:
                 self.at(now + self.terms.lazy, "lazy", ward)
--- a/thistlelever/takeover/ward.py
+++ b/thistlelever/takeover/ward.py
@@ -50,9 +50,10 @@
         self.places, self.marked = places, marked
         self.need = len(places) // 2 + 1 if marked else 1
         self.phase, self.epoch, self.step = Phase.ASKING, 0, 0
-        self.state, self.engine, self.txn, self.ran_at = State.HELD, "", b"", 0.0
-        # The first dispatch that may have run: engine, id there, when. What comes after it hangs on it.
-        self.first: tuple[str, bytes, float] | None = None
+        self.state, self.engine, self.txn, self.number, self.ran_at = State.HELD, "", b"", 0, 0.0
+        # The first dispatch that may have run: engine, id and number there, when. What comes after it hangs
+        # on it.
+        self.first: tuple[str, bytes, int, float] | None = None
         self.lease_till, self.sure_at, self.told = 0.0, 0.0, False
         # Why it is not protected, or empty; whether it is an heir's.
         self.bare, self.heir = "", False
@@ -63,30 +64,31 @@
         self.step += 1
         left = max(round((self.limit_at - now) * 1e3), 0)
         ran = max(round((now - self.ran_at) * 1e3), 0) if self.state is not State.HELD else 0
-        return Value(self.epoch, self.step, self.state, self.group, left, self.engine, self.txn, ran)
+        return Value(self.epoch, self.step, self.state, self.group, left, self.engine, self.txn, ran,
+                     self.number)
 
     def found(self, now: float, value: Value) -> None:
         """What another front had begun is this one's from now on."""
-        self.state, self.engine, self.txn = value.state, value.engine, value.txn
+        self.state, self.engine, self.txn, self.number = value.state, value.engine, value.txn, value.number
         self.ran_at = now - value.ran_ms / 1e3
-        self.first = value.engine, value.txn, self.ran_at
+        self.first = value.engine, value.txn, value.number, self.ran_at
 
-    def goes_out(self, now: float, engine: str, txn: bytes) -> None:
+    def goes_out(self, now: float, engine: str, txn: bytes, number: int) -> None:
         """A dispatch is about to go there."""
         if self.first is None:
             self.ran_at = now
-        self.state, self.engine, self.txn = State.OUT, engine, txn
+        self.state, self.engine, self.txn, self.number = State.OUT, engine, txn, number
 
     def came_back(self, run: Run) -> None:
         """That dispatch has ended."""
         if run is Run.NEVER_RAN:
             if self.first:
-                self.engine, self.txn, self.ran_at = self.first
+                self.engine, self.txn, self.number, self.ran_at = self.first
                 self.state = State.UNKNOWN
             else:
-                self.state, self.engine, self.txn = State.HELD, "", b""
+                self.state, self.engine, self.txn, self.number = State.HELD, "", b"", 0
             return
-        self.first = self.first or (self.engine, self.txn, self.ran_at)
+        self.first = self.first or (self.engine, self.txn, self.number, self.ran_at)
         self.state = State.RETURNED if run is Run.RETURNED else State.UNKNOWN
 
     def holds(self, now: float) -> bool:
--- a/thistlelever/wire/work.py
+++ b/thistlelever/wire/work.py
@@ -58,6 +58,8 @@
     engine: str = ""
     txn: bytes = b""
     ran_ms: int = 0
+    # Which of its front's dispatches it was.
+    number: int = 0
 
     @property
     def order(self) -> tuple[int, int]:
@@ -133,5 +135,5 @@
             and 0 <= word.epoch < MOST_COUNT and 0 <= word.lease_ms <= MOST_MS)
     return good and (value is None or (
         0 <= value.epoch < MOST_COUNT and 0 <= value.step < MOST_COUNT and 0 <= value.group < 256
-        and 0 <= value.left_ms <= MOST_MS and 0 <= value.ran_ms <= MOST_MS
+        and 0 <= value.number < 256 and 0 <= value.left_ms <= MOST_MS and 0 <= value.ran_ms <= MOST_MS
         and len(value.engine) <= LONGEST_NAME and len(value.txn) in (0, 8)))
