--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import socket
 import sys
@@ -38,7 +39,7 @@
         self.chance, self.sockets, self.real, self.places = chance, [], {}, {}
         self.loss, self.double, self.jitter, self.late = 0.0, 0.0, 0.0, 0.0
         self.cuts, self.counts, self.passed, self.lost = set(), Counter(), 0, 0
-        self.stir, self.longest = asyncio.Event(), 0
+        self.stir, self.longest, self.bytes = asyncio.Event(), 0, 0
         # Told of each datagram before it goes on; what it says yes to is lost.
         self.takes = lambda sender, target, data: False
 
@@ -63,7 +64,7 @@
                 self.carry(sender, target, data)
 
     def carry(self, sender, target, data):
-        self.passed += 1
+        self.passed, self.bytes = self.passed + 1, self.bytes + len(data)
         self.longest = max(self.longest, len(data))
         self.stir.set()
         number = self.counts[sender, target] = self.counts[sender, target] + 1
@@ -132,16 +133,25 @@
             "seed": f"{self.place + 1:x}{self.lives:x}", "peers": peers,
             "peer_listen": "{}:{}".format(*self.real)}
 
-    async def start(self):
-        """From nothing, under its name and addresses."""
+    async def start(self, diskless=False):
+        """From nothing, under its name and addresses. `diskless`: no file can be written, no temporary
+        folder is there, and its log goes to a device that is always full."""
         self.lives += 1
         config = Path(self.fleet.folder) / f"config-{self.place}.json"
         config.write_text(json.dumps(self.told()))
         self.operator.write_text(json.dumps({"admin": {"socket": self.socket}, **self.fleet.sections}))
         words = [sys.executable, "-O", "-m", *self.fleet.program, "serve", "--operator", str(self.operator)]
+        env = os.environ | {"BALANCER_CONFIG": str(config)}
+        if diskless:
+            with open("/dev/full", "wb") as full:
+                self.process = await asyncio.create_subprocess_exec(
+                    *words, cwd=ROOT, env=env | {"TMPDIR": "/nonexistent"}, stdout=full, preexec_fn=no_files)
+            async with asyncio.timeout(START_WITHIN):
+                while await self.ask("counts") is None:
+                    await asyncio.sleep(0.05)
+            return
         self.process = await asyncio.create_subprocess_exec(
-            *words, cwd=ROOT, env=os.environ | {"BALANCER_CONFIG": str(config)},
-            stdout=asyncio.subprocess.PIPE, limit=2**20)
+            *words, cwd=ROOT, env=env, stdout=asyncio.subprocess.PIPE, limit=2**20)
         self.ready = asyncio.Event()
         self.reading = asyncio.create_task(self.read(self.process))
         async with asyncio.timeout(START_WITHIN):
@@ -323,7 +333,8 @@
                     m["name"] for m in told["members"] if m["state"] in ("alive", "unfit", "suspected")}
                    for name, told in views.items() if name in wanted):
                 return took
-            await asyncio.sleep(0.02)
+            # Risk: asked as often as five, thirty answer nobody else.
+            await asyncio.sleep(max(0.02, 0.005 * len(views)))
         return None
 
     def answers(self, grace):
@@ -342,6 +353,11 @@
         return sum(a.what == "returned" and a.took <= goal for a in asked) / max(len(asked), 1)
 
 
+def no_files():
+    """In the process that is started: whatever it writes to a file fails."""
+    resource.setrlimit(resource.RLIMIT_FSIZE, (0, 0))
+
+
 PORTS = defaultdict(set)
 
 
--- a/rigs/membership.py
+++ b/rigs/membership.py
@@ -265,7 +265,8 @@
     chance = Chance(seed)
     sections = {"membership": {"tier": "yard"}} if membership else {}
     async with Fleet(chance, fronts, 3, sections, SETTINGS, program) as fleet:
-        fleet.traffic(0.05, LIMIT_MS)
+        # As much in all as five have: engines, clients and the network between are one process.
+        fleet.traffic(0.01 * fronts, LIMIT_MS)
         play = Play(fleet, chance)
         if not membership:
             fleet.agree = lambda within, living=None: asyncio.sleep(0.5, 0.5)
--- a/rigs/takeover.py
+++ b/rigs/takeover.py
@@ -253,6 +253,8 @@
         self.broken, self.kills, self.lost_engines, self.round = [], [], [], 0
         self.steps = [self.kill, self.stop_long, self.deaf, self.stop_short, self.mute, self.leave,
                       self.kill_with_engine, self.kill_two]
+        if fleet.many >= 10:
+            self.steps += [self.seven_in_ten, self.each_tenth_leaves]
 
     async def run(self):
         if await self.fleet.agree(10.0) is None:
@@ -334,6 +336,23 @@
         for front in self.fleet.fronts:
             front.relays[name].break_all()
 
+    async def seven_in_ten(self):
+        """At once, under load, and all back a few at a time."""
+        fronts = sorted(self.fleet.fronts, key=lambda f: self.chance.share("seven", self.round, f.place))
+        dead = fronts[:len(fronts) * 7 // 10]
+        await self.in_hand(dead[0], 1)
+        await self.killed(*dead)
+        await asyncio.sleep(1.5)
+        for place in range(0, len(dead), 4):
+            await asyncio.gather(*(front.start() for front in dead[place:place + 4]))
+
+    async def each_tenth_leaves(self):
+        fronts, many = self.fleet.fronts, max(len(self.fleet.fronts) // 10, 1)
+        for place in range(0, len(fronts), many):
+            some = fronts[place:place + many]
+            await asyncio.gather(*(front.stop() for front in some))
+            await asyncio.gather(*(front.start() for front in some))
+
     async def stop(self, what, seconds):
         front = self.one(what)
         await self.in_hand(front)
--- a/rigs/takeover_steps.py
+++ b/rigs/takeover_steps.py
@@ -134,6 +134,13 @@
                 return self.reaches("before it is taken back")
         return False
 
+    async def without_disks(self):
+        """All places of a mark without a file that can be written: its record is kept all the same."""
+        for front in self.fleet.fronts[2:]:
+            await front.stop()
+            await front.start(diskless=True)
+        await asyncio.gather(self.fleet.agree(10.0), asyncio.sleep(GROWN + 0.3))
+
     async def play(self, step, fault):
         mark = self.mark()
         txns = [f"{next(self.numbers):016x}" for _ in range(3)]
@@ -251,7 +258,11 @@
                 broken += [f"{step}, {fault}: {why}" for why in judged(case)]
                 print(f"{fault:10} {step:26} ran {case.runs}  there: {case.first:12} back: {case.second}",
                       flush=True)
-        return broken, cases
+        await yard.without_disks()
+        case = await yard.play("after the request", "kill")
+        print(f"kill       {'places without disks':26} ran {case.runs}  back: {case.second}", flush=True)
+        broken += [f"places without disks: {why}" for why in judged(case)]
+        return broken, [*cases, case]
 
 
 @click.command()
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,475 @@
+"""What is kept on disk and how far it is trusted: each write failed in turn, kills, every kind of bad file,
+ages by clocks that jump, a start by a remembered list, and the commands."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import threading
+from pathlib import Path
+from types import SimpleNamespace
+
+import apsw
+import pytest
+from click.testing import CliRunner
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from stage import brisk, staged
+
+from thistlelever import __main__ as command
+from thistlelever.carrier.recollection import Recollection
+from thistlelever.ground import interface as it
+from thistlelever.ledger import records
+from thistlelever.ledger.file import Failing, File, size
+from thistlelever.ledger.keeper import Keeper
+from thistlelever.ledger.records import Damaged, Mark, Moment, Newer, Rest, Window
+from thistlelever.recovery.ages import Age, Grade, Now, Terms, age, grade, trust
+from thistlelever.recovery.judge import Judge, Stage
+from thistlelever.store.batches import Batch, Name
+
+AT = Moment(1e9, 50.0, "boot")
+ROOT = Path(__file__).parents[1]
+
+
+def mark(n):
+    return Mark(b"%016d" % n, b"e-1", f"{n:016x}", 0, 5.0, AT)
+
+
+class Faults(apsw.VFS):
+    """SQLite's own files, of which the n-th write fails, or each from the n-th on, or waits."""
+
+    def __init__(self, name):
+        self.writes, self.at, self.stays, self.error, self.waits = 0, None, False, apsw.FullError, None
+        super().__init__(name, "")
+
+    def writing(self):
+        self.writes += 1
+        if self.at is not None and (self.writes == self.at or self.stays and self.writes >= self.at):
+            if self.waits:
+                self.waits.wait(10)
+                return
+            raise self.error("as the test says")
+
+    def xOpen(self, name, flags):
+        return Faulty(self, name, flags)
+
+    def xDelete(self, name, sync):
+        self.writing()
+        super().xDelete(name, sync)
+
+
+class Faulty(apsw.VFSFile):
+    def __init__(self, vfs, name, flags):
+        self.vfs = vfs
+        super().__init__("", name, flags)
+
+    def xWrite(self, data, offset):
+        self.vfs.writing()
+        super().xWrite(data, offset)
+
+    def xTruncate(self, size):
+        self.vfs.writing()
+        super().xTruncate(size)
+
+    def xSync(self, flags):
+        self.vfs.writing()
+        super().xSync(flags)
+
+
+def kept(path):
+    file, damaged = File(str(path)), []
+    found = {(kind, key): record for kind, key, record in file.read(damaged)}
+    wrong = file.verify()
+    file.close()
+    return found, damaged or wrong
+
+
+def test_a_record_comes_back_as_it_went_and_says_what_is_wrong_with_it():
+    data = records.pack(mark(1))
+    assert records.unpack("mark", data) == mark(1)
+    for spoilt in (data[:-1], data[:4], data[:-1] + bytes((data[-1] ^ 1,)), b""):
+        with pytest.raises(Damaged):
+            records.unpack("mark", spoilt)
+    _, check = records.HEAD.unpack_from(data)
+    later = records.HEAD.pack(records.SCHEMA + 1, check) + data[records.HEAD.size:]
+    with pytest.raises(Newer):
+        records.unpack("mark", later)
+
+
+def test_a_record_of_the_first_schema_is_brought_up_to_date():
+    import zlib
+
+    import msgspec
+
+    body = msgspec.msgpack.encode([[0.5], [], 1e9])
+    data = records.HEAD.pack(1, zlib.crc32(body)) + body
+    assert records.unpack("window", data) == Window((0.5,), (), Moment(1e9, 0.0, ""))
+
+
+@pytest.mark.parametrize("error", [apsw.FullError, apsw.IOError])
+@pytest.mark.parametrize("stays", [False, True])
+def test_whichever_write_fails_the_store_holds_a_state_that_was_true_once(tmp_path, error, stays):
+    name = f"faults-{error.__name__}-{stays}"
+    vfs = Faults(name)
+
+    def play(path):
+        """Three transactions; the states that were committed, in order."""
+        states, state = [{}], {}
+        try:
+            file = File(str(path), vfs=name)
+        except Failing:
+            return states
+        for turn in range(3):
+            changes = [("mark", b"%016d" % n, records.pack(mark(n))) for n in range(turn, turn + 12)]
+            changes.append(("mark", b"%016d" % turn, None))
+            after = state | {("mark", key): n for n, (_, key, _) in enumerate(changes[:-1], turn)}
+            after.pop(("mark", b"%016d" % turn))
+            try:
+                file.write(changes)
+                file.compact(always=turn == 1)
+            except Failing as why:
+                assert why.word in ("full", "io")
+                states.append(after)
+                break
+            state = after
+            states.append(state)
+        file.close()
+        return states
+
+    vfs.at, begun = None, vfs.writes
+    play(tmp_path / "whole.db")
+    for n in range(1, vfs.writes - begun + 1):
+        path = tmp_path / f"{n}.db"
+        vfs.at, vfs.stays, vfs.error, vfs.writes = n, stays, error, 0
+        states = play(path)
+        vfs.at = None
+        found, wrong = kept(path)
+        assert not wrong and set(found) in [set(state) for state in states[-2:] or states], n
+    assert n > 30
+
+
+def test_a_kill_loses_no_more_than_the_write_that_was_under_way(tmp_path):
+    code = ("import sys\n"
+            "from thistlelever.ledger.file import File\n"
+            "from thistlelever.ledger import records\n"
+            "from test_ledger import mark\n"
+            "file = File(sys.argv[1])\n"
+            "n = 0\n"
+            "while True:\n"
+            "    file.write([('mark', b'%016d' % k, records.pack(mark(k))) for k in range(n, n + 5)])\n"
+            "    n += 5\n"
+            "    print(n, flush=True)\n"
+            "    file.compact(always=n % 50 == 0)\n")
+    for turn in range(8):
+        path = tmp_path / f"{turn}.db"
+        process = subprocess.Popen([sys.executable, "-c", code, str(path)], stdout=subprocess.PIPE, cwd=ROOT,
+                                   env=os.environ | {"PYTHONPATH": f"{ROOT}:{ROOT}/tests"})
+        for _ in range(3 + turn * 7):
+            said = int(process.stdout.readline())
+        process.send_signal(signal.SIGKILL)
+        process.wait()
+        rest = process.stdout.read().split()
+        process.stdout.close()
+        said = int(rest[-1]) if rest else said
+        found, wrong = kept(path)
+        assert not wrong and said <= len(found) <= said + 5 and len(found) % 5 == 0
+
+
+@pytest.mark.parametrize("what, word", [
+    (lambda p: p.write_bytes(b"no database at all " * 300), "foreign"),
+    (lambda p: foreign(p), "foreign"), (lambda p: newer(p), "newer"), (lambda p: p.mkdir(), "gone"),
+    (lambda p: p.symlink_to("/dev/full"), "full"),
+])
+def test_what_is_no_store_of_ours_is_not_written_to(tmp_path, what, word):
+    path = tmp_path / "a.db"
+    what(path)
+    before = path.read_bytes() if path.is_file() and not path.is_symlink() else b""
+    with pytest.raises(Failing, match=word):
+        File(str(path))
+    assert not before or path.read_bytes() == before
+
+
+def foreign(path):
+    base = apsw.Connection(str(path))
+    base.execute("create table theirs (x)")
+    base.close()
+
+
+def newer(path):
+    File(str(path)).close()
+    base = apsw.Connection(str(path))
+    base.pragma("user_version", 99)
+    base.close()
+
+
+def test_a_damaged_record_costs_itself_alone_and_a_damaged_file_is_said_to_be(tmp_path):
+    path = tmp_path / "a.db"
+    file = File(str(path))
+    file.write([("mark", b"%016d" % n, records.pack(mark(n))) for n in range(400)])
+    file.write([("mark", b"%016d" % 7, b"spoilt")])
+    file.close()
+    found, wrong = kept(path)
+    assert len(found) == 399 and len(wrong) == 1
+    data = bytearray(path.read_bytes())
+    data[4096 * 2:4096 * 4] = os.urandom(8192)
+    path.write_bytes(data)
+    keeper = Keeper(lambda: File(str(path)))
+    keeper.open()
+    assert keeper.failing or keeper.damaged
+    keeper.close(1)
+
+
+def test_one_owner_at_a_time_and_a_dead_one_leaves_it_free(tmp_path):
+    path = str(tmp_path / "a.db")
+    code = "import sys, time\nfrom thistlelever.ledger.file import File\nf = File(sys.argv[1])\n" \
+           "print('open', flush=True)\ntime.sleep(60)\n"
+    process = subprocess.Popen([sys.executable, "-c", code, path], stdout=subprocess.PIPE, cwd=ROOT)
+    assert process.stdout.readline() == b"open\n"
+    with pytest.raises(Failing, match="held"):
+        File(path)
+    process.kill()
+    process.wait()
+    process.stdout.close()
+    File(path).close()
+
+
+def test_nobody_waits_for_a_write_that_takes_long_and_what_failed_is_written_later(tmp_path):
+    vfs, told = Faults("slow"), []
+    keeper = Keeper(lambda: File(str(tmp_path / "a.db"), vfs="slow"), 0.01, told.append)
+    assert not keeper.open()
+    vfs.at, vfs.waits, vfs.writes = 1, threading.Event(), 0
+    keeper.start()
+    for n in range(100):
+        keeper.put("mark", b"%016d" % n, mark(n))
+    while not vfs.writes:
+        threading.Event().wait(0.005)
+    # The write hangs; all that is put is there at once.
+    assert len(keeper.records["mark"]) == 100 and keeper.writes == 0
+    vfs.waits.set()
+    while not keeper.writes:
+        threading.Event().wait(0.005)
+    vfs.at, vfs.waits, vfs.stays, vfs.writes = 1, None, True, 0
+    keeper.put("mark", b"%016d" % 7, mark(8))
+    while not told:
+        threading.Event().wait(0.005)
+    assert told[0].startswith("full") and not keeper.keeps()
+    vfs.at = None
+    # Space given back is used again without a restart.
+    while len(told) < 2:
+        threading.Event().wait(0.005)
+    assert told[1] == "" and keeper.keeps()
+    keeper.close(5)
+    found, wrong = kept(tmp_path / "a.db")
+    assert not wrong and len(found) == 100 and found["mark", b"%016d" % 7] == mark(8)
+
+
+def test_without_a_file_the_front_has_all_of_it_in_memory(tmp_path):
+    keeper = Keeper(lambda: File(str(tmp_path / "none" / "a.db")), 0.01)
+    assert keeper.open().startswith("gone")
+    keeper.start()
+    keeper.put("rest", b"1", Rest("1", 2.0, AT))
+    assert keeper.records["rest"] and not keeper.keeps()
+    (tmp_path / "none").mkdir()
+    while keeper.failing:
+        threading.Event().wait(0.005)
+    keeper.close(5)
+    assert len(kept(tmp_path / "none" / "a.db")[0]) == 1
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.lists(st.tuples(st.integers(0, 9), st.booleans(), st.booleans()), max_size=40))
+def test_the_store_is_a_dictionary_that_outlives_its_process(tmp_path_factory, steps):
+    path = str(tmp_path_factory.mktemp("d") / "a.db")
+    model, keeper = {}, Keeper(lambda: File(path))
+    keeper.open()
+    for n, puts, restarts in steps:
+        key = b"%016d" % n
+        if puts:
+            model[key] = mark(n)
+            keeper.put("mark", key, mark(n))
+        else:
+            model.pop(key, None)
+            keeper.drop("mark", key)
+        if restarts:
+            keeper.write()
+            keeper.close(1)
+            keeper = Keeper(lambda: File(path))
+            assert not keeper.open()
+        assert keeper.records["mark"] == model
+    keeper.close(1)
+
+
+# Trust.
+
+HERE = Now(2e9, 1_000.0, "this")
+
+
+@pytest.mark.parametrize("then, found", [
+    ((2e9 - 60, 940.0, "this"), Age(60, 60)),
+    # The wall's clock was set while this boot went on: the machine's own tells it.
+    ((2e9 + 3_600, 940.0, "this"), Age(60, 60)), ((2e9 - 86_400, 940.0, "this"), Age(60, 60)),
+    ((2e9 - 5_000, 10.0, "that"), Age(5_000, 5_000)),
+    # Younger than this boot, or in the future: no age.
+    ((2e9 - 10, 10.0, "that"), Age(1_000, float("inf"))),
+    ((2e9 + 10, 10.0, "that"), Age(1_000, float("inf"))),
+    ((2e9 - 10, 0.0, ""), Age(10, 10)), ((2e9 + 10, 0.0, ""), Age(0, float("inf"))),
+])
+def test_an_age_is_a_range_and_the_future_is_not_fresh(then, found):
+    assert age(*then, HERE) == found
+    if found.most == float("inf"):
+        assert grade(found, Terms()) is Grade.LAST
+
+
+@given(st.floats(0, 1e9), st.floats(0, 1e9), st.floats(1, 1e6), st.floats(1, 1e6))
+def test_older_is_never_trusted_more(one, other, fresh, old):
+    terms = Terms(min(fresh, old), max(fresh, old))
+    young, aged = sorted((one, other))
+    assert grade(Age(young, young), terms) <= grade(Age(aged, aged), terms)
+    assert trust(Age(young, young), terms) >= trust(Age(aged, aged), terms)
+    assert trust(Age(0, float("inf")), terms) == 0
+
+
+def ages(**of):
+    return {name.encode(): Age(seconds, seconds) for name, seconds in of.items()}
+
+
+def test_a_start_uses_fresh_ones_asks_older_ones_and_the_oldest_last():
+    judge = Judge(Terms(), ages(a=1, b=100, c=90_000))
+    assert (judge.use, judge.ask, judge.stage) == ({b"a"}, {b"b"}, Stage.ASKING)
+    judge.heard(b"b", True)
+    assert (judge.use, judge.stage) == ({b"a", b"b"}, Stage.REMEMBERED)
+    judge = Judge(Terms(), ages(b=100, c=90_000))
+    judge.waited()
+    assert (judge.ask, judge.stage) == ({b"b", b"c"}, Stage.ASKING_LAST)
+    judge.heard(b"c", True)
+    assert (judge.use, judge.stage) == ({b"c"}, Stage.REMEMBERED)
+
+
+def test_where_nobody_answers_all_are_asked_again_until_discovery_is_back():
+    judge = Judge(Terms(), ages(b=100, c=90_000))
+    judge.waited()
+    judge.waited()
+    assert judge.stage is Stage.NOBODY and not judge.use
+    assert judge.again() == {b"b", b"c"} and judge.stage is Stage.ASKING_LAST
+    judge.heard(b"b", True)
+    judge.waited()
+    assert judge.use == {b"b"} and not judge.again()
+    judge.listed()
+    judge.heard(b"c", True)
+    assert judge.stage is Stage.LISTED and judge.use == {b"b"}
+
+
+@given(st.lists(st.tuples(st.integers(0, 5), st.sampled_from(["yes", "no", "wait", "again"])), max_size=30))
+def test_what_is_in_use_was_fresh_or_has_answered(steps):
+    names = [b"%d" % n for n in range(6)]
+    given = dict(zip(names, (Age(s, s) for s in (1, 10, 100, 1_000, 10_000, 1e6)), strict=True))
+    judge, said = Judge(Terms(), given), set()
+    for n, what in steps:
+        before = set(judge.use)
+        if what in ("yes", "no"):
+            judge.heard(names[n], what == "yes")
+            said |= {names[n]} if what == "yes" else set()
+        else:
+            {"wait": judge.waited, "again": judge.again}[what]()
+        assert before <= judge.use <= {b"0", b"1"} | said
+
+
+# Marks.
+
+def tariff(scope=it.Scope.ALL):
+    return it.Tariff("load", 1.0, 0.0, 1.0, 0.0, 4.0, it.Repeat.REFERENCED, scope, 5.0, 1, False, False,
+                     False, None, None)
+
+
+@pytest.mark.parametrize("scope, listed, ran, out, answer", [
+    (it.Scope.ALL, True, 1.0, b"e-1", None), (it.Scope.ALL, False, 1.0, b"", None),
+    (it.Scope.CELL, False, 1.0, b"", it.Error), (it.Scope.ALL, True, 5.0, b"", it.Error),
+    (it.Scope.CELL, True, 1.0, b"e-1", None), (it.Scope.ALL, True, float("inf"), b"", it.Error),
+])
+def test_what_may_have_run_before_a_restart_goes_only_where_its_repeat_is_dropped(scope, listed, ran, out,
+                                                                                    answer):
+    roll = SimpleNamespace(listed=lambda engine: listed)
+    tally = SimpleNamespace(add=lambda name: None)
+    found = b"e-1", Name("a" * 16, 2), ran
+    memory = Recollection(SimpleNamespace(tariffs=(tariff(scope),)), roll, tally, None, lambda mark: found)
+    asked = SimpleNamespace(txn="b" * 16, reference="5" * 32, repeat=True)
+    batch = Batch(1, asked, it.BatchTaken(1, 0, 0, 0, 4.0, None, 0.0, 17.0, True), "load", 1e9)
+    told = memory.enter(batch)
+    assert (told and type(told)) == answer and batch.taken.out_at == out
+    if out:
+        assert batch.name(0) == Name("a" * 16, 2) and batch.taken.out_for == ran
+
+
+# Commands.
+
+def test_the_commands_on_a_dead_a_damaged_and_a_held_store(tmp_path):
+    path = str(tmp_path / "a.db")
+    file = File(path)
+    file.write([("mark", b"%016d" % n, records.pack(mark(n))) for n in range(30)])
+    run = CliRunner().invoke
+
+    def state(*words, **more):
+        return run(command.main, ["state", *words], **more)
+
+    assert state("show", path).exit_code == 2 and "held" in state("verify", path).output
+    file.close()
+    shown = state("show", path, "--json")
+    assert shown.exit_code == 0 and json.loads(shown.output)["records"] == {"mark": 30}
+    assert state("verify", path).output == "sound\n"
+    exported = state("export", path)
+    assert exported.exit_code == 0 and len(exported.output.splitlines()) == 30
+    other = str(tmp_path / "b.db")
+    taken = state("import", other, input=exported.output)
+    assert taken.exit_code == 0 and taken.output == "30 records\n", taken.output
+    assert kept(other)[0] == kept(path)[0]
+    assert state("import", other, input="{}\n").exit_code == 2
+    assert state("compact", other).exit_code == 0
+    (tmp_path / "c.db").write_bytes(b"nothing of the kind" * 500)
+    assert state("verify", str(tmp_path / "c.db")).exit_code == 2
+    file = File(path)
+    file.write([("mark", b"%016d" % 3, b"spoilt")])
+    file.close()
+    wrong = state("verify", path)
+    assert wrong.exit_code == 1 and "checksum" in wrong.output
+    assert state("show").exit_code == 2 and size(path) > 4096
+
+
+def test_a_mark_outlives_its_front_and_its_repeat_goes_where_it_is_dropped(tmp_path):
+    # Two lives of one front on one store; its engine is another process by then, under the same id.
+    section = f'section state {{"path":"{tmp_path}/a.db"}}'
+    first = [section, "engine a", "front", f"submit 1 load once={'5a' * 16}", "answer 1 result rows",
+             f"submit 2 load once={'6a' * 16} table=sales_18.x", "answer 2 result rows"]
+    again = [section, "engine a", "front", f"submit 3 load once={'5a' * 16}", "answer 3 result rows",
+             "calls a GET0 1", "order a GET0 POST", f"saw a POST x-dedupe={'5a' * 16}",
+             f"submit 4 load once={'7a' * 16} table=sales_18.x", "answer 4 result rows", "calls a GET0 1"]
+
+    async def run():
+        for lines in (first, again):
+            with brisk():
+                async with staged([(line, line.split()) for line in lines]):
+                    pass
+
+    asyncio.run(run())
+    assert len([1 for kind, _ in kept(tmp_path / "a.db")[0] if kind == "mark"]) == 3
+
+
+def test_a_store_that_fails_stops_nobody_and_is_said_once(tmp_path):
+    lines = [f'section state {{"path":"{tmp_path}/none/a.db","every_s":0.01}}', "engine a", "front",
+             f"submit 1 load once={'5a' * 16}", "answer 1 result rows"]
+
+    async def run():
+        with brisk():
+            async with staged([(line, line.split()) for line in lines]) as stage:
+                side = stage.office.state
+                await stage.until(lambda: any(e == "state not kept" for e, _ in stage.events))
+                assert not side.show()["keeps"] and side.show()["records"]["mark"] == 1
+                (tmp_path / "none").mkdir()
+                await stage.until(lambda: any(e == "state kept again" for e, _ in stage.events))
+                assert side.show()["keeps"]
+                said = [e for e, _ in stage.events if e == "state not kept"]
+        return said
+
+    assert asyncio.run(run()) == ["state not kept"]
+    assert ("mark", b"\x5a" * 16) in kept(tmp_path / "none" / "a.db")[0]
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -67,7 +67,8 @@
             "extra = ('grpc', 'pyarrow', 'google', 'msgspec', 'itsdangerous', 'thistlelever.flight', "
             "'thistlelever.state', 'thistlelever.standins', 'thistlelever.membership', "
             "'thistlelever.carrier.peers', 'thistlelever.wire.peers', 'thistlelever.lifecycle.parts', "
-            "'thistlelever.takeover', 'thistlelever.wire.work', 'thistlelever.carrier.wards', 'xxhash')\n"
+            "'thistlelever.takeover', 'thistlelever.wire.work', 'thistlelever.carrier.wards', 'xxhash', "
+            "'thistlelever.recovery', 'thistlelever.ledger', 'thistlelever.carrier.recollection', 'apsw')\n"
             "print([m for m in sys.modules if m.startswith(extra)])")
     root = Path(__file__).parents[1]
     said = subprocess.run([sys.executable, "-c", code], cwd=root, capture_output=True, text=True, check=True)
--- a/tests/test_rigs.py
+++ b/tests/test_rigs.py
@@ -71,4 +71,4 @@
 
 def test_takeover_killed_at_each_step():
     last = played("takeover_steps", "--faults", "kill")
-    assert last["holds"] and last["cases"] == 11, last
+    assert last["holds"] and last["cases"] == 12, last
--- a/thistlelever/__main__.py
+++ b/thistlelever/__main__.py
@@ -228,6 +228,141 @@
     sys.exit(0 if said["found"] else 1)
 
 
+@main.group()
+def state() -> None:
+    """What a front keeps on disk: of a living one asked over its administration's socket, else from the
+    file."""
+
+
+PATH = click.argument("path", type=click.Path(dir_okay=False), required=False)
+
+
+def ledger(operator: str | None, path: str | None, read_only: bool):
+    """The file that is named, or the operator file's; exit 2 where it can't be opened."""
+    from thistlelever.ledger.file import Failing, File
+
+    told = switched_on(operator)
+    path = path or (told.state.path if told and told.state else None)
+    if not path:
+        click.echo("thistlelever: a path, or state.path in the operator file, is wanted", err=True)
+        sys.exit(2)
+    try:
+        return File(path, read_only=read_only)
+    except Failing as why:
+        click.echo(f"thistlelever: {path}: {why}", err=True)
+        sys.exit(2)
+
+
+@state.command("show")
+@OPERATOR
+@PATH
+@click.option("--json", "as_json", is_flag=True, help="For programs.")
+def state_show(operator: str | None, path: str | None, as_json: bool) -> None:
+    """How many records of each kind there are; of a living front also how it started, and whether it keeps
+    what it is told (exit 1 where it does not)."""
+    told = switched_on(operator) if not path else None
+    if told and told.admin and told.state and not path and living(told.admin.socket):
+        said = asked(operator, "state.show")
+    else:
+        from collections import Counter
+
+        file, damaged = ledger(operator, path, True), []
+        counts = Counter(kind for kind, _, _ in file.read(damaged))
+        said = {"path": file.path, "records": dict(counts), "damaged": len(damaged), "keeps": True}
+        file.close()
+    if as_json:
+        click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2).decode())
+    else:
+        for name, value in said.items():
+            click.echo(f"{name}: " + (", ".join(f"{k} {v}" for k, v in value.items())
+                                      if isinstance(value, dict) else str(value)))
+    sys.exit(0 if said["keeps"] else 1)
+
+
+@state.command("verify")
+@OPERATOR
+@PATH
+def state_verify(operator: str | None, path: str | None) -> None:
+    """Look at the file and each record; exit 1 where something is wrong."""
+    file = ledger(operator, path, True)
+    wrong = file.verify()
+    file.close()
+    for line in wrong:
+        click.echo(line)
+    click.echo(f"{len(wrong)} faults" if wrong else "sound")
+    sys.exit(1 if wrong else 0)
+
+
+@state.command("export")
+@OPERATOR
+@PATH
+def state_export(operator: str | None, path: str | None) -> None:
+    """Print every record that can be read, one JSON line each."""
+    import msgspec
+
+    file = ledger(operator, path, True)
+    for kind, key, record in file.read():
+        fields = {name: getattr(record, name) for name in record.__struct_fields__}
+        click.echo(msgspec.json.encode({"kind": kind, "key": key.hex(), "record": fields}).decode())
+    file.close()
+
+
+@state.command("import")
+@OPERATOR
+@PATH
+@click.option("--from", "source", type=click.File("rb"), default="-", help="What `export` printed.")
+def state_import(operator: str | None, path: str | None, source) -> None:
+    """Take records that `export` printed into a store that no front holds."""
+    import msgspec
+
+    from thistlelever.ledger import records
+    from thistlelever.ledger.file import Failing
+
+    changes = []
+    for number, line in enumerate(source, 1):
+        try:
+            told = orjson.loads(line)
+            record = msgspec.convert(list(told["record"].values()), records.KINDS[told["kind"]], strict=False)
+            changes.append((told["kind"], bytes.fromhex(told["key"]), records.pack(record)))
+        except (ValueError, KeyError, AttributeError, TypeError, msgspec.MsgspecError) as why:
+            click.echo(f"thistlelever: line {number}: no record: {why!r}", err=True)
+            sys.exit(2)
+    file = ledger(operator, path, False)
+    try:
+        file.write(changes)
+    except Failing as why:
+        click.echo(f"thistlelever: {file.path}: {why}", err=True)
+        sys.exit(1)
+    file.close()
+    click.echo(f"{len(changes)} records")
+
+
+@state.command("compact")
+@OPERATOR
+@PATH
+def state_compact(operator: str | None, path: str | None) -> None:
+    """Give back what lies free in a store that no front holds."""
+    from thistlelever.ledger.file import Failing, size
+
+    file = ledger(operator, path, False)
+    before = size(file.path)
+    try:
+        file.compact(always=True)
+    except Failing as why:
+        click.echo(f"thistlelever: {file.path}: {why}", err=True)
+        sys.exit(1)
+    file.close()
+    click.echo(f"{before} -> {size(file.path)} bytes")
+
+
+def living(path: str) -> bool:
+    """Whether a front answers at that socket."""
+    import socket
+
+    with socket.socket(socket.AF_UNIX) as raw:
+        return raw.connect_ex(path) == 0
+
+
 @main.command()
 def schema() -> None:
     """Print the JSON schema of the operator file."""
--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -111,6 +111,7 @@
             it.BatchTaken: self.taken, it.DispatchEnded: self.ended, it.ProgressNote: self.noted,
             it.ClientLeft: self.left, it.ProbeEnded: self.probed, it.ListTold: self.listed_anew,
             it.FrontStops: self.stops, it.FrontsCounted: self.counted,
+            it.Recalled: self.recalled,
         }
 
     def handle(self, now: float, events: list[it.Event]) -> list[it.Action]:
@@ -285,6 +286,26 @@
         self.alike = max(self.fronts * self.fill / (self.fronts + self.fill), 1.0)
         self.step = min(self.threads / self.narrow / self.fronts, 1.0)
 
+    def recall(self, now: float) -> it.Recalled:
+        """What another life is to know; `recalled` puts it back."""
+        engines = [(e, self.bound[i], self.slow[i] ** exp((self.slow_at[i] - now) / self.forget),
+                    max(self.started[i], 0.0)) for e, i in self.index.items() if self.listed[i]]
+        keys = [(key, at - now) for key, at in self.key_free.items() if at > now]
+        return it.Recalled(tuple(engines), tuple(keys), *(tuple(now - at for at in times)
+                                                          for times in (self.took, self.extra)))
+
+    def recalled(self, told: it.Recalled) -> None:
+        for e, bound, pace, started in told.engines:
+            if (i := self.index.get(e)) is not None:
+                self.bound[i] = min(bound, self.cores[i] * THREADS_A_CORE)
+                self.slow[i], self.slow_at[i] = pace, self.now
+                self.started[i] = max(self.started[i], started or -1e9)
+        for key, left in told.keys:
+            self.key_free[key] = max(self.now + left, self.key_free.get(key, 0.0))
+        # Rule 7's window goes on across a restart: what was spent in it is spent.
+        self.took.extendleft(self.now - ago for ago in reversed(told.took))
+        self.extra.extendleft(self.now - ago for ago in reversed(told.extra))
+
     def probed(self, told: it.ProbeEnded) -> None:
         if (i := self.index.get(told.engine)) is not None:
             self.probe_at[i] = -1e9
--- a/thistlelever/carrier/course.py
+++ b/thistlelever/carrier/course.py
@@ -20,6 +20,7 @@
 
 if TYPE_CHECKING:
     from thistlelever.carrier.gate import Gate
+    from thistlelever.carrier.recollection import Recollection
     from thistlelever.carrier.wards import Wards
 
 # What a batch's task is told beside the actions and the ends of its dispatches.
@@ -41,6 +42,8 @@
         # knows whose they are.
         self.gate: Gate | None = None
         self.wards: Wards | None = None
+        # Where state is kept, what a former life has said of a batch.
+        self.memory: Recollection | None = None
         self.desk, self.dispatcher, self.batches = desk, dispatcher, batches
         self.tally, self.log = tally, log
         self.tasks: set[asyncio.Task] = set()
@@ -97,6 +100,9 @@
     async def life(self, batch: Batch, answer: Answer) -> None:
         if self.wards and not await self.led(batch, answer):
             return
+        if self.memory and (told := self.memory.enter(batch)):
+            self.final(batch, answer, told)
+            return
         if self.gate and not await self.admitted(batch, answer):
             return
         self.desk.tell(batch.taken)
@@ -109,6 +115,8 @@
                         self.dispatcher.reprioritise(batch)
                 case it.Dispatch():
                     number, batch.dispatches = batch.dispatches, batch.dispatches + 1
+                    if self.memory:
+                        self.memory.goes_out(batch, number, told.engine)
                     batch.out[number] = self.dispatcher.start(batch, number, told)
                     if self.gate:
                         self.gate.began(batch)
@@ -130,6 +138,8 @@
                     batch.true_work += told.true_work
                     if batch.ward:
                         batch.ward.came_back(told)
+                    if self.memory:
+                        self.memory.came_back(batch, told)
                     if told.fate is it.Fate.RETURNED and not batch.answered:
                         await self.settle(batch, answer, told)
                     self.desk.tell(told.event(batch.number, batch.answered))
--- a/thistlelever/carrier/directory.py
+++ b/thistlelever/carrier/directory.py
@@ -36,7 +36,7 @@
         self.seed, self.asked = seed, 0
         self.awaited: dict[int, asyncio.TimerHandle] = {}
         self.transport: asyncio.DatagramTransport | None = None
-        self.last, self.misses = b"", 0
+        self.last, self.misses, self.heard_at = b"", 0, 0.0
 
     async def open(self, address: tuple[str, int]) -> None:
         """Ask at that address from now on. The one asked before is let go only once the new one stands."""
@@ -116,7 +116,7 @@
 
     def heard(self, number: int) -> None:
         self.awaited.pop(number).cancel()
-        self.misses = 0
+        self.misses, self.heard_at = 0, clock.now()
 
     def entry(self, found: dns.Found) -> Entry:
         facts = found.facts
--- /dev/null
+++ b/thistlelever/carrier/recollection.py
@@ -0,0 +1,72 @@
+"""Batches that have begun before this front had them: in its former life, or at another front."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from thistlelever.carrier.dispatch import End
+from thistlelever.ground import interface as it
+from thistlelever.ground.tally import Tally
+from thistlelever.store.batches import Batch, Name
+from thistlelever.store.roll import Roll
+
+# After these the engine surely never ran it.
+NEVER_RAN = frozenset((it.Fate.FULL, it.Fate.UNREACHABLE, it.Fate.UNSENT))
+
+
+def goes_on_from(batch: Batch, tariff: it.Tariff, roll: Roll, name: Name, engine: it.EngineId,
+                 ran_for: float) -> bool:
+    """What was begun there becomes the batch's first dispatch: whether it can go on from it. Where its
+    engine is out of sight only what may run again, or whose repeats all engines drop still, is begun
+    anew."""
+    if roll.listed(engine):
+        batch.under[0] = name
+        batch.taken = batch.taken._replace(out_at=engine, out_for=ran_for)
+        return True
+    dropped = tariff.repeat is it.Repeat.REFERENCED and tariff.scope is it.Scope.ALL
+    return tariff.repeat is it.Repeat.REPEATABLE or dropped and ran_for < tariff.window
+
+
+class Recollection:
+    """Marks of referenced batches that may have run, so that after a restart their repeats go only where
+    they are dropped. `remember` is told a mark, its engine, name and window, or None where it surely never
+    ran; `find` gives engine, name and how long ago, or None."""
+
+    def __init__(self, manifest: it.Manifest, roll: Roll, tally: Tally,
+                 remember: Callable[[bytes, tuple[it.EngineId, Name, float] | None], None],
+                 find: Callable[[bytes], tuple[it.EngineId, Name, float] | None]) -> None:
+        self.tariffs = {t.name: t for t in manifest.tariffs}
+        self.roll, self.tally, self.remember, self.find = roll, tally, remember, find
+
+    def referenced(self, batch: Batch) -> bool:
+        repeat = self.tariffs[batch.lane].repeat
+        return bool(batch.asked.reference) and repeat is it.Repeat.REFERENCED
+
+    def enter(self, batch: Batch) -> it.Error | None:
+        """What a former life knows of the batch; an answer where it can't be gone on with."""
+        if batch.under or not self.referenced(batch):
+            return None
+        found = self.find(bytes.fromhex(batch.asked.reference))
+        if found is None:
+            return None
+        engine, name, ran_for = found
+        tariff = self.tariffs[batch.lane]
+        if ran_for >= tariff.window:
+            # No engine drops its repeats any more: it may have run, and must not again.
+            good = False
+        else:
+            good = goes_on_from(batch, tariff, self.roll, name, engine, ran_for)
+        self.tally.add("state: gone on with" if good else "state: told that it is not known")
+        return None if good else it.Error(batch.number)
+
+    def goes_out(self, batch: Batch, number: int, engine: it.EngineId) -> None:
+        """A dispatch is about to go out; nobody waits for the disk."""
+        if not number and 0 not in batch.under and self.referenced(batch):
+            mark = bytes.fromhex(batch.asked.reference)
+            tariff = self.tariffs[batch.lane]
+            self.remember(mark, (engine, batch.name(0), tariff.window))
+
+    def came_back(self, batch: Batch, end: End) -> None:
+        """The first dispatch surely never ran: its repeats are nobody's to drop."""
+        if end.fate in NEVER_RAN and not end.number and 0 not in batch.under and self.referenced(batch):
+            self.remember(bytes.fromhex(batch.asked.reference), None)
--- a/thistlelever/carrier/wards.py
+++ b/thistlelever/carrier/wards.py
@@ -9,6 +9,7 @@
 
 from thistlelever.carrier.dispatch import End, Ended, Sending, Speech
 from thistlelever.carrier.peers import Peers
+from thistlelever.carrier.recollection import goes_on_from
 from thistlelever.ground import clock
 from thistlelever.ground import interface as it
 from thistlelever.ground.log import Log
@@ -187,21 +188,16 @@
         return it.Error(batch.number)
 
     def adopts(self, batch: Batch, value: Value, tariff: it.Tariff) -> bool:
-        """Another front's run becomes this one's first dispatch: whether the batch can go on from there.
-        Where its engine is out of sight only what the engines drop, or may run again, is begun anew."""
-        engine = value.engine.encode("latin-1")
-        repeatable = tariff.repeat is it.Repeat.REPEATABLE
-        if value.state is State.RETURNED and repeatable:
+        """Another front's run becomes this one's first dispatch: whether the batch can go on from there."""
+        if value.state is State.RETURNED and tariff.repeat is it.Repeat.REPEATABLE:
             return True
-        if self.roll.listed(engine):
+        begun = Name(value.txn.hex(), value.number), value.engine.encode("latin-1"), value.ran_ms / 1e3
+        good = goes_on_from(batch, tariff, self.roll, *begun)
+        if 0 in batch.under:
             self.tally.add("takeover: adopted")
             self.log("work adopted", batch=batch.asked.txn, began_as=value.txn.hex(), engine=value.engine,
                      state=value.state.name.lower(), ran_s=value.ran_ms / 1e3)
-            batch.under[0] = Name(value.txn.hex(), value.number)
-            batch.taken = batch.taken._replace(out_at=engine, out_for=value.ran_ms / 1e3)
-            return True
-        dropped = tariff.repeat is it.Repeat.REFERENCED and tariff.scope is it.Scope.ALL
-        return repeatable or dropped and value.ran_ms / 1e3 < tariff.window
+        return good
 
     async def read(self, batch: Batch, value: Value) -> End | None:
         """The result of a run that another front has out, read at its engine; None where there is none."""
--- a/thistlelever/ground/interface.py
+++ b/thistlelever/ground/interface.py
@@ -221,6 +221,17 @@
     fronts: int
 
 
+class Recalled(NamedTuple):
+    """What the decisions of a former life, or of another process, had learnt: of engines their bound, pace
+    and since when they are cold (0: not); keys that rest, with how long; batches taken and further
+    dispatches, by how long ago each was."""
+
+    engines: tuple[tuple[EngineId, float, float, float], ...]
+    keys: tuple[tuple[int, float], ...]
+    took: tuple[float, ...]
+    extra: tuple[float, ...]
+
+
 class TimerDue(NamedTuple):
     token: int
 
@@ -257,7 +268,7 @@
 
 Event = (
     BatchTaken | DispatchEnded | ResponseStarted | ProgressNote | ClientLeft | FrontStops
-    | FrontsCounted | TimerDue | ProbeEnded | ListTold | PeerNote
+    | FrontsCounted | Recalled | TimerDue | ProbeEnded | ListTold | PeerNote
 )
 
 
--- a/thistlelever/ground/operator.py
+++ b/thistlelever/ground/operator.py
@@ -20,7 +20,8 @@
 Part = Annotated[float, Meta(ge=0, le=1)]
 Seconds = Annotated[float, Meta(gt=0, le=86_400)]
 # What each section imports beside the core: the extra of the same name installs it.
-EXTRAS = {"flight": ("grpc", "google.rpc", "pyarrow", "itsdangerous"), "takeover": ("xxhash",)}
+EXTRAS = {"flight": ("grpc", "google.rpc", "pyarrow", "itsdangerous"), "takeover": ("xxhash",),
+          "state": ("apsw",)}
 
 
 # What takes effect at a reload; the rest waits for a restart.
@@ -115,6 +116,16 @@
     demand: tuple[Word, ...] | None = None
 
 
+class State(Struct, frozen=True, forbid_unknown_fields=True):
+    """What a next life is to know, kept on disk; and how far a remembered list is trusted at a start."""
+
+    path: Annotated[str, Meta(min_length=1, max_length=4_096)]
+    every_s: Annotated[float, Meta(ge=0.01, le=60)] = 0.2
+    fresh_s: Annotated[float, Meta(ge=0, le=86_400)] = 30.0
+    old_s: Annotated[float, Meta(ge=1, le=31_536_000)] = 3_600.0
+    within_s: Annotated[float, Meta(ge=0.01, le=10)] = 0.25
+
+
 class Admin(Struct, frozen=True, forbid_unknown_fields=True):
     """A local socket for questions about a living front, open to its own user alone."""
 
@@ -128,6 +139,7 @@
     budgets: Budgets | None = None
     membership: Membership | None = None
     takeover: Takeover | None = None
+    state: State | None = None
     admin: Admin | None = None
 
 
--- a/thistlelever/lifecycle/parts.py
+++ b/thistlelever/lifecycle/parts.py
@@ -10,6 +10,7 @@
 
 from thistlelever.carrier.course import Courses
 from thistlelever.carrier.desk import Desk
+from thistlelever.carrier.directory import Inquiry
 from thistlelever.carrier.dispatch import Dispatcher
 from thistlelever.carrier.intake import Intake
 from thistlelever.ground.log import Log
@@ -34,6 +35,7 @@
     intake: Intake
     courses: Courses
     dispatcher: Dispatcher
+    inquiry: Inquiry
 
 
 class Side(Protocol):
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -37,6 +37,7 @@
     from thistlelever.lifecycle.flight import FlightSide
     from thistlelever.lifecycle.membership import MembershipSide
     from thistlelever.lifecycle.parts import Side
+    from thistlelever.lifecycle.state import StateSide
 
 # After a SIGTERM, requests go on coming for 0.6 s; the kill comes no sooner than the longest time limit,
 # or 3 s if that is less, and 0.7 s more after it. The last answers are written before.
@@ -74,6 +75,7 @@
         self.dispatcher = Dispatcher(manifest, self.roll, lambda entry: over_http, self.desk, self.tally, log)
         self.flight: FlightSide | None = None
         self.membership: MembershipSide | None = None
+        self.state: StateSide | None = None
         self.courses = Courses(self.desk, self.dispatcher, self.batches, self.tally, log)
         self.pulse = Pulse()
         self.intake = Intake(manifest, self.pulse, self.batches)
@@ -96,13 +98,18 @@
         from thistlelever.lifecycle.parts import Parts
 
         parts = Parts(self.papers, self.log, self.tally, self.batches, self.roll, self.desk, self.intake,
-                      self.courses, self.dispatcher)
+                      self.courses, self.dispatcher, self.inquiry)
         sides: list[Side] = []
         if operator.flight:
             from thistlelever.lifecycle.flight import FlightSide
 
             self.flight = FlightSide(parts, operator.flight)
             sides.append(self.flight)
+        if operator.state:
+            from thistlelever.lifecycle.state import StateSide
+
+            self.state = StateSide(parts, operator.state)
+            sides.append(self.state)
         if operator.budgets:
             from thistlelever.lifecycle.budgets import BudgetsSide
 
@@ -115,7 +122,11 @@
         if operator.takeover and self.membership:
             from thistlelever.lifecycle.takeover import TakeoverSide
 
-            sides.append(TakeoverSide(parts, operator.takeover, self.membership))
+            takeover = TakeoverSide(parts, operator.takeover, self.membership)
+            if self.state:
+                # A front that keeps nothing does not promise others to.
+                self.state.on_failing.append(takeover.failing)
+            sides.append(takeover)
         return sides
 
     def forget(self, engine: it.EngineId) -> None:
--- /dev/null
+++ b/thistlelever/lifecycle/state.py
@@ -0,0 +1,279 @@
+"""Puts together what the operator's section `state` switches on: what is kept on disk, and a start by it.
+Imported only where it is there."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import time
+from collections.abc import Callable
+from contextlib import suppress
+
+from thistlelever.carrier.recollection import Recollection
+from thistlelever.ground import clock
+from thistlelever.ground import interface as it
+from thistlelever.ground.operator import Operator, State
+from thistlelever.ground.papers import Entry, Papers
+from thistlelever.ledger import file, records
+from thistlelever.ledger.file import File
+from thistlelever.ledger.keeper import Keeper
+from thistlelever.ledger.records import Learnt, Listed, Mark, Moment, Rest, Window
+from thistlelever.lifecycle.parts import Parts
+from thistlelever.recovery.ages import Age, Now, Terms, age
+from thistlelever.recovery.judge import Judge, Stage
+from thistlelever.store.batches import Name
+
+# What is learnt and confirmed is written down this often, and a start that found nobody is tried again.
+NOTE, AGAIN = 1.0, 1.0
+ALWAYS = Age(0.0, 0.0)
+
+
+def now() -> Now:
+    """By both clocks."""
+    return Now(time.time(), time.clock_gettime(time.CLOCK_BOOTTIME), boot())
+
+
+def boot() -> str:
+    with suppress(OSError), open("/proc/sys/kernel/random/boot_id") as told:
+        return told.read().strip()
+    return ""
+
+
+def moment(ago: float = 0.0) -> Moment:
+    at = now()
+    return Moment(at.wall - ago, at.since_boot - ago, at.boot)
+
+
+def since(then: Moment) -> Age:
+    return age(then.wall, then.since_boot, then.boot, now())
+
+
+def written(path: str | None) -> Age:
+    """Since when the configuration may be as it is."""
+    if not path:
+        return ALWAYS
+    try:
+        return age(os.path.getmtime(path), 0.0, "", now())
+    except OSError:
+        return Age(0.0, float("inf"))
+
+
+class StateSide:
+    """The store, what goes into it, and the start by what was in it."""
+
+    def __init__(self, parts: Parts, section: State, config: str | None = None) -> None:
+        self.parts, self.section = parts, section
+        self.loop: asyncio.AbstractEventLoop | None = None
+        # Who is told when the store begins to fail, and when it does no more.
+        self.on_failing: list[Callable[[str], None]] = []
+        self.keeper = Keeper(lambda: File(section.path), section.every_s, self.changed)
+        self.keeper.open()
+        config = config or os.environ.get("BALANCER_CONFIG")
+        entries, ages = self.remembered(parts.papers, written(config))
+        terms = Terms(section.fresh_s, section.old_s, section.within_s)
+        self.judge = Judge(terms, ages)
+        self.entries = entries
+        self.fresh_start = len(self.judge.use) == len(entries)
+        if not self.fresh_start:
+            self.use()
+        self.serial, self.written_at = parts.roll.serial, 0.0
+        self.tasks: list[asyncio.Task] = []
+        parts.courses.memory = Recollection(
+            parts.papers.manifest, parts.roll, parts.tally, self.remember, self.find)
+
+    # What a former life knew.
+
+    def remembered(self, papers: Papers, config_age: Age) -> tuple[dict[bytes, Entry], dict[bytes, Age]]:
+        """Each engine that either list names, with the age of the younger word of it. What the younger of
+        the two lists does not name any more is gone."""
+        stored = {record.id: record for record in self.keeper.records["listed"].values()}
+        ages = {engine: since(record.confirmed) for engine, record in stored.items()}
+        newest = min((found.most for found in ages.values()), default=float("inf"))
+        entries: dict[bytes, Entry] = {}
+        found: dict[bytes, Age] = {}
+        for entry in papers.known:
+            if newest >= config_age.most or entry.engine.id in stored:
+                entries[entry.engine.id], found[entry.engine.id] = entry, config_age
+        for engine, record in stored.items():
+            if ages[engine].most < found.get(engine, Age(0.0, float("inf"))).most and (
+                    newest < config_age.most or engine in entries):
+                entries[engine], found[engine] = listed(record), ages[engine]
+        # Two under one address: the one that was heard of last is there.
+        place: dict[tuple[str, int], bytes] = {}
+        for engine in sorted(entries, key=lambda e: (found[e].most, e)):
+            if place.setdefault(entries[engine].address, engine) != engine:
+                del found[engine]
+        ready = {e: entries[e] for e in found if entries[e].engine.standing is it.Standing.READY}
+        return ready, {e: found[e] for e in ready}
+
+    def use(self) -> None:
+        """Into the list what may be used by now. Any answer of the directory replaces it, whatever its
+        serial."""
+        chosen = [self.entries[engine] for engine in sorted(self.judge.use)]
+        self.parts.roll.serial, self.parts.roll.entries = 0, {entry.engine.id: entry for entry in chosen}
+
+    def recall(self) -> None:
+        """What the decisions had learnt, told to them again."""
+        kept = self.keeper.records
+        rests = [(int(rest.key, 16), rest.left - since(rest.at).least) for rest in kept["rest"].values()]
+        took: tuple[float, ...] = ()
+        extra: tuple[float, ...] = ()
+        if window := kept["window"].get(b"window"):
+            passed = since(window.at).least
+            took, extra = (tuple(ago + passed for ago in times) for times in (window.took, window.extra))
+        fresh = [one for one in kept["learnt"].values() if since(one.at).most <= self.section.old_s]
+        told = it.Recalled(
+            tuple((one.id, one.bound, one.pace, one.started) for one in fresh),
+            tuple((key, left) for key, left in rests if left > 0), took, extra)
+        self.parts.desk.tell(told)
+
+    def remember(self, mark: bytes, what: tuple[it.EngineId, Name, float] | None) -> None:
+        if what is None:
+            self.keeper.drop("mark", mark)
+            return
+        engine, name, window = what
+        self.keeper.put("mark", mark, Mark(mark, engine, name.txn, name.number, window, moment()))
+
+    def find(self, mark: bytes) -> tuple[it.EngineId, Name, float] | None:
+        found = self.keeper.records["mark"].get(mark)
+        # By the least that it may be its repeats would still be dropped; by the most they are not.
+        return found and (found.engine, Name(found.txn, found.number), since(found.ran).most)
+
+    # Its life.
+
+    async def open(self) -> dict:
+        """Ask whom the judge wants asked, and start with who answers."""
+        self.loop = asyncio.get_running_loop()
+        self.keeper.start()
+        if self.keeper.failing:
+            self.changed_here(self.keeper.failing)
+        if not self.fresh_start:
+            while self.judge.stage in (Stage.ASKING, Stage.ASKING_LAST):
+                await self.asking()
+            self.tell_list()
+        self.recall()
+        self.tasks = [self.loop.create_task(self.noting()), self.loop.create_task(self.finding())]
+        return {"state": self.judge.stage.value, "engines_remembered": len(self.entries)}
+
+    async def asking(self) -> None:
+        """One round: all that are to be asked, side by side."""
+        async def one(engine: bytes) -> None:
+            fate, _ = await self.parts.dispatcher.speech(self.entries[engine]).probe(self.entries[engine])
+            self.judge.heard(engine, fate is it.Fate.RETURNED)
+
+        asked = [asyncio.ensure_future(one(e)) for e in sorted(self.judge.ask - self.judge.answered.keys())]
+        if asked:
+            _, late = await asyncio.wait(asked, timeout=self.section.within_s + 0.05)
+            for task in late:
+                task.cancel()
+        self.judge.waited()
+
+    def tell_list(self) -> None:
+        if self.judge.stage is not Stage.LISTED and not self.parts.roll.serial:
+            self.use()
+            roll = self.parts.roll
+            self.parts.desk.tell(it.ListTold(it.ListKind.CACHED, roll.serial, roll.told()))
+            self.parts.log("started by what was remembered", **self.judge.show())
+
+    async def finding(self) -> None:
+        """Where nobody answered: again and again, until somebody does or discovery is back."""
+        while not self.fresh_start:
+            await asyncio.sleep(AGAIN)
+            if self.parts.roll.serial:
+                self.judge.listed()
+                return
+            if self.judge.again():
+                await self.asking()
+                if self.judge.use:
+                    self.tell_list()
+
+    async def noting(self) -> None:
+        """Write down what is known by now; the disk is the other thread's."""
+        while True:
+            await asyncio.sleep(NOTE)
+            self.note()
+
+    def note(self) -> None:
+        roll, keeper, heard = self.parts.roll, self.keeper, self.parts.inquiry.heard_at
+        if heard > self.written_at:
+            self.written_at, at = heard, moment(clock.now() - heard)
+            if self.judge.stage is not Stage.LISTED:
+                self.judge.listed()
+            for engine in [e for e in keeper.records["listed"] if e not in roll.entries]:
+                keeper.drop("listed", engine)
+                keeper.drop("learnt", engine)
+            for engine, entry in roll.entries.items():
+                if entry.engine.standing is not it.Standing.GONE:
+                    keeper.put("listed", engine, record(entry, roll.serial, at))
+        learnt, at = self.parts.desk.front.recall(clock.now()), moment()
+        for engine, bound, pace, started in learnt.engines:
+            if engine in keeper.records["listed"]:
+                keeper.put("learnt", engine, Learnt(engine, bound, pace, started, at))
+        for key, left in learnt.keys:
+            # A table's name as a number: longer than any field of numbers.
+            keeper.put("rest", b"%x" % key, Rest(f"{key:x}", left, at))
+        if learnt.took or learnt.extra:
+            keeper.put("window", b"window", Window(learnt.took, learnt.extra, at))
+        self.forget()
+
+    def forget(self) -> None:
+        """What can matter no more: marks whose repeats nobody drops, keys that have rested."""
+        for kind, over in (("mark", lambda m: since(m.ran).least > 2 * m.window),
+                           ("rest", lambda r: since(r.at).least > r.left)):
+            kept = self.keeper.records[kind]
+            for key in list(kept)[:1_000]:
+                if not over(kept[key]):
+                    break
+                self.keeper.drop(kind, key)
+
+    # Failing.
+
+    def changed(self, failing: str) -> None:
+        """On the writing thread."""
+        if self.loop and not self.loop.is_closed():
+            with suppress(RuntimeError):
+                self.loop.call_soon_threadsafe(self.changed_here, failing)
+
+    def changed_here(self, failing: str) -> None:
+        self.parts.tally.add(f"state: {failing.partition(':')[0]}" if failing else "state: kept again")
+        self.parts.log("state not kept" if failing else "state kept again", why=failing)
+        for told in self.on_failing:
+            told(failing)
+
+    def renew(self, operator: Operator, papers: Papers) -> None:
+        """All of it waits for a restart."""
+
+    def questions(self) -> dict[str, Callable[..., dict]]:
+        return {"state.show": self.show}
+
+    def show(self) -> dict:
+        keeper = self.keeper
+        return {
+            "path": self.section.path, "failing": keeper.failing, "stuck_s": round(keeper.stuck(), 3),
+            "keeps": keeper.keeps(), "start": self.judge.show(), "writes": keeper.writes,
+            "written": keeper.written, "longest_write_s": round(keeper.longest, 4),
+            "waiting": len(keeper.dirty), "past_bounds": keeper.full, "damaged": len(keeper.damaged),
+            "bytes": file.size(self.section.path),
+            "records": {kind: len(kept) for kind, kept in keeper.records.items()},
+        }
+
+    def stopping(self) -> None:
+        self.note()
+
+    async def close(self, grace: float) -> None:
+        for task in self.tasks:
+            task.cancel()
+        self.note()
+        await asyncio.get_running_loop().run_in_executor(None, self.keeper.close, grace)
+
+
+def record(entry: Entry, serial: int, at: Moment) -> Listed:
+    e = entry.engine
+    return Listed(e.id, *entry.address, e.zone, e.cell, e.kind, int(e.standing), e.started, e.size,
+                  serial, at)
+
+
+def listed(kept: records.Listed) -> Entry:
+    engine = it.Engine(kept.id, kept.zone, kept.cell, kept.kind, it.Standing(kept.standing), kept.started,
+                       kept.size)
+    return Entry(engine, (kept.address, kept.port))
--- a/thistlelever/lifecycle/takeover.py
+++ b/thistlelever/lifecycle/takeover.py
@@ -83,6 +83,10 @@
             "inhand.explain": lambda batch: views.explain(self.judge, batch, clock.now()),
         }
 
+    def failing(self, why: str) -> None:
+        """This front's store keeps nothing, or does again: as a place it says so and is passed by."""
+        self.judge.holder.failing = why
+
     def stopping(self) -> None:
         at = clock.on_loop(self.parts.intake.stop_at) - HAND_OVER
         asyncio.get_running_loop().call_at(at, self.wards.hand_over)
