A poll waits 10 ms for the link that has just answered sooner than it opens another

Checked: a link rests 10 ms after a reply, so that what comes unasked is seen; the poll behind a 202 finds none that has rested and opens a second one (Links.take). Now a poll waits for a kept link of its engine; pages and dispatches do not.

--- a/rigs/takeover.py
+++ b/rigs/takeover.py
@@ -14,6 +14,7 @@
 from collections import Counter, defaultdict
 from contextlib import suppress
 from itertools import count
+from pathlib import Path
 from time import time
 
 import click
@@ -251,6 +252,7 @@
     def __init__(self, fleet, chance, machines, clients, membership=True):
         self.fleet, self.chance, self.machines, self.clients = fleet, chance, machines, clients
         self.broken, self.kills, self.lost_engines, self.round = [], [], [], 0
+        self.done = []
         self.steps = [self.kill, self.stop_long, self.deaf, self.stop_short, self.mute, self.leave,
                       self.kill_with_engine, self.kill_two]
         if fleet.many >= 10:
@@ -263,9 +265,12 @@
         order = sorted(self.steps, key=lambda step: self.chance.share("order", self.round, step.__name__))
         wire = self.fleet.wire
         wire.loss, wire.double, wire.jitter = 0.05, 0.02, 0.005
+        loop = asyncio.get_running_loop()
         for step in order:
             await self.in_hand(self.one("rest " + step.__name__))
+            began = loop.time()
             await step()
+            self.done.append((step.__name__, began, loop.time()))
             await self.fleet.agree(5.0)
         wire.loss = wire.double = wire.jitter = 0.0
 
@@ -487,7 +492,33 @@
             "most": round(times[-1], 3)} if times else {}
 
 
-async def played(seed, fronts, every, batches, program, takeover=True):
+def picture(play, clients, folder, name):
+    """When each request was asked, and how long its outcome took; what was done meanwhile in grey."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    began = clients.requests[0].at
+    figure, axes = pyplot.subplots(figsize=(12, 4))
+    for step, since, till in play.done:
+        axes.axvspan(since - began, till - began, color="lightgrey")
+        axes.text(since - began, GIVES_UP * 0.95, step, fontsize=7, rotation=90, va="top")
+    for (_, group, *_), colour in zip(GROUPS, ("tab:green", "tab:blue", "tab:red"), strict=True):
+        done = [a for a in clients.requests if a.group == group and a.over_at]
+        for outcome, mark in (("returned", "."), ("errored", "x")):
+            found = [(a.at - began, a.over_at - a.at) for a in done if a.outcome == outcome]
+            if found:
+                axes.scatter(*zip(*found, strict=True), s=9, color=colour, marker=mark,
+                             label=f"{group} {outcome}")
+    axes.set_xlabel("seconds; grey: what was done to fronts")
+    axes.set_ylabel("seconds to the outcome")
+    axes.legend(fontsize=7)
+    Path(folder).mkdir(parents=True, exist_ok=True)
+    figure.savefig(Path(folder) / f"{name}.png", dpi=120, bbox_inches="tight")
+
+
+async def played(seed, fronts, every, batches, program, takeover=True, plot=None):
     chance = Chance(seed)
     sections = {"membership": {"tier": "yard"}} | ({"takeover": {"keep_s": KEEP}} if takeover else {})
     async with Fleet(chance, fronts, 2, sections, settings(), program, flight=1) as fleet:
@@ -508,6 +539,8 @@
             while any(a.over_at is None or not a.outcome for a in clients.requests) or clients.owed():
                 await asyncio.sleep(0.1)
         broken, figures = judged(fleet, play, machines, clients)
+        if plot:
+            picture(play, clients, plot, f"takeover-{seed}{'' if takeover else '-without'}")
         sweeping.cancel()
         for task in list(clients.tasks):
             task.cancel()
@@ -525,16 +558,17 @@
 @click.option("--every", type=float, help="Seconds between two requests to one front.")
 @click.option("--batches", type=int, help="The faults come round after round until so many were asked for.")
 @click.option("--full", is_flag=True)
+@click.option("--plot", type=click.Path(file_okay=False), help="A picture of the run, into this folder.")
 @click.option("--sabotage", type=click.Choice(sorted(WORK_GUARDS)))
-def main(seed, fronts, every, batches, full, sabotage):
+def main(seed, fronts, every, batches, full, plot, sabotage):
     fronts, every = fronts or (20 if full else 5), every or (0.25 if full else 0.08)
     batches = batches or (10_000 if full else 0)
     program = ("thistlelever",)
     if sabotage:
         os.environ["SABOTAGE"], program = sabotage, ("rigs.sabotaged",)
-    broken, figures = asyncio.run(played(seed, fronts, every, batches, program))
+    broken, figures = asyncio.run(played(seed, fronts, every, batches, program, plot=plot))
     if full:
-        _, without = asyncio.run(played(seed, fronts, every, batches, program, takeover=False))
+        _, without = asyncio.run(played(seed, fronts, every, batches, program, False, plot))
         figures["without"] = {name: without[name] for name in (
             "in_time", "in_time_after_a_kill", "hit_by_a_kill", "death_to_outcome_s", "engine_seconds_wasted",
             "engine_seconds", "outcomes", "effects_twice", "wrongly_harmless")}
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -2,6 +2,8 @@
 crosses an end is no second one."""
 
 import asyncio
+from collections import deque
+from time import monotonic
 from types import SimpleNamespace
 
 import pytest
@@ -13,7 +15,7 @@
 from thistlelever.carrier.http_engines import RETRY_PACE, HttpEngines
 from thistlelever.ground import clock
 from thistlelever.store.batches import Batch, Batches
-from thistlelever.store.links import Unreached
+from thistlelever.store.links import REST, Links, Unreached
 from thistlelever.ground.tally import Tally
 
 TICK = 0.02
@@ -99,7 +101,7 @@
 def test_a_network_that_says_no_at_once_is_not_asked_without_pause():
     tries = []
 
-    async def take(entry, urgent):
+    async def take(entry, urgent, patient=False):
         tries.append(entry)
         raise Unreached
 
@@ -142,7 +144,7 @@
         async def call(self, request, within):
             calls.append(bytes(request).split(b" ")[0])
 
-    async def take(entry, urgent):
+    async def take(entry, urgent, patient=False):
         tries.append(entry)
         if len(tries) < 3:
             raise Unreached
@@ -158,3 +160,26 @@
 
     asyncio.run(run())
     assert calls == [b"DELETE"] and len(tries) == 3
+
+
+def test_a_poll_waits_for_the_link_that_has_just_answered_sooner_than_it_opens_another():
+    # Risk: hundreds of fronts that make a connection more for each batch that is not over at once.
+    made = []
+
+    async def run():
+        links = Links(10, 30.0, 0.25, Tally())
+        kept = SimpleNamespace(fresh=lambda: True, idle_since=monotonic())
+        links.kept["e"] = deque([kept])
+
+        async def connect(entry):
+            made.append(entry)
+
+        links.connect = connect
+        entry = SimpleNamespace(engine=SimpleNamespace(id="e"))
+        assert await links.take(entry, urgent=False, patient=True) is kept
+        assert monotonic() - kept.idle_since >= REST and not made
+        links.kept["e"] = deque([SimpleNamespace(fresh=lambda: True, idle_since=monotonic())])
+        await links.take(entry, urgent=True)
+        assert made == [entry]
+
+    asyncio.run(run())
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -144,7 +144,7 @@
         spoilt = 0
         while spoilt < MOST_SPOILT:
             try:
-                link = await self.links.take(entry, urgent=False)
+                link = await self.links.take(entry, urgent=False, patient=not page)
             except Refused:
                 break
             except (Unreached, Short, Broken):
--- a/thistlelever/store/links.py
+++ b/thistlelever/store/links.py
@@ -121,13 +121,17 @@
         # Who waits, urgent ones and polls apart: for which engine, and what wakes them.
         self.waiting: tuple[deque[tuple[EngineId, asyncio.Future]], ...] = (deque(), deque())
 
-    async def take(self, entry: Entry, urgent: bool) -> Link:
-        """A link that carries nothing: a kept one, or a new one."""
+    async def take(self, entry: Entry, urgent: bool, patient: bool = False) -> Link:
+        """A link that carries nothing: a kept one, or a new one. Who is patient waits for one that has not
+        rested yet sooner than that it opens another."""
         engine = entry.engine.id
         while True:
             link = self.rested(engine)
             if link:
                 return link
+            if patient and (kept := self.kept.get(engine)):
+                await asyncio.sleep(max(kept[0].idle_since + REST - monotonic(), 0.0005))
+                continue
             if self.count < (self.most if urgent else self.most_polls):
                 return await self.connect(entry)
             if self.kept.get(engine):
