--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -275,6 +275,9 @@
     async def __aenter__(self):
         # Risk: a rig that is ended by a signal leaves its fronts behind.
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
+        # Both ends of all that twenty fronts have to engines and clients are in this process.
+        _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
         for name in self.names:
             self.engines[name] = Engine(self.stir)
             await self.engines[name].start()
--- a/thistlelever/carrier/wards.py
+++ b/thistlelever/carrier/wards.py
@@ -10,7 +10,7 @@
 
 from thistlelever.carrier.dispatch import End, Ended, Sending, Speech
 from thistlelever.carrier.peers import Peers
-from thistlelever.carrier.recollection import goes_on_from
+from thistlelever.carrier.recollection import NEVER_RAN, goes_on_from
 from thistlelever.ground import clock
 from thistlelever.ground import interface as it
 from thistlelever.ground.log import Log
@@ -34,7 +34,6 @@
 LAST_WORD = 0.02
 # How a dispatch is numbered that reads what another front's brings, and is none of this one's.
 READING = -1
-NEVER_RAN = frozenset((it.Fate.FULL, it.Fate.UNREACHABLE, it.Fate.UNSENT))
 
 
 class Guard:
