--- a/thistlelever/__main__.py
+++ b/thistlelever/__main__.py
@@ -73,7 +73,7 @@
     """Who holds what, who lends, who waits, and how true estimates were."""
     said = asked(operator, "budgets.show")
     if as_json:
-        click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2).decode())
+        print_json(said)
         return
     errors = said["estimate_errors"]
     backlog, wasted = said["backlog_core_s"], said["thrown_away_core_s"]
@@ -111,7 +111,7 @@
     """Who is alive, suspected, dead or has left; exit 1 where this front is alone."""
     said = asked(operator, "members.show")
     if as_json:
-        click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2).decode())
+        print_json(said)
     else:
         alone = f"ALONE ({said['alone']}): the settings' figures hold; " if said["alone"] else ""
         click.echo(f"{said['name']}: {alone}{said['alive']} alive, {said['suspected']} of them suspected, "
@@ -129,7 +129,7 @@
     """Why NAME is held to be what it is: who said so, over which path, how late."""
     said = asked(operator, "members.explain", name=name)
     if as_json:
-        click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2).decode())
+        print_json(said)
     else:
         click.echo(f"{said['name']}: {said['state']}")
         columns = ("ago_s", "was", "state", "by", "late_s", "path")
@@ -159,6 +159,11 @@
         sleep(0.2)
 
 
+def print_json(said: dict) -> None:
+    """For programs, and still to be read."""
+    click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2).decode())
+
+
 def table(columns: tuple[str, ...], rows: list[tuple[str, ...]]) -> None:
     """Columns as wide as what stands in them."""
     rows = [columns, *rows]
@@ -199,7 +204,7 @@
     """What is its own, kept for others and taken over; exit 1 where it can keep nothing."""
     said = asked(operator, "inhand.show")
     if as_json:
-        click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2).decode())
+        print_json(said)
     else:
         click.echo(f"{said['own']} batches of its own that can be come back for, {said['protected']} of them "
                    f"protected, {said['unprotected']} not; {said['kept']} records kept for others"
@@ -218,7 +223,7 @@
     """Whose BATCH is and what is known of its fate, by its id or its mark; exit 1 where nothing is."""
     said = asked(operator, "inhand.explain", batch=batch)
     if as_json:
-        click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2).decode())
+        print_json(said)
     else:
         for kind in ("own", "kept", "taken"):
             for one in said.get(kind, ()):
@@ -271,7 +276,7 @@
         said = {"path": file.path, "records": dict(counts), "damaged": len(damaged), "keeps": True}
         file.close()
     if as_json:
-        click.echo(orjson.dumps(said, option=orjson.OPT_INDENT_2).decode())
+        print_json(said)
     else:
         for name, value in said.items():
             click.echo(f"{name}: " + (", ".join(f"{k} {v}" for k, v in value.items())
--- a/thistlelever/carrier/wards.py
+++ b/thistlelever/carrier/wards.py
@@ -7,7 +7,6 @@
 from collections import deque
 from collections.abc import Callable
 
-
 from thistlelever.carrier.dispatch import End, Ended, Sending, Speech
 from thistlelever.carrier.peers import Peers
 from thistlelever.carrier.recollection import NEVER_RAN, goes_on_from
@@ -25,7 +24,6 @@
 from thistlelever.wire import work as wire
 from thistlelever.wire.work import State, Value, Word
 
-
 # A batch that another front has is looked at again after this, and half as long by chance.
 LOOK_AGAIN = 0.06
 # A question's answer is waited for no longer than this past the time limit: the answer still counts.
@@ -81,7 +79,7 @@
 
     async def settled(self, told):
         """The final answer as it may be given. Risk: one that was told harmless runs at another front."""
-        say = Say.SURE if self.ward.holds(clock.now()) else await self.holds()
+        say = await self.holds()
         if say is Say.SURE or say is Say.ALONE and (type(told) is not it.PushBack or self.group.repeatable):
             return told
         self.wards.tally.add("takeover: answers left to another")
--- a/thistlelever/ledger/keeper.py
+++ b/thistlelever/ledger/keeper.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import threading
-
 from collections.abc import Callable
 from time import monotonic
 
@@ -39,7 +38,6 @@
         self.failing, self.damaged = "not open yet", []
         self.writes, self.written, self.longest, self.full = 0, 0, 0.0, 0
         self.writing_since = 0.0
-        self.compacting = False
 
     # On the loop's thread.
 
--- a/thistlelever/lifecycle/state.py
+++ b/thistlelever/lifecycle/state.py
@@ -28,17 +28,21 @@
 ALWAYS = Age(0.0, 0.0)
 
 
-def now() -> Now:
-    """By both clocks."""
-    return Now(time.time(), time.clock_gettime(time.CLOCK_BOOTTIME), boot())
-
-
 def boot() -> str:
     with suppress(OSError), open("/proc/sys/kernel/random/boot_id") as told:
         return told.read().strip()
     return ""
 
 
+# One for the life of a process, which asks for the time at each referenced batch.
+BOOT = boot()
+
+
+def now() -> Now:
+    """By both clocks."""
+    return Now(time.time(), time.clock_gettime(time.CLOCK_BOOTTIME), BOOT)
+
+
 def moment(ago: float = 0.0) -> Moment:
     at = now()
     return Moment(at.wall - ago, at.since_boot - ago, at.boot)
@@ -70,8 +74,7 @@
         self.keeper.open()
         config = config or os.environ.get("BALANCER_CONFIG")
         entries, ages = self.remembered(parts.papers, written(config))
-        terms = Terms(section.fresh_s, section.old_s, section.within_s)
-        self.judge = Judge(terms, ages)
+        self.judge = Judge(Terms(section.fresh_s, section.old_s), ages)
         self.entries = entries
         self.fresh_start = len(self.judge.use) == len(entries)
         if not self.fresh_start:
--- a/thistlelever/recovery/ages.py
+++ b/thistlelever/recovery/ages.py
@@ -32,11 +32,10 @@
 
 class Terms(NamedTuple):
     """Up to which age an entry is used at once, and from which on only where nothing better is left;
-    seconds. How long answers of those that were asked are waited for before more are asked."""
+    seconds."""
 
     fresh: float = 30.0
     old: float = 3_600.0
-    within: float = 0.25
 
 
 def age(then_wall: float, then_since_boot: float, then_boot: str, now: Now) -> Age:
--- a/thistlelever/takeover/holder.py
+++ b/thistlelever/takeover/holder.py
@@ -97,10 +97,7 @@
                 return self.no(now, word, kept) if word.nonce else None
         if word.epoch < kept.epoch or word.epoch == kept.epoch and kept.owner != word.owner:
             return self.no(now, word, kept) if word.nonce else None
-        value = word.value
-        if value and (kept.value is None or value.order > kept.value.order):
-            self.unlisted(kept)
-            kept.value, kept.whose, kept.valued_at = value, word.owner, now
+        if self.outweighs(now, kept, word):
             self.promise(now, kept, word)
         # Nobody waits for an answer to the last word of a batch.
         return self.yes(now, word, kept) if word.nonce else None
@@ -110,12 +107,20 @@
         kept = self.kept.get(word.key) or self.room(word.key)
         if kept is None:
             return
-        if word.value and (kept.value is None or word.value.order > kept.value.order):
-            self.unlisted(kept)
-            kept.value, kept.whose, kept.valued_at = word.value, word.owner, now
+        self.outweighs(now, kept, word)
         if word.epoch > kept.epoch:
             self.promise(now, kept, word)
 
+    def outweighs(self, now: float, kept: Kept, word: Word) -> bool:
+        """Whether a word's value is later than the one that is kept; then it is kept."""
+        if word.value is None or kept.value is not None and word.value.order <= kept.value.order:
+            return False
+        self.unlisted(kept)
+        kept.value, kept.whose, kept.valued_at = word.value, word.owner, now
+        # Risk: a record that is under nobody's name is no heir's.
+        self.listed(kept)
+        return True
+
     def promise(self, now: float, kept: Kept, word: Word) -> None:
         self.unlisted(kept)
         kept.owner, kept.epoch, kept.released = word.owner, word.epoch, False
@@ -135,7 +140,8 @@
             self.listed(kept)
 
     def listed(self, kept: Kept) -> None:
-        self.by_front[address_of(kept.behind.address)].add(kept.key)
+        if kept.behind:
+            self.by_front[address_of(kept.behind.address)].add(kept.key)
 
     def unlisted(self, kept: Kept) -> None:
         if kept.behind and (keys := self.by_front.get(address_of(kept.behind.address))):
