Nothing is sent past its window, for who has left, or on a wrong proof; closes in order

Ruled out: a second dispatch of the decisions (all are dispatch 0), another scope (the same engine). Lines at fault: HttpEngines.converse sends again what its engine no longer knows, however late.

Change: the decisions say until when a dispatch may begin (Dispatch.begin_by: the window of the first; where further dispatches are rationed, the time to connect); the carrier asks Sending.may_begin right before the first byte of each POST, one place for client left, drain, window and ownership. Found by reading, each with a test that the code before fails: a connection that comes up after its client has left, where cancels are not allowed; a once-only batch sent again on a refusal that was not its own (a late copy on a used connection: it is begun on an unused one, and a refusal to a poll counts on an unused one only); a refusal after a call whose answer was lost, told as proof; lines dispatched though their client's close lay behind them; a client's close not seen while its lines are paced; connections closed over unread bytes, and requests taken on them after the shutdown; a dispatch called off before its first step without an end; what waited while the process stood still, taken for just sent; a way to the directory that falls silent.

--- a/tests/stage.py
+++ b/tests/stage.py
@@ -8,7 +8,7 @@
 from base64 import b64decode, b64encode
 from contextlib import asynccontextmanager, contextmanager, suppress
 
-from thistlelever.carrier import directory
+from thistlelever.carrier import clients, directory
 from thistlelever.standins.directory import Directory, dns_answer
 from thistlelever.standins.http_engine import Engine, rows, unescaped
 from thistlelever.standins.papers import SETTINGS, configuration
@@ -25,7 +25,7 @@
     def __init__(self):
         self.stir, self.engines, self.answers, self.events = asyncio.Event(), {}, [], []
         self.settings, self.office, self.running = json.loads(json.dumps(SETTINGS)), None, None
-        self.crowd, self.config = [], {}
+        self.crowd, self.config, self.reset, self.was_slower = [], {}, False, clients.SLOWER
         # Arrow Flight SQL: terms of the door, calls under way and done, relays before engines.
         self.sections = {}
         self.door, self.channels, self.calls, self.infos, self.relays = None, {}, {}, {}, {}
@@ -84,10 +84,12 @@
         self.hearing = asyncio.create_task(self.hear())
 
     async def hear(self):
-        with suppress(ConnectionError):
+        try:
             while line := await self.reader.readline():
                 self.answers.append(json.loads(line))
                 self.stir.set()
+        except ConnectionError:
+            self.reset = True
 
     async def do_submit(self, number, group, *words):
         self.writer.write(self.submission(number, group, *words))
@@ -284,6 +286,7 @@
         assert not [name for name in self.office.tally.counts if name.startswith("broken")]
 
     async def end(self):
+        clients.SLOWER = self.was_slower
         for call in self.calls.values():
             call.cancel()
         if self.calls:
@@ -302,6 +305,78 @@
             failures = [e for e in self.events if e[0].endswith("failed")]
             assert not failures, failures
 
+    # Crossings: one side is held at a known place.
+
+    async def do_dials_held(self):
+        """No connection to an engine comes up from now on until `dials_go`."""
+        links, self.dials, self.go = self.office.links, 0, asyncio.Event()
+        connect = links.connect
+
+        async def held(entry):
+            self.dials += 1
+            self.stir.set()
+            await self.go.wait()
+            return await connect(entry)
+
+        links.connect = held
+
+    async def do_dialling(self, count):
+        await self.until(lambda: self.dials >= int(count))
+
+    async def do_dials_go(self):
+        self.go.set()
+
+    async def do_passes(self, seconds):
+        """The clock has moved on by that."""
+        await asyncio.sleep(float(seconds))
+
+    async def look_until(self, holds):
+        """As `until`, for what stirs nobody."""
+        async with asyncio.timeout(LONGEST_WAIT):
+            while not holds():
+                await asyncio.sleep(0.001)
+
+    async def do_given_up(self, number):
+        """The front knows that nobody waits for the batch any more."""
+        batches = self.office.batches.by_txn
+        await self.look_until(lambda: batches[f"{int(number):016x}"].answered)
+
+    async def do_over(self):
+        """Nothing is open at the front."""
+        await self.look_until(lambda: not self.office.batches.by_number)
+
+    async def do_floods_and_goes(self, count):
+        """In one moment a client connects, submits so many batches and closes; the front is done with it."""
+        address = self.writer.get_extra_info("peername")
+        with socket.create_connection(address) as sock:
+            sock.sendall(b"".join(self.submission(900 + n, "lookup") for n in range(int(count))))
+        # Who comes behind it and is answered has let it be looked at first.
+        self.crowd.append(await asyncio.open_connection(*address))
+        self.crowd[-1][1].write(self.submission(990, "lookup"))
+        async with asyncio.timeout(LONGEST_WAIT):
+            assert "result" in json.loads(await self.crowd[-1][0].readline())
+        await self.do_over()
+
+    async def do_paced(self, seconds):
+        """After a line out of form the next is taken so much later."""
+        self.was_slower, clients.SLOWER = clients.SLOWER, float(seconds)
+
+    async def do_echoes(self, name):
+        """On a connection that carried a call before, each POST runs and is answered by what looks like the
+        late copy of another batch's refusal."""
+        self.engines[name].echoes = True
+
+    async def do_hung_up_in_order(self):
+        """The front closes the connection, and not by a reset."""
+        async with asyncio.timeout(LONGEST_WAIT):
+            await self.hearing
+        assert not self.reset
+
+    async def do_deaf_to_asker(self):
+        """The directory gets nothing any more by the way by which it was last asked."""
+        await self.until(lambda: self.directory.asked)
+        self.directory.deaf_to = self.directory.asker
+
     # Budgets.
 
     async def do_held_back(self, count):
--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -11,7 +11,7 @@
 
 from bisect import bisect_left, insort
 from collections import deque
-from math import exp, log
+from math import exp, inf, log
 from statistics import median
 from zlib import crc32
 
@@ -636,7 +636,7 @@
         grant = min(b.memory, self.most_grant * self.memory[i]) if self.grants else 0.0
         if not b.dispatches and (self.grants or self.priorities):
             self.actions.append(it.Terms(b.id, grant, self.priority[b.group]))
-        self.actions.append(it.Dispatch(b.id, self.id[i], self.patience(b)))
+        self.actions.append(it.Dispatch(b.id, self.id[i], self.patience(b), self.begin_by(b)))
         self.width[i] += s.width
         self.loads.pop(i, None)
         self.sent[b.id, s.number] = b.out[s.number] = self.own[i][b.id, s.number] = s
@@ -651,6 +651,15 @@
             # In doubt it gets one trial at a time, not all that waits.
             self.shun[i] = self.now + 2 * self.connect_limit
 
+    def begin_by(self, b: Batch) -> float:
+        """Until when a carrier may send it, or again what seems to have been lost of it. Risk: engines drop
+        repeats for so long only, counted from the first, and a connection that comes up late passes that.
+        What goes again later than it takes to connect may have come whole the first time: where further
+        dispatches are rationed, it would be one that nobody counts."""
+        t, first = self.groups[b.group], b.may_have_run[0][2] if b.may_have_run else self.now
+        by = first + t.window if t.repeat is it.Repeat.REFERENCED else inf
+        return min(by, self.now + self.connect_limit) if self.allowance else by
+
     def patience(self, b: Batch) -> float:
         """How long a dispatch may go unanswered, for the next to meet the goal; 0: to the time limit.
         Never under four times the group's usual, so that it does not trip while all are slow. None where
--- a/thistlelever/carrier/clients.py
+++ b/thistlelever/carrier/clients.py
@@ -5,6 +5,8 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from contextlib import suppress
+from time import monotonic
 
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
@@ -32,7 +34,11 @@
 # At the bound connections wait at the port for a place; past this a close tells them that there is none.
 NO_PLACE = 1.0
 # A client at full speed gets so many lines in one turn of the loop, and so many connections are taken in one.
-LINES_A_TURN, TAKEN_A_TURN = 8, 32
+LINES_A_TURN, TAKEN_A_TURN, READS_A_TURN = 8, 32, 16
+# Whole lines that wait are read up to this, which holds the open requests of usual clients.
+READ_AHEAD = 65_536
+# A connection that this side has ended is read from for so long: what crosses the shutdown comes in 50 ms.
+LINGER = 0.15
 # After each line out of form the next is read this much later, and after so many in a row none.
 SLOWER, MOST_BAD = 0.01, 16
 # A port that can take no more for now is looked at again after this, as it would say so again at once.
@@ -57,11 +63,16 @@
         self.raw = raw
         asyncio.get_running_loop().add_reader(raw, self.accept)
 
-    def stop(self) -> None:
+    async def finish(self, within: float) -> None:
+        """Take no more, and end each connection in order; what is not over in that time is cut."""
         asyncio.get_running_loop().remove_reader(self.raw)
         self.raw.close()
         if self.waits:
             self.waits.close()
+        for session in list(self.sessions):
+            session.end()
+        if self.sessions:
+            await asyncio.wait(self.sessions.values(), timeout=within)
 
     def accept(self) -> None:
         """Take what waits at the port; one turn of the loop must not go to new connections alone."""
@@ -113,7 +124,7 @@
             silent = not session.spoken and now - session.since > SILENT_SOON
             return session.since - SILENT_FIRST * silent
 
-        for session in sorted((s for s in self.sessions if not s.open), key=idle_since):
+        for session in sorted((s for s in self.sessions if not s.open and not s.ending), key=idle_since):
             if now - session.since > SILENT or not session.unread():
                 self.tally.add("idle clients closed for others")
                 session.left()
@@ -123,11 +134,11 @@
     def sweep(self) -> None:
         """Close who has nothing open and said nothing whole for too long."""
         now = clock.now()
-        for session in [s for s in self.sessions if not s.open]:
+        for session in [s for s in self.sessions if not s.open and not s.ending]:
             waits = session.spoken and session.inflow.start == session.inflow.end
             if now - session.since > (IDLE if waits else SILENT):
                 self.tally.add("idle clients closed" if waits else "silent clients closed")
-                session.left()
+                session.end()
 
     def batch(self, call: jsonrpc.Call) -> Batch:
         """The batch that a call submits; `Bad` where it can't be one."""
@@ -152,42 +163,113 @@
         self.tally = reception.tally
         self.inflow = Inflow(BUFFER, LONGEST_LINE, reception.purse)
         self.open: dict[int, Batch] = {}
-        self.latest, self.bad = 0, 0
+        self.latest, self.bad, self.slow_till = 0, 0, 0.0
+        # The read that is under way, as one always is; answers not yet out; whether this side has ended it.
+        self.reading: asyncio.Future | None = None
+        self.unwritten, self.ending = 0, False
         # When it connected, or last had a batch open or said something whole.
         self.since, self.spoken = clock.now(), False
 
     async def run(self) -> None:
+        """Until the connection is closed: by the client, or by this side some time after `end`."""
         try:
-            while not self.stream.closed():
-                reading = self.stream.read_into(self.inflow.room(), partial=True)
-                # Risk: what is there at once doesn't yield, and a client at full speed holds the loop.
-                at_once = reading.done()
-                self.inflow.filled(await reading)
-                lines = 0
-                while (message := self.inflow.line()) is not None and not self.stream.closed():
-                    self.take(message)
-                    lines += 1
-                    if self.bad:
-                        await asyncio.sleep(SLOWER * self.bad)
-                    elif lines % LINES_A_TURN == 0:
-                        await asyncio.sleep(0)
-                if at_once:
-                    await asyncio.sleep(0)
+            while True:
+                self.read()
+                self.take_lines()
+                await self.stir()
         except StreamClosedError:
             pass
         except TooLong as why:
             self.tally.add("lines too long")
             self.write(jsonrpc.error(None, jsonrpc.NO_REQUEST, f"a line that is too long: {why}"))
+            self.end()
+            await self.drained()
         except Exception as why:
             self.tally.add("session failed")
             self.reception.log("session failed", why=repr(why))
         finally:
             self.left()
 
+    def read(self) -> None:
+        """Read on for as long as something is there and has a place, before any of it is taken: a read is
+        always under way. Risk: a client that sends much and goes is gone for long before its last line is
+        taken, and what it sent first is dispatched for nobody."""
+        for _ in range(READS_A_TURN):
+            if self.reading is None:
+                full = self.inflow.end == len(self.inflow.data)
+                if full and self.inflow.whole() and not self.may_read_ahead():
+                    return
+                self.reading = self.stream.read_into(self.inflow.room(), partial=True)
+            if not self.reading.done():
+                return
+            reading, self.reading = self.reading, None
+            self.inflow.filled(reading.result())
+            if self.ending:
+                self.inflow.void()
+
+    def may_read_ahead(self) -> bool:
+        """Whether more is read though whole lines wait. Who has sent that much, and lines out of form before
+        it, is not waited for."""
+        if len(self.inflow.data) < READ_AHEAD and self.inflow.can_grow():
+            return True
+        if self.bad:
+            self.tally.add("clients that flood")
+            self.end()
+        return self.ending
+
+    def take_lines(self) -> None:
+        """Some of the lines that have come; one client must not hold the loop."""
+        for _ in range(LINES_A_TURN):
+            if self.ending or monotonic() < self.slow_till or (message := self.inflow.line()) is None:
+                return
+            self.take(message)
+            if self.bad:
+                self.slow_till = monotonic() + SLOWER * self.bad
+
+    async def stir(self) -> None:
+        """Wait until there is something to do."""
+        slow = self.slow_till - monotonic()
+        if not self.inflow.whole() and self.reading is not None:
+            await self.reading
+        elif slow > 0 and self.reading is not None:
+            await asyncio.wait((self.reading,), timeout=slow)
+        else:
+            await asyncio.sleep(max(slow, 0.0))
+
+    async def drained(self) -> None:
+        """Read and drop what still comes, until the connection is closed."""
+        with suppress(StreamClosedError):
+            while True:
+                self.inflow.void()
+                await (self.reading or self.stream.read_into(self.inflow.room(), partial=True))
+                self.reading = None
+                await asyncio.sleep(0)
+
+    def end(self) -> None:
+        """This side ends the connection, in order: nothing more is taken from it, what was written goes out,
+        our direction is shut, what comes is read and dropped for a while, and then it is closed. Risk: a
+        close over unread bytes resets the connection and takes the last answer with it; a line taken after
+        the shutdown has an effect that no answer can tell of."""
+        if self.ending or self.stream.closed():
+            return
+        self.ending = True
+        self.inflow.void()
+        self.abandon()
+        self.shut()
+        asyncio.get_running_loop().call_later(LINGER, self.stream.close)
+
+    def shut(self) -> None:
+        """Our direction, once all that was written is out."""
+        if self.ending and not self.unwritten and not self.stream.closed():
+            with suppress(OSError):
+                self.stream.socket.shutdown(socket.SHUT_WR)
+
     def unread(self) -> bool:
         """Whether something has come that no batch was made of yet."""
         if self.stream.closed():
             return False
+        if self.reading is not None and self.reading.done():
+            return True
         try:
             waits = bool(self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
         except OSError:
@@ -217,7 +299,7 @@
             self.write(jsonrpc.error(number, why.code, why.why))
             if self.bad >= MOST_BAD:
                 self.tally.add("clients that send nothing of use")
-                self.stream.close()
+                self.end()
 
     def submit(self, call: jsonrpc.Call) -> None:
         if call.number in self.open:
@@ -252,7 +334,7 @@
 
     def write(self, data: bytes) -> None:
         """One whole line, or none. Nobody waits for it, so that a client that reads late holds up none."""
-        if self.stream.closed():
+        if self.ending or self.stream.closed():
             return
         if self.reception.unread + len(data) > self.reception.bounds.unread:
             self.tally.add("clients that do not read")
@@ -265,9 +347,12 @@
             self.stream.close()
             return
         self.reception.unread += len(data)
+        self.unwritten += 1
 
         def done(future: asyncio.Future) -> None:
             self.reception.unread -= len(data)
+            self.unwritten -= 1
+            self.shut()
             # A failed write needs no more than being looked at: the session ends by its read.
             if not future.cancelled():
                 future.exception()
@@ -278,12 +363,16 @@
         """The connection has ended, and with it the client's interest in all that is open on it."""
         self.reception.sessions.pop(self, None)
         self.inflow.drop()
+        self.abandon()
+        self.stream.close()
+
+    def abandon(self) -> None:
+        """Nothing is owed any more for what is open here."""
         for _ in self.open:
             self.tally.add("left with the connection")
         for batch in self.open.values():
             batch.inbox.put_nowait(LEFT)
         self.open.clear()
-        self.stream.close()
 
 
 def line(number: int, told: it.Action | End) -> bytes:
--- a/thistlelever/carrier/directory.py
+++ b/thistlelever/carrier/directory.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from zlib import crc32
 
 from thistlelever.ground import interface as it
@@ -22,6 +23,9 @@
 PATIENCE = 0.25
 # So many times in a row what is no news is asked again at once; after that the pace holds.
 MOST_AT_ONCE = 8
+# So many queries in a row without any answer, and the next goes by a new socket: a way that has fallen silent
+# without a word stays so, and what is told must be known within 1.5 s.
+MOST_SILENT = 4
 
 
 class Inquiry:
@@ -37,15 +41,31 @@
         self.awaited: dict[int, asyncio.TimerHandle] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self.last, self.misses, self.heard_at = b"", 0, 0.0
+        self.address: tuple[str, int] | None = None
+        self.silent, self.renewal = 0, None
 
     async def open(self, address: tuple[str, int]) -> None:
         """Ask at that address from now on. The one asked before is let go only once the new one stands."""
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(lambda: Line(self), remote_addr=address)
         self.close()
-        self.transport, self.misses = transport, 0
+        self.transport, self.address, self.misses, self.silent = transport, address, 0, 0
         self.ask(by_order=False)
 
+    async def renew(self) -> None:
+        """The same address by a new socket. Risk: an address that was left meanwhile takes the next one's
+        place."""
+        loop, address = asyncio.get_running_loop(), self.address
+        with suppress(OSError):
+            transport, _ = await loop.create_datagram_endpoint(lambda: Line(self), remote_addr=address)
+            if self.address != address or self.transport.is_closing():
+                transport.close()
+                return
+            self.close()
+            self.transport = transport
+            self.tally.add("directory asked by a new socket")
+            self.ask(by_order=False)
+
     def close(self) -> None:
         """Risk: a timer or a late answer of an address that is left would pass for word of the next."""
         for timer in self.awaited.values():
@@ -79,12 +99,15 @@
     def unanswered(self, number: int, by_order: bool) -> None:
         self.awaited.pop(number, None)
         self.tally.add("directory silent")
+        self.silent += 1
+        if self.silent % MOST_SILENT == 0:
+            self.renewal = asyncio.get_running_loop().create_task(self.renew())
         self.missed()
         if by_order:
             self.desk.tell(it.ListTold(it.ListKind.FAILED, 0, ()))
 
     def answered(self, data: bytes) -> None:
-        number = int.from_bytes(data[:2], "big")
+        number, self.silent = int.from_bytes(data[:2], "big"), 0
         if number not in self.awaited:
             self.tally.add("directory answers unasked for")
             return
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -62,6 +62,9 @@
     """How far a dispatch has come, for the meaning of how it ended."""
 
     number: int
+    # Whether it still may begin: asked right before the first byte of each call that may make an engine run
+    # it, as a connection takes its time to come up and much may have changed meanwhile.
+    may_begin: Callable[[], bool] = lambda: True
     begun: bool = False
     # When the engine was last asked for the batch; whether it has ever said that it knows it.
     asked: float = 0.0
@@ -113,14 +116,31 @@
 
     def start(self, batch: Batch, number: int, order: it.Dispatch) -> asyncio.Task:
         batch.engines[number] = order.engine
-        return asyncio.get_running_loop().create_task(self.dispatch(batch, number, order))
+        self.roll.begin(order.engine)
+        # Risk: a task that is called off before its first step never takes it, and its batch would stay open.
+        end = End(number, order.engine, it.Fate.UNSENT)
+        task = asyncio.get_running_loop().create_task(self.dispatch(batch, end, order))
+        task.add_done_callback(lambda task: self.finished(batch, end))
+        return task
+
+    def finished(self, batch: Batch, end: End) -> None:
+        """The one place where a dispatch's end is told, however its task ended."""
+        self.roll.end(end.engine)
+        self.tally.add(f"dispatches {end.fate.name.lower()}")
+        batch.inbox.put_nowait(end)
 
-    async def dispatch(self, batch: Batch, number: int, order: it.Dispatch) -> None:
-        """One dispatch from its first byte to its end, which goes to the batch's task."""
-        begun = clock.now()
+    def may_begin(self, batch: Batch, order: it.Dispatch) -> bool:
+        """Whether something of a dispatch may still be sent. Risk: its client has left, its engine drains
+        (which counts from the first byte), or its repeats are no longer dropped, and it goes out all the
+        same."""
+        return (not batch.answered and self.roll.open_to(order.engine) and clock.now() < order.begin_by
+                and (not batch.ward or batch.ward.sure()))
+
+    async def dispatch(self, batch: Batch, end: End, order: it.Dispatch) -> None:
+        """One dispatch from its first byte to its end."""
+        begun, number = clock.now(), end.number
         till = min(begun + order.time_out, batch.limit_at) if order.time_out > 0 else batch.limit_at
-        end, sent = End(number, order.engine), Sending(number)
-        self.roll.begin(order.engine)
+        sent = Sending(number, lambda: self.may_begin(batch, order))
         try:
             entry = self.roll.entries.get(order.engine)
             if batch.answered or till <= begun or entry is None:
@@ -150,9 +170,6 @@
                 # that a second order to give up swallows leaves the batch open for good.
                 with suppress(asyncio.CancelledError):
                     await asyncio.wait((given_up,), timeout=max(batch.limit_at - clock.now(), 0.0))
-        self.roll.end(order.engine)
-        self.tally.add(f"dispatches {end.fate.name.lower()}")
-        batch.inbox.put_nowait(end)
 
     async def sending(self, batch: Batch, entry: Entry, end: End, sent: Sending, till: float) -> None:
         if batch.ward and not await batch.ward.out(end.number, end.engine):
--- a/thistlelever/carrier/flight_engines.py
+++ b/thistlelever/carrier/flight_engines.py
@@ -104,8 +104,7 @@
             # A statement that this protocol can't carry; no engine that speaks it will do better.
             raise Ended(it.Fate.ERRORED) from None
         channel = await self.channel(entry)
-        # The list may have changed while the connection came up; a drain counts from the first byte.
-        if not self.roll.open_to(end.engine) or batch.ward and not batch.ward.sure():
+        if not sent.may_begin():
             raise Ended(it.Fate.UNSENT)
         await self.fetch(channel, order, batch, entry, end, sent, till)
 
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -28,6 +28,8 @@
 MOST_SPOILT = 8
 # An answer with more behind it may be cut by a wrong length: so often it is asked for once more.
 DOUBTED = 2
+# Answers that prove, with the field that says so, that the batch never ran.
+NEVER_RAN = {503: it.Fate.FULL, 504: it.Fate.UNSENT}
 TIDINGS = {"advance": it.Tidings.PROGRESS, "disk": it.Tidings.SPILL, "stall": it.Tidings.WAITING}
 # A result holds 48,000 bytes in pages of 6,000; a count far past that is no count.
 MOST_PAGES = 64
@@ -43,6 +45,9 @@
     def __init__(self, manifest: it.Manifest, roll: Roll, links: Links, desk: Desk, tally: Tally) -> None:
         self.fields, self.probe_limit = manifest.report_fields, manifest.connect_limit
         self.once_only = frozenset(t.name for t in manifest.tariffs if t.repeat is it.Repeat.ONCE_ONLY)
+        # Groups that a wrong word of 'never ran' does harm to: they may not go just anywhere after it.
+        self.wary = self.once_only | {t.name for t in manifest.tariffs if t.repeat is it.Repeat.REFERENCED
+                                      and t.scope is not it.Scope.ALL}
         self.roll, self.links, self.desk, self.tally = roll, links, desk, tally
 
     async def converse(self, batch: Batch, entry: Entry, end: End, sent: Sending, till: float) -> None:
@@ -54,8 +59,9 @@
                 reply = await self.ask(path, 0, entry, end, sent, batch)
             end.fate = self.fate(reply, sent)
             # What its engine never got was no dispatch so far, and goes there again. Of a once-only batch
-            # that the engine does not know of it is not proof enough.
-            if batch.lane in self.once_only or sent.posts >= MOST_SPOILT:
+            # that the engine does not know of it is not proof enough. Risk: the engine had it, and has
+            # dropped it by now: sent again when its repeats are no longer dropped, it runs twice.
+            if batch.lane in self.once_only or sent.posts >= MOST_SPOILT or not sent.may_begin():
                 break
         await self.further(path, batch, entry, end, sent)
 
@@ -79,15 +85,14 @@
                    ) -> http.Reply | None:
         """The call that starts it, and its reply if it got one of use."""
         try:
-            link = await self.link(entry)
+            link = await self.link(entry, batch.lane in self.wary)
         except (Refused, Unreached):
-            raise Ended(it.Fate.UNREACHABLE) from None
+            raise Ended(proven(it.Fate.UNREACHABLE, sent.posts)) from None
         except (Broken, Short):
-            raise Ended(it.Fate.UNSENT) from None
-        # The list may have changed while a connection came up; a drain counts from the first byte.
-        if not self.roll.open_to(end.engine) or batch.ward and not batch.ward.sure():
+            raise Ended(proven(it.Fate.UNSENT, sent.posts)) from None
+        if not sent.may_begin():
             self.links.give_back(link)
-            raise Ended(it.Fate.UNSENT)
+            raise Ended(proven(it.Fate.UNSENT, sent.posts))
         sent.begun, sent.asked, sent.posts = True, clock.now(), sent.posts + 1
         try:
             reply = await link.call(self.request(batch, entry.address, till), NEWS_WITHIN)
@@ -100,11 +105,11 @@
         finally:
             self.links.give_back(link)
 
-    async def link(self, entry: Entry) -> Link:
+    async def link(self, entry: Entry, unused: bool = False) -> Link:
         """A link for what must not wait. A reset as it comes up is news of that connection alone."""
         for _ in range(MOST_SPOILT):
             try:
-                return await self.links.take(entry, urgent=True)
+                return await self.links.take(entry, urgent=True, unused=unused)
             except Broken as why:
                 self.spoilt(why)
         raise Broken("each new connection is reset")
@@ -125,10 +130,11 @@
         if reply.status == 200:
             return it.Fate.RETURNED
         unrun = reply.text(b"x-unrun") == "1"
-        if reply.status == 503 and unrun:
-            return it.Fate.FULL
-        if reply.status == 504 and unrun:
-            return it.Fate.UNSENT
+        if unrun and reply.status in NEVER_RAN:
+            fate = proven(NEVER_RAN[reply.status], sent.posts - 1)
+            if fate is it.Fate.ASTRAY:
+                raise Ended(fate)
+            return fate
         # Risk: an engine that never got the batch, told as one that errs, is taken for ill; so are all on a
         # day when connections break.
         return it.Fate.ERRORED if sent.heard else it.Fate.ASTRAY
@@ -141,10 +147,10 @@
         asking again is no further dispatch. It ends with an engine that has died or gives nothing that can be
         used; a silent one is asked until the dispatch times out.
         """
-        spoilt = 0
+        spoilt, unused = 0, False
         while spoilt < MOST_SPOILT:
             try:
-                link = await self.links.take(entry, urgent=False, patient=not page)
+                link = await self.links.take(entry, urgent=False, patient=not page, unused=unused)
             except Refused:
                 break
             except (Unreached, Short, Broken):
@@ -156,6 +162,12 @@
                 request = http.call("GET", f"{path}{page}", entry.address, {})
                 reply = await link.call(request, WORD_WITHIN if page else NEWS_WITHIN)
                 self.read(reply, page, link, end, sent, batch)
+                if reply.status in NEVER_RAN and batch.lane in self.wary and link.calls > 1:
+                    # Risk: a second copy of the answer to another batch, late on a link that carried that
+                    # one, taken for proof that this one never ran. Only an unused connection proves it.
+                    unused = True
+                    link.stream.close()
+                    raise Spoilt("no proof on a connection that carried others")
                 return reply
             except Silent as why:
                 self.spoilt(why)
@@ -213,7 +225,7 @@
             async with asyncio.timeout(NEWS_WITHIN):
                 link = await self.links.take(entry, urgent=False)
                 try:
-                    path, priority = f"/fetch/{batch.asked.txn}", b"%d" % batch.priority
+                    path, priority = way(batch, number)[:-1], b"%d" % batch.priority
                     call = http.call("PUT", path, entry.address, {}, priority)
                     await link.call(call, WORD_WITHIN)
                 finally:
@@ -277,6 +289,12 @@
             return it.Fate.ASTRAY, ()
 
 
+def proven(fate: it.Fate, earlier: int) -> it.Fate:
+    """A fate that says that the dispatch never ran, if nothing of it went out before. Risk: a first call
+    whose answer was lost may have run; that a second one did not is no proof of it."""
+    return it.Fate.ASTRAY if earlier > 0 else fate
+
+
 def way(batch: Batch, number: int) -> str:
     """Where its engine is asked for a dispatch: under the id that it was begun with, by this front or
     another."""
--- a/thistlelever/carrier/pulse.py
+++ b/thistlelever/carrier/pulse.py
@@ -16,7 +16,12 @@
     """The loop's lag now, and the worst since it was last written."""
 
     def __init__(self) -> None:
-        self.lag, self.worst = 0.0, 0.0
+        self.lag, self.worst, self.due = 0.0, 0.0, float("inf")
+
+    def behind(self) -> float:
+        """How late the loop is now. Risk: after a stop of the process what waits at the sockets is read
+        before the beat that would tell of the stop, and would count as just sent."""
+        return max(self.lag, clock.now() - self.due)
 
     def felt(self, late: float) -> None:
         self.lag = max(late, self.lag * FADE)
@@ -24,6 +29,6 @@
 
     async def run(self) -> None:
         while True:
-            due = clock.now() + BEAT
+            self.due = clock.now() + BEAT
             await asyncio.sleep(BEAT)
-            self.felt(clock.now() - due)
+            self.felt(clock.now() - self.due)
--- a/thistlelever/ground/interface.py
+++ b/thistlelever/ground/interface.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from enum import Enum, IntEnum
+from math import inf
 from typing import NamedTuple
 
 EngineId = bytes
@@ -276,9 +277,12 @@
 
 
 class Dispatch(NamedTuple):
+    """`begin_by`: from that moment on nothing of it may be sent any more, not even again by its carrier."""
+
     batch: int
     engine: EngineId
     time_out: float
+    begin_by: float = inf
 
 
 class Terms(NamedTuple):
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -7,7 +7,6 @@
 import signal
 import socket
 from collections.abc import Callable
-from contextlib import suppress
 from time import process_time
 from typing import TYPE_CHECKING
 
@@ -187,12 +186,8 @@
         await asyncio.sleep(STILL_COMING)
         while self.courses.tasks and clock.now() < stop_at + LAST_BYTES:
             await asyncio.wait(self.courses.tasks, timeout=stop_at + LAST_BYTES - clock.now())
-        self.reception.stop()
         # The last answers may still lie in the connections' buffers.
-        with suppress(TimeoutError):
-            async with asyncio.timeout(LAST_BYTES):
-                while self.reception.unread:
-                    await asyncio.sleep(0.005)
+        await self.reception.finish(LAST_BYTES)
         for side in self.sides:
             await side.close(LAST_BYTES)
         if self.admin:
--- a/thistlelever/standins/directory.py
+++ b/thistlelever/standins/directory.py
@@ -36,6 +36,8 @@
     def __init__(self, stir):
         self.stir, self.serial, self.entries, self.asked, self.numbers = stir, 3, {}, 0, []
         self.steps = deque()
+        # An address that it gets nothing from any more.
+        self.deaf_to = None
         # When each serial was first told, on the loop's clock.
         self.told = {}
 
@@ -44,6 +46,8 @@
         self.port = transport.get_extra_info("sockname")[1]
 
     def datagram_received(self, data, address):
+        if address == self.deaf_to:
+            return
         number, step = int.from_bytes(data[:2], "big"), self.steps.popleft() if self.steps else ""
         self.numbers.append(number)
         self.asker = address
--- a/thistlelever/standins/http_engine.py
+++ b/thistlelever/standins/http_engine.py
@@ -36,6 +36,8 @@
         # Where no step is scripted: what a call does, by its name and the batch's id; None for as usual.
         self.fault = lambda call, txn: None
         self.facts = {}
+        # Whether a POST behind another call gets what looks like a late copy of an earlier refusal.
+        self.echoes = False
         # The work in milliseconds that a batch's end tells, by its statement; None for no word of it.
         self.cost = lambda statement: None
         self.kept, self.costs, self.mute, self.holds = {}, {}, set(), False
@@ -50,6 +52,7 @@
     async def serve(self, reader, writer):
         self.writers.append(writer)
         self.connections += 1
+        calls = 0
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
@@ -58,6 +61,9 @@
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 self.calls.append((verb + path.rpartition("/")[2] if verb == "GET" else verb, fields, body))
                 self.stir.set()
+                calls += 1
+                if self.echoes and calls > 1 and verb == "POST":
+                    self.steps["POST"].append(["ran", "full"])
                 if not await self.act(writer, self.calls[-1][0], fields, path, body):
                     return
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -100,7 +106,7 @@
         if what == "ran":
             # It takes effect, and then what follows happens to its answer.
             self.usual(call, batch, body)
-            what, *words = words
+            what, *words = COMMON.get(words[0], words)
         if call in ("POST", "GET0") and what in ("500", "503", "504") or call[:3] == "GET" and what == "500":
             whose = self.kept.pop(txn, (None, batch))[1]
             self.book.ends(*whose, "refused" if "X-Unrun=1" in words else "answered")
--- a/thistlelever/store/links.py
+++ b/thistlelever/store/links.py
@@ -24,6 +24,8 @@
 URGENT_SHARE = 0.25
 # Ours are closed at this share of the engines' idle time, so that a call never meets their closing.
 IDLE_SHARE = 0.8
+# No engine's id: who waits under it waits for a place.
+NOBODY = b""
 # What this side is out of, as no engine is to blame for it.
 OWN_WANT = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 # A link rests this long between two calls: what an engine sends beside its reply is then seen to be that.
@@ -56,7 +58,7 @@
     """One connection to one engine; carries one call at a time."""
 
     def __init__(self, stream: IOStream, engine: EngineId) -> None:
-        self.stream, self.engine, self.idle_since = stream, engine, 0.0
+        self.stream, self.engine, self.idle_since, self.calls = stream, engine, 0.0, 0
         self.inflow = Inflow(BUFFER, LONGEST)
         self.calling, self.whole, self.surplus = False, False, False
         # While idle a read is under way, so that what comes unasked is seen, and by whom.
@@ -64,7 +66,7 @@
 
     async def call(self, request: bytes, within: float) -> http.Reply:
         """Send one call and read its reply, which is void once the link is used again."""
-        self.calling, self.whole = True, False
+        self.calling, self.whole, self.calls = True, False, self.calls + 1
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(within) as limit:
@@ -121,25 +123,26 @@
         # Who waits, urgent ones and polls apart: for which engine, and what wakes them.
         self.waiting: tuple[deque[tuple[EngineId, asyncio.Future]], ...] = (deque(), deque())
 
-    async def take(self, entry: Entry, urgent: bool, patient: bool = False) -> Link:
+    async def take(self, entry: Entry, urgent: bool, patient: bool = False, unused: bool = False) -> Link:
         """A link that carries nothing: a kept one, or a new one. Who is patient waits for one that has not
-        rested yet sooner than that it opens another."""
+        rested yet sooner than that it opens another; who wants an unused one gets one that never carried
+        anything."""
         engine = entry.engine.id
         while True:
-            link = self.rested(engine)
+            link = None if unused else self.rested(engine)
             if link:
                 return link
-            if patient and (kept := self.kept.get(engine)):
+            if patient and not unused and (kept := self.kept.get(engine)):
                 await asyncio.sleep(max(kept[0].idle_since + REST - monotonic(), 0.0005))
                 continue
             if self.count < (self.most if urgent else self.most_polls):
                 return await self.connect(entry)
-            if self.kept.get(engine):
+            if not unused and self.kept.get(engine):
                 # They have not rested yet, and there is place for no other.
                 await asyncio.sleep(REST)
             elif not self.close_idle_one():
                 self.tally.add("links short")
-                link = await self.turn(engine, urgent)
+                link = await self.turn(NOBODY if unused else engine, urgent)
                 if link:
                     return link
 
--- a/thistlelever/wire/inflow.py
+++ b/thistlelever/wire/inflow.py
@@ -51,6 +51,19 @@
         self.purse.spend(self.size - max(len(self.data), self.size))
         self.data, self.start, self.end = bytearray(), 0, 0
 
+    def can_grow(self) -> bool:
+        """Whether a buffer that is full may get larger, for what else is to be read ahead."""
+        size = len(self.data)
+        return size < self.longest and self.purse.spent + size <= self.purse.most
+
+    def whole(self) -> bool:
+        """Whether a whole line waits to be taken."""
+        return self.data.find(b"\n", self.start, self.end) >= 0
+
+    def void(self) -> None:
+        """Nothing of what has come is wanted."""
+        self.start = self.end
+
     def filled(self, count: int) -> None:
         self.end += count
 
