No second copy where nothing can be called off; a late connection is no engine that was down

Followed by id with a probe: "P0.1@3a22:62.735 E0 TIMED_OUT:67.647 P1.1@ccf0:67.648": the next dispatch goes 1 ms after a time-out, and its settings allow no cancel, so that the first engine runs on. Ruled out: errors (they end at the engine), sending again of what was lost (posts are 1 each). Lines at fault: Dispatcher.dispatch (`self.cancels and`: no cancel, no waiting either) and Front.patience, which times out where that stops nothing.

Change: where nothing may be called off no dispatch is timed out before the limit, and the end of one that may run on is told once its engine has surely dropped it (2 s unasked, and the time an open question may lie there). A connection that did not come up in time was told as a refusal, and its engine counted as cold from its next answer on. Now it is told apart (Fate.LATE) and counts as down once doubt has grown to its most.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,7 +8,9 @@
 from test_scenarios import GROUP, MANIFEST
 
 from thistlelever.admission.decide import Front
-from thistlelever.carrier.dispatch import Dispatcher
+from thistlelever.carrier import http_engines
+from thistlelever.carrier.dispatch import Dispatcher, End, Ended, Sending
+from thistlelever.carrier.http_engines import HttpEngines
 from thistlelever.carrier.intake import Intake
 from thistlelever.carrier.pulse import Pulse
 from thistlelever.ground import clock, papers
@@ -16,7 +18,7 @@
 from thistlelever.ground.tally import Tally
 from thistlelever.standins.papers import configuration
 from thistlelever.store.batches import Batch, Batches
-from thistlelever.store.links import Link, Links
+from thistlelever.store.links import Link, Links, Refused, Unreached
 
 REFERENCED = GROUP._replace(repeat=it.Repeat.REFERENCED, window=1.5, time_limit=30.0, goal=20.0)
 
@@ -46,12 +48,106 @@
     assert first.begin_by == 10.0 + MANIFEST.connect_limit
 
 
+@pytest.mark.parametrize("cancel, cut", [(True, True), (False, False)])
+def test_no_dispatch_is_cut_off_at_its_goal_where_nothing_can_be_called_off(cancel, cut):
+    # Risk: the engine runs on, and the next dispatch is a second copy (`Front.patience`).
+    front = Front(MANIFEST._replace(tariffs=(GROUP,), cancel=cancel), 7)
+    engines = (it.Engine(b"a", 0, 0, 0, it.Standing.READY, 0.0, 1.0),)
+    found = front.handle(10.0, [it.ListTold(it.ListKind.CACHED, 1, engines),
+                                it.BatchTaken(1, 0, 0, 0, 5.0, 0.1, 0.0, 1.0, False)])
+    assert (next(a for a in found if type(a) is it.Dispatch).time_out > 0) is cut
+
+
+def down_after(*fates):
+    """Whether an engine counts as one that was down after these ends, one after the other."""
+    front = Front(MANIFEST._replace(tariffs=(GROUP,), most_dispatches=99), 7)
+    engines = (it.Engine(b"a", 0, 0, 0, it.Standing.READY, 0.0, 1.0),)
+    front.handle(10.0, [it.ListTold(it.ListKind.CACHED, 1, engines)])
+    for fate in fates:
+        front.fared(0, fate)
+    return front.down[0]
+
+
+def test_one_connection_that_comes_up_late_is_no_engine_that_was_down():
+    # Risk: on a day on which a third of all connections come up late every engine counts as cold, and the
+    # fleet carries a third of its work (`Front.fared`).
+    assert not down_after(it.Fate.LATE)
+    assert not down_after(*[it.Fate.LATE, it.Fate.RETURNED] * 9)
+
+
+def test_an_engine_that_none_reaches_for_as_long_as_a_doubt_grows_was_down():
+    assert down_after(*[it.Fate.LATE] * 5)
+    assert down_after(it.Fate.UNREACHABLE)
+
+
+def test_a_connection_that_does_not_come_up_is_told_apart_from_one_refused():
+    async def fate(why):
+        async def take(entry, urgent, patient=False, unused=False):
+            raise why
+
+        terms = SimpleNamespace(report_fields=(), connect_limit=0.25, tariffs=())
+        engines = HttpEngines(terms, None, SimpleNamespace(take=take), None, Tally())
+        batch = Batch(1, SimpleNamespace(txn="1"), "taken", "lookup", clock.now() + 60)
+        with pytest.raises(Ended) as ended:
+            await engines.converse(batch, "entry", End(0, b"a"), Sending(0), 0.0)
+        assert (await engines.probe("entry"))[0] is ended.value.fate
+        return ended.value.fate
+
+    assert asyncio.run(fate(Unreached())) is it.Fate.LATE
+    assert asyncio.run(fate(Refused())) is it.Fate.UNREACHABLE
+
+
+@pytest.mark.parametrize("fate", (it.Fate.RESET, it.Fate.TIMED_OUT))
+def test_where_nothing_can_be_called_off_no_end_is_told_before_the_engine_has_surely_ended(fate):
+    # Risk: told at once, it lets the next dispatch go beside one that runs on (`Dispatcher.dispatch`).
+    async def run():
+        ended, asked = asyncio.Event(), asyncio.Event()
+
+        class Speech:
+            async def converse(self, batch, entry, end, sent, till):
+                sent.begun = True
+                raise Ended(fate)
+
+            async def run_out(self, sent):
+                asked.set()
+                await ended.wait()
+
+        roll = SimpleNamespace(begin=lambda engine: None, end=lambda engine: None, entries={b"a": "entry"})
+        terms = SimpleNamespace(cancel=False, copies=False)
+        dispatcher = Dispatcher(terms, roll, lambda entry: Speech(), None, Tally(), None)
+        batch = Batch(1, SimpleNamespace(txn="1"), "taken", "lookup", clock.now() + 60)
+        dispatcher.start(batch, 0, it.Dispatch(1, b"a", 5.0))
+        async with asyncio.timeout(8):
+            await asked.wait()
+            assert batch.inbox.empty()
+            ended.set()
+            assert (await batch.inbox.get()).fate is fate
+
+    asyncio.run(run())
+
+
+def test_an_engine_has_surely_ended_what_it_was_not_asked_for_in_its_time(monkeypatch):
+    monkeypatch.setattr(http_engines, "DROPPED_AFTER", 0.05)
+
+    async def run():
+        terms = SimpleNamespace(report_fields=(), connect_limit=0.25, tariffs=())
+        engines = HttpEngines(terms, None, None, None, Tally())
+        asked = clock.now()
+        await engines.run_out(Sending(0, asked=asked))
+        assert clock.now() >= asked + 0.05
+        # One that was seen to be dead is not waited for.
+        await asyncio.wait_for(engines.run_out(Sending(0, asked=clock.now() + 60, dead=True)), 8)
+
+    asyncio.run(run())
+
+
 def called_off_before_its_first_step(then):
     async def run():
         roll = SimpleNamespace(begin=lambda engine: out.update([engine]),
                                end=lambda engine: out.subtract([engine]), entries={})
         out = Counter()
-        dispatcher = Dispatcher(SimpleNamespace(cancel=True), roll, None, None, Tally(), None)
+        terms = SimpleNamespace(cancel=True, copies=False)
+        dispatcher = Dispatcher(terms, roll, None, None, Tally(), None)
         batch = Batch(1, SimpleNamespace(txn="1"), "taken", "lookup", clock.now() + 60)
         task = dispatcher.start(batch, 0, it.Dispatch(1, b"a", 0.0))
         then(task)
--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -36,7 +36,7 @@
           "fresh_at", "own", "cold")
 FIRST = {"listed": False, "down": False, "last": (), "gap": 0.5, "told_at": -1e9, "probe_at": -1e9,
          "slow": 1.0, "busy": 0.0, "granted": 0.0, "shun": 0.0, "doubt": 0.0, "width": 0}
-NEVER_RAN = frozenset((it.Fate.FULL, it.Fate.UNREACHABLE, it.Fate.UNSENT))
+NEVER_RAN = frozenset((it.Fate.FULL, it.Fate.UNREACHABLE, it.Fate.LATE, it.Fate.UNSENT))
 MAY_RUN_ON = frozenset((it.Fate.TIMED_OUT, it.Fate.RESET, it.Fate.CANCELLED))
 
 
@@ -377,11 +377,13 @@
     def fared(self, i: int, fate: it.Fate) -> None:
         if fate is it.Fate.RETURNED:
             self.lives(i)
-        elif fate in (it.Fate.UNREACHABLE, it.Fate.RESET, it.Fate.TIMED_OUT):
-            # Risk: an engine whose answers go missing resets too; taken for down each time, it would count
-            # as cold without end. Only a connection refused shows that nothing runs there.
-            self.down[i] |= fate is it.Fate.UNREACHABLE
-            self.doubt[i] = min(max(self.doubt[i] * 2, self.connect_limit), 8 * self.connect_limit)
+        elif fate in (it.Fate.UNREACHABLE, it.Fate.LATE, it.Fate.RESET, it.Fate.TIMED_OUT):
+            # Risk: an engine whose answers go missing resets too, and one connection of many comes up late;
+            # taken for down each time, it would count as cold without end. Only a connection refused shows
+            # that nothing runs there, or that none comes up for as long as a doubt grows.
+            most = 8 * self.connect_limit
+            self.down[i] |= fate is it.Fate.UNREACHABLE or fate is it.Fate.LATE and self.doubt[i] >= most
+            self.doubt[i] = min(max(self.doubt[i] * 2, self.connect_limit), most)
             self.shun[i] = self.now + self.doubt[i]
 
     def lives(self, i: int) -> None:
@@ -663,11 +665,13 @@
     def patience(self, b: Batch) -> float:
         """How long a dispatch may go unanswered, for the next to meet the goal; 0: to the time limit.
         Never under four times the group's usual, so that it does not trip while all are slow. None where
-        copies are allowed: work that a time-out does not stop costs more there, and probes find silence."""
+        copies are allowed: work that a time-out does not stop costs more there, and probes find silence. None
+        where nothing can be called off: the engine runs on, and until it surely does not none may follow."""
         t = self.groups[b.group]
         # Where a share is less than a batch, what is cut off at its goal is done twice over the whole fleet,
         # to earn what the late answer would have earned.
-        if self.copies or self.step < 1.0 and t.late_share or t.repeat is it.Repeat.ONCE_ONLY:
+        runs_on, late_earns = self.copies or not self.cancel, self.step < 1.0 and t.late_share
+        if runs_on or late_earns or t.repeat is it.Repeat.ONCE_ONLY:
             return 0.0
         if b.dispatches + 1 >= self.most[b.group]:
             return 0.0
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -69,6 +69,8 @@
     # When the engine was last asked for the batch; whether it has ever said that it knows it.
     asked: float = 0.0
     heard: bool = False
+    # Whether its engine was seen to be dead.
+    dead: bool = False
     doubts: int = 0
     posts: int = 0
     pages: int = 0
@@ -95,6 +97,9 @@
     async def give_up(self, batch: Batch, entry: Entry, sent: Sending) -> None:
         """Returns once the engine surely runs the batch no more, or can't be told so."""
 
+    async def run_out(self, sent: Sending) -> None:
+        """Returns once the engine surely runs the batch no more, though nobody may tell it to give it up."""
+
     async def put(self, batch: Batch, entry: Entry, number: int) -> None:
         """The batch's new priority, for that dispatch. A call whose loss costs little: it is made once, and
         a failure is counted."""
@@ -108,7 +113,7 @@
 
     def __init__(self, manifest: it.Manifest, roll: Roll, speech: Callable[[Entry], Speech], desk: Desk,
                  tally: Tally, log: Log) -> None:
-        self.cancels = manifest.cancel
+        self.cancels, self.copies = manifest.cancel, manifest.copies
         # What an entry's engine speaks.
         self.speech = speech
         self.roll, self.desk, self.tally, self.log = roll, desk, tally, log
@@ -163,13 +168,18 @@
         if end.flow:
             end.flow.end(end.fate)
         batch.limits.pop(number, None)
-        if sent.begun and self.cancels and end.fate in MAY_RUN_ON:
-            given_up = self.aside(self.give_up(batch, entry, sent))
+        if sent.begun and end.fate in MAY_RUN_ON and (self.cancels or not self.copies):
+            # Risk: where nothing may be called off, a time-out told at once makes the next dispatch a second
+            # copy beside one that its engine runs on.
+            over = self.give_up(batch, entry, sent) if self.cancels else self.speech(entry).run_out(sent)
+            given_up = self.aside(over)
             if end.fate is not it.Fate.TIMED_OUT or till < batch.limit_at:
                 # Risk: a further dispatch that comes before the DELETE makes two out at once, and an end
                 # that a second order to give up swallows leaves the batch open for good.
                 with suppress(asyncio.CancelledError):
                     await asyncio.wait((given_up,), timeout=max(batch.limit_at - clock.now(), 0.0))
+            if not self.cancels:
+                given_up.cancel()
 
     async def sending(self, batch: Batch, entry: Entry, end: End, sent: Sending, till: float) -> None:
         if batch.ward and not await batch.ward.out(end.number, end.engine):
--- a/thistlelever/carrier/flight_engines.py
+++ b/thistlelever/carrier/flight_engines.py
@@ -314,6 +314,10 @@
         except Ended:
             return None
 
+    async def run_out(self, sent: Sending) -> None:
+        """An engine that runs on says nothing of its end: none follows before the batch's time limit."""
+        await asyncio.Event().wait()
+
     async def put(self, batch: Batch, entry: Entry, number: int) -> None:
         try:
             await self.act(entry, PRIORITY, b"%d" % batch.priority, which(batch.name(number)))
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -86,8 +86,10 @@
         """The call that starts it, and its reply if it got one of use."""
         try:
             link = await self.link(entry, batch.lane in self.wary)
-        except (Refused, Unreached):
+        except Refused:
             raise Ended(proven(it.Fate.UNREACHABLE, sent.posts)) from None
+        except Unreached:
+            raise Ended(proven(it.Fate.LATE, sent.posts)) from None
         except (Broken, Short):
             raise Ended(proven(it.Fate.UNSENT, sent.posts)) from None
         if not sent.may_begin():
@@ -152,6 +154,7 @@
             try:
                 link = await self.links.take(entry, urgent=False, patient=not page, unused=unused)
             except Refused:
+                sent.dead = True
                 break
             except (Unreached, Short, Broken):
                 # Risk: a network that says no at once, asked again at once, takes the whole core.
@@ -239,6 +242,12 @@
         await self.delete(entry, way(batch, sent.number)[:-1], sent.asked + DROPPED_AFTER,
                           lambda: not batch.answered)
 
+    async def run_out(self, sent: Sending) -> None:
+        """An engine ends what it has not been asked for in so long; a question may lie there as long as news
+        may take."""
+        if not sent.dead:
+            await asyncio.sleep(sent.asked + NEWS_WITHIN + DROPPED_AFTER - clock.now())
+
     async def call_off(self, entry: Entry, name: Name) -> None:
         await self.delete(entry, f"/fetch/{name.txn}", clock.now() + DROPPED_AFTER, lambda: False)
 
@@ -281,8 +290,10 @@
                 return it.Fate.RETURNED if reply.status == 200 else it.Fate.ERRORED, report
             finally:
                 self.links.give_back(link)
-        except (Refused, Unreached):
+        except Refused:
             return it.Fate.UNREACHABLE, ()
+        except Unreached:
+            return it.Fate.LATE, ()
         except Silent:
             return it.Fate.TIMED_OUT, ()
         except (Broken, Short):
--- a/thistlelever/carrier/recollection.py
+++ b/thistlelever/carrier/recollection.py
@@ -11,7 +11,7 @@
 from thistlelever.store.roll import Roll
 
 # After these the engine surely never ran it.
-NEVER_RAN = frozenset((it.Fate.FULL, it.Fate.UNREACHABLE, it.Fate.UNSENT))
+NEVER_RAN = frozenset((it.Fate.FULL, it.Fate.UNREACHABLE, it.Fate.LATE, it.Fate.UNSENT))
 
 
 def goes_on_from(batch: Batch, tariff: it.Tariff, roll: Roll, name: Name, engine: it.EngineId,
--- a/thistlelever/ground/interface.py
+++ b/thistlelever/ground/interface.py
@@ -59,6 +59,8 @@
     UNSENT = 7
     # The connection broke under the call, and the engine, asked again, does not know of the batch.
     ASTRAY = 8
+    # No connection came up in the connect limit, and nothing said why: it never ran.
+    LATE = 9
 
 
 class Tidings(IntEnum):
