--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -27,13 +27,19 @@
     """What is wrong with the run; nothing where only listed tests failed, and all of them."""
     tests = [line.split(",")[0].strip() for line in listed]
     wrong = [f"more than {MOST} lines in the list"] if len(listed) > MOST else []
-    wrong += [f"not of the form 'test, cause, issue': {line}" for line in listed
-              if len([part for part in line.split(",", 2) if part.strip()]) < 3]
+    wrong += [
+        f"not of the form 'test, cause, issue': {line}"
+        for line in listed
+        if len([part for part in line.split(",", 2) if part.strip()]) < 3
+    ]
     if code not in ENDED:
         return [*wrong, f"the run did not come to its end: pytest's exit code {code}"]
     cases = {name(case): case for case in ElementTree.fromstring(report).iter("testcase")}
-    red = {test for test, case in cases.items()
-           if case.find("failure") is not None or case.find("error") is not None}
+    red = {
+        test
+        for test, case in cases.items()
+        if case.find("failure") is not None or case.find("error") is not None
+    }
     skipped = {test for test, case in cases.items() if case.find("skipped") is not None}
     wrong += [f"failed, and is not listed: {test}" for test in sorted(red - set(tests))]
     wrong += [f"listed, and passed: {test}" for test in tests if test in cases.keys() - red - skipped]
--- a/Makefile
+++ b/Makefile
@@ -19,6 +19,7 @@
 	$(PYTHON) -m pytest -q
 
 lint: .venv/bin/pytest
+	.venv/bin/ruff format --check .
 	.venv/bin/ruff check .
 	.venv/bin/lint-imports
 
--- a/rigs/budgets.py
+++ b/rigs/budgets.py
@@ -28,14 +28,33 @@
 VICTIM, FLOOD = "acme", "marea"
 # Batches a second and their work in seconds, by team; `bursts` come in a tenth of each two seconds alone.
 TEAMS = {
-    VICTIM: (30.0, 0.020, "lookup"), FLOOD: (250.0, 0.024, "lookup"), "lotti": (20.0, 0.020, "lookup"),
-    "grande": (0.7, 0.400, "report"), "scoppio": (12.0, 0.030, "lookup"),
+    VICTIM: (30.0, 0.020, "lookup"),
+    FLOOD: (250.0, 0.024, "lookup"),
+    "lotti": (20.0, 0.020, "lookup"),
+    "grande": (0.7, 0.400, "report"),
+    "scoppio": (12.0, 0.030, "lookup"),
+}
+SECTION = {
+    "budgets": {
+        "threads_a_core": 1.0,
+        "depth": 1.0,
+        "waste": 0.05,
+        "brokers": {
+            "nord": {
+                "guarantee": 0.4,
+                "teams": {VICTIM: {"guarantee": 0.25, "burst": 0.2}, "lotti": {"guarantee": 0.15}},
+            },
+            "sud": {
+                "guarantee": 0.3,
+                "teams": {
+                    FLOOD: {"guarantee": 0.1},
+                    "grande": {"guarantee": 0.1},
+                    "scoppio": {"guarantee": 0.1, "burst": 0.5},
+                },
+            },
+        },
+    }
 }
-SECTION = {"budgets": {"threads_a_core": 1.0, "depth": 1.0, "waste": 0.05, "brokers": {
-    "nord": {"guarantee": 0.4, "teams": {
-        VICTIM: {"guarantee": 0.25, "burst": 0.2}, "lotti": {"guarantee": 0.15}}},
-    "sud": {"guarantee": 0.3, "teams": {FLOOD: {"guarantee": 0.1}, "grande": {"guarantee": 0.1},
-                                        "scoppio": {"guarantee": 0.1, "burst": 0.5}}}}}}
 # What the claims allow.
 WITHIN, POINTS = 0.20, 2.0
 
@@ -43,11 +62,16 @@
 def settings(engines):
     told = json.loads(json.dumps(SETTINGS))
     limit = {"Deadline": int(LIMIT * 1e6), "Slo": int(GOAL * 1e6), "AimStretch": 0.0}
-    told["Classes"] = [GROUP | limit,
-                       GROUP | limit | {"Name": "report", "Value": 0.2, "Idempotency": "once",
-                                        "Slo": 4_000_000}]
-    told["FamilyInfo"] |= {"KindCores": [CORES], "WidthByClass": [1, 1], "HoldsTables": [False, False],
-                           "YieldsToLoads": [False, False]}
+    told["Classes"] = [
+        GROUP | limit,
+        GROUP | limit | {"Name": "report", "Value": 0.2, "Idempotency": "once", "Slo": 4_000_000},
+    ]
+    told["FamilyInfo"] |= {
+        "KindCores": [CORES],
+        "WidthByClass": [1, 1],
+        "HoldsTables": [False, False],
+        "YieldsToLoads": [False, False],
+    }
     told["Parties"] = [{"Name": name, "QuotaPerS": 100.0} for name in TEAMS]
     told["Limits"]["MaxRetryAfter"] = 4_000_000
     return told
@@ -177,8 +201,14 @@
     def ask(self, name, group, number, took, line):
         team = list(TEAMS).index(name)
         text = f"select w{int(took * 1e6)} from sales_{number % 50}.orders"
-        params = {"id": f"{team:04x}{number:012x}", "wait": LIMIT * 1e3, "tenant": name, "cost": took * 1e3,
-                  "need_mb": 4, "bytes": b64encode(text.encode()).decode()}
+        params = {
+            "id": f"{team:04x}{number:012x}",
+            "wait": LIMIT * 1e3,
+            "tenant": name,
+            "cost": took * 1e3,
+            "need_mb": 4,
+            "bytes": b64encode(text.encode()).decode(),
+        }
         line.open[number] = asyncio.get_running_loop().time()
         call = {"jsonrpc": "2.0", "id": number, "method": group, "params": params}
         line.writer.write(json.dumps(call).encode() + b"\n")
@@ -217,11 +247,16 @@
     without = await Day(chance, seconds, list(TEAMS), None).play()
     waited = [r for r in recorded if r[2] >= SHORT]
     errors = {
-              f"{name}p{share}": percentile([abs(r[place] - r[2]) / r[2] for r in waited], share)
-              for name, place in (("", 1), ("naive_", 3)) for share in (50, 90, 99)}
+        f"{name}p{share}": percentile([abs(r[place] - r[2]) / r[2] for r in waited], share)
+        for name, place in (("", 1), ("naive_", 3))
+        for share in (50, 90, 99)
+    }
     judge = flooded.office.courses.gate.judge
-    shares = {"alone": alone.in_time(VICTIM), "with_budgets": flooded.in_time(VICTIM),
-              "without_budgets": without.in_time(VICTIM)}
+    shares = {
+        "alone": alone.in_time(VICTIM),
+        "with_budgets": flooded.in_time(VICTIM),
+        "without_budgets": without.in_time(VICTIM),
+    }
     broken = []
     if shares["with_budgets"] < shares["alone"] - POINTS:
         broken.append("the victim's share in time falls under the flood")
@@ -235,14 +270,21 @@
     if not judge.conserved() or judge.batches:
         broken.append("something is still held")
     figures = {
-        "seconds": seconds, "in_time": {name: round(share, 1) for name, share in shares.items()},
-        "estimate_errors": errors, "waits_judged": len(waited), "starved": flooded.late,
-        "answers": {"0": alone.late + flooded.late + without.late, "1": sum(
-            day.answers["1"] for day in (alone, flooded, without)), "2+": sum(
-            day.answers["2+"] for day in (alone, flooded, without))},
+        "seconds": seconds,
+        "in_time": {name: round(share, 1) for name, share in shares.items()},
+        "estimate_errors": errors,
+        "waits_judged": len(waited),
+        "starved": flooded.late,
+        "answers": {
+            "0": alone.late + flooded.late + without.late,
+            "1": sum(day.answers["1"] for day in (alone, flooded, without)),
+            "2+": sum(day.answers["2+"] for day in (alone, flooded, without)),
+        },
         "ends_with": {name: dict(ends) for name, ends in flooded.ends.items()},
         "ends_without": {name: dict(ends) for name, ends in without.ends.items()},
-        "counts": judge.counts, "thrown_away_core_s": round(judge.thrown_away, 3)}
+        "counts": judge.counts,
+        "thrown_away_core_s": round(judge.thrown_away, 3),
+    }
     if plot:
         picture(Path(plot), seed, flooded, recorded)
     return broken, figures
--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -117,7 +117,8 @@
         """Its own way to the directory and to each engine."""
         loop = asyncio.get_running_loop()
         _, self.directory = await loop.create_datagram_endpoint(
-            lambda: Directory(self.fleet.stir), local_addr=("127.0.0.1", 0))
+            lambda: Directory(self.fleet.stir), local_addr=("127.0.0.1", 0)
+        )
         for name, engine in self.fleet.engines.items():
             self.relays[name] = engine if self.fleet.direct else Relay(engine.port)
             if not self.fleet.direct:
@@ -130,9 +131,12 @@
         config["settings"] |= {"Balancers": len(self.fleet.fronts), "Rank": self.place}
         peers = ["{}:{}".format(*front.known_as) for front in self.fleet.fronts]
         return config | {
-            "name": self.name, "listen": f"127.0.0.1:{self.port}",
-            "seed": f"{self.place + 1:x}{self.lives:x}", "peers": peers,
-            "peer_listen": "{}:{}".format(*self.real)}
+            "name": self.name,
+            "listen": f"127.0.0.1:{self.port}",
+            "seed": f"{self.place + 1:x}{self.lives:x}",
+            "peers": peers,
+            "peer_listen": "{}:{}".format(*self.real),
+        }
 
     async def start(self, diskless=False):
         """From nothing, under its name and addresses. `diskless`: no file can be written, no temporary
@@ -146,13 +150,15 @@
         if diskless:
             with open("/dev/full", "wb") as full:
                 self.process = await asyncio.create_subprocess_exec(
-                    *words, cwd=ROOT, env=env | {"TMPDIR": "/nonexistent"}, stdout=full, preexec_fn=no_files)
+                    *words, cwd=ROOT, env=env | {"TMPDIR": "/nonexistent"}, stdout=full, preexec_fn=no_files
+                )
             async with asyncio.timeout(START_WITHIN):
                 while await self.ask("counts") is None:
                     await asyncio.sleep(0.05)
             return
         self.process = await asyncio.create_subprocess_exec(
-            *words, cwd=ROOT, env=env, stdout=asyncio.subprocess.PIPE, limit=2**20)
+            *words, cwd=ROOT, env=env, stdout=asyncio.subprocess.PIPE, limit=2**20
+        )
         self.ready = asyncio.Event()
         self.reading = asyncio.create_task(self.read(self.process))
         async with asyncio.timeout(START_WITHIN):
@@ -226,8 +232,14 @@
                         asked = self.open[number] = Asked(self.front, loop.time())
                         self.asked.append(asked)
                         txn = f"{self.front.place + 1:04x}{number:012x}"
-                        params = {"id": txn, "wait": self.wait_ms, "tenant": "acme", "cost": 5.0,
-                                  "need_mb": 4, "bytes": body}
+                        params = {
+                            "id": txn,
+                            "wait": self.wait_ms,
+                            "tenant": "acme",
+                            "cost": 5.0,
+                            "need_mb": 4,
+                            "bytes": body,
+                        }
                         call = {"jsonrpc": "2.0", "id": number, "method": "lookup", "params": params}
                         writer.write(json.dumps(call).encode() + b"\n")
                     await asyncio.wait((hearing,), timeout=self.every)
@@ -246,8 +258,13 @@
                 asked.answers += 1
                 if asked.answers == 1:
                     asked.took = asyncio.get_running_loop().time() - asked.at
-                    asked.what = "returned" if "result" in told else "pushed back" if (
-                        told["error"]["code"] == -32001) else "errored"
+                    asked.what = (
+                        "returned"
+                        if "result" in told
+                        else "pushed back"
+                        if (told["error"]["code"] == -32001)
+                        else "errored"
+                    )
                 # A second answer under its number would still be seen.
                 if len(self.open) > 4_000:
                     self.open.pop(next(iter(self.open)))
@@ -257,8 +274,9 @@
 class Fleet:
     """All of it: `async with Fleet(...) as fleet`."""
 
-    def __init__(self, chance, fronts, engines, sections, settings, program=("thistlelever",), flight=0,
-                 direct=False):
+    def __init__(
+        self, chance, fronts, engines, sections, settings, program=("thistlelever",), flight=0, direct=False
+    ):
         self.chance, self.many, self.sections, self.settings = chance, fronts, sections, settings
         self.program, self.stir, self.engines = program, asyncio.Event(), {}
         # Whether fronts reach engines without a relay between, where nothing is to break there.
@@ -337,9 +355,15 @@
         while (took := asyncio.get_running_loop().time() - began) < within:
             wanted = {f.name for f in self.fronts if f.lives_on} if living is None else set(living)
             views = await self.views()
-            if all(told and not told["alone"] and wanted == {told["name"]} | {
-                    m["name"] for m in told["members"] if m["state"] in ("alive", "unfit", "suspected")}
-                   for name, told in views.items() if name in wanted):
+            if all(
+                told
+                and not told["alone"]
+                and wanted
+                == {told["name"]}
+                | {m["name"] for m in told["members"] if m["state"] in ("alive", "unfit", "suspected")}
+                for name, told in views.items()
+                if name in wanted
+            ):
                 return took
             # Risk: asked as often as five, thirty answer nobody else.
             await asyncio.sleep(max(0.02, 0.005 * len(views)))
--- a/rigs/flight.py
+++ b/rigs/flight.py
@@ -46,17 +46,42 @@
 ZONES = {"h-alba": "nord", "h-bruma": "sud", "f-cala": "nord", "f-duna": "sud"}
 # Faults by call, with how often each comes; the rest of calls go as usual.
 HTTP_FAULTS = {
-    "POST": [(2, "full"), (1, "unsent"), (1, "error"), (2, "reset"), (1, "ran reset"), (0.4, "silent"),
-             (93, "")],
-    "GET0": [(3, "reset"), (97, "")], "GET1": [(2, "500"), (2, "reset"), (96, "")],
+    "POST": [
+        (2, "full"),
+        (1, "unsent"),
+        (1, "error"),
+        (2, "reset"),
+        (1, "ran reset"),
+        (0.4, "silent"),
+        (93, ""),
+    ],
+    "GET0": [(3, "reset"), (97, "")],
+    "GET1": [(2, "500"), (2, "reset"), (96, "")],
     "DELETE": [(5, "reset"), (95, "")],
 }
 FLIGHT_FAULTS = {
-    "GetFlightInfo": [(2, "full"), (1, "unsent"), (1, "error"), (1, "lost"), (1, "ran lost"), (0.4, "silent"),
-                      (94, "")],
-    "DoGet": [(1, "cut 0"), (1, "cut 1"), (1, "cut 2"), (8, "cut 7"), (1, "cut 99"), (0.3, "silent"),
-              (1, "empty"), (1, "error"), (2, "notes advance=0.2 advance=0.7"), (0.5, "raw 1204ffffffff"),
-              (83, "")],
+    "GetFlightInfo": [
+        (2, "full"),
+        (1, "unsent"),
+        (1, "error"),
+        (1, "lost"),
+        (1, "ran lost"),
+        (0.4, "silent"),
+        (94, ""),
+    ],
+    "DoGet": [
+        (1, "cut 0"),
+        (1, "cut 1"),
+        (1, "cut 2"),
+        (8, "cut 7"),
+        (1, "cut 99"),
+        (0.3, "silent"),
+        (1, "empty"),
+        (1, "error"),
+        (2, "notes advance=0.2 advance=0.7"),
+        (0.5, "raw 1204ffffffff"),
+        (83, ""),
+    ],
     "DoPut": [(2, "full"), (1, "lost"), (1, "ran lost"), (96, "")],
     "CancelFlightInfo": [(5, "lost"), (95, "")],
 }
@@ -64,9 +89,18 @@
 GROUPS = [(55, "lookup"), (25, "load"), (20, "pay")]
 MANNERS = {
     "rpc": [(90, "usual"), (6, "withdraws"), (4, "hangs up")],
-    "flight": [(66, "usual"), (5, "update"), (5, "prepared"), (5, "cancels"), (4, "calls off"),
-               (4, "hangs up"), (4, "reads slowly"), (2, "never redeems"), (3, "redeems twice"),
-               (2, "forges")],
+    "flight": [
+        (66, "usual"),
+        (5, "update"),
+        (5, "prepared"),
+        (5, "cancels"),
+        (4, "calls off"),
+        (4, "hangs up"),
+        (4, "reads slowly"),
+        (2, "never redeems"),
+        (3, "redeems twice"),
+        (2, "forges"),
+    ],
 }
 
 
@@ -77,12 +111,18 @@
     limit = {"Deadline": LIMIT_MS * 1000, "Slo": 800_000}
     told["Classes"] = [
         GROUP | limit,
-        GROUP | limit | {"Name": "load", "Value": 0.8, "Idempotency": "by_key", "DedupScope": "zone",
-                         "Sequential": True},
-        GROUP | limit | {"Name": "pay", "Value": 0.6, "Idempotency": "once"}]
+        GROUP
+        | limit
+        | {"Name": "load", "Value": 0.8, "Idempotency": "by_key", "DedupScope": "zone", "Sequential": True},
+        GROUP | limit | {"Name": "pay", "Value": 0.6, "Idempotency": "once"},
+    ]
     told["Limits"]["MaxAttempts"] = 4
-    told["Invariants"] |= {"KeyRest": int(REST * 1e6), "ExtraFloor": FLOOR, "ResendRatio": SHARE,
-                           "LookBack": int(WINDOW * 1e6)}
+    told["Invariants"] |= {
+        "KeyRest": int(REST * 1e6),
+        "ExtraFloor": FLOOR,
+        "ResendRatio": SHARE,
+        "LookBack": int(WINDOW * 1e6),
+    }
     return told
 
 
@@ -111,8 +151,12 @@
         return f"select n{self.rows} from {self.table} -- {self.mark}"
 
     def headers(self):
-        said = [("x-group", self.group), ("x-cost-ms", "10"), ("x-need-mb", "8"),
-                ("x-wait-ms", str(LIMIT_MS))]
+        said = [
+            ("x-group", self.group),
+            ("x-cost-ms", "10"),
+            ("x-need-mb", "8"),
+            ("x-wait-ms", str(LIMIT_MS)),
+        ]
         if self.group == "load":
             said.append(("x-once", self.mark))
         return tuple(said)
@@ -129,8 +173,11 @@
 def right(asked, rows):
     """Whether it is the whole result of one run of the batch, and of nothing else."""
     made = {row[2] for row in rows}
-    return (len(made) == 1 and [row[1] for row in rows] == [str(n) for n in range(asked.rows)]
-            and {row[0] for row in rows} == {asked.mark})
+    return (
+        len(made) == 1
+        and [row[1] for row in rows] == [str(n) for n in range(asked.rows)]
+        and {row[0] for row in rows} == {asked.mark}
+    )
 
 
 class Rig:
@@ -157,7 +204,10 @@
             engine.result = lambda statement: self.in_parts(text(statement))
             engine.changed = lambda statement: int(statement.split()[1][1:])
             engine.trailers = (
-                ("x-gauges", "inflight:1;util:0.2"), ("elapsed-work", "10"), ("high-water", "8"))
+                ("x-gauges", "inflight:1;util:0.2"),
+                ("elapsed-work", "10"),
+                ("high-water", "8"),
+            )
         else:
             engine.facts = {"X-Gauges": "inflight:1;util:0.2", "Elapsed-Work": "10", "High-Water": "8"}
         engine.lasts = lambda txn: 0.004 + 0.012 * self.chance.share("lasts", txn)
@@ -168,7 +218,7 @@
         """The messages of a result, some hundred rows each, so that there are places to break between."""
         lines, made = text.splitlines(keepends=True), []
         for start in range(0, len(lines), 100):
-            schema, *batches = columns.of_rows(["".join(lines[start:start + 100]).encode()])
+            schema, *batches = columns.of_rows(["".join(lines[start : start + 100]).encode()])
             made = made or [schema]
             made += batches
         return made
@@ -193,12 +243,19 @@
         await relay.start()
         loop = asyncio.get_running_loop()
         _, self.directory = await loop.create_datagram_endpoint(
-            lambda: Directory(self.stir), local_addr=("127.0.0.1", 0))
+            lambda: Directory(self.stir), local_addr=("127.0.0.1", 0)
+        )
         self.list_anew()
         known = [(name, f"127.0.0.1:{self.port(name)}", zone) for name, zone in ZONES.items()]
         told = papers.read(configuration(known, f"127.0.0.1:{self.directory.port}", settings()), {})
-        terms = Flight(listen="127.0.0.1:0", engines=("f-cala", "f-duna", "f-duna-2"), tenant="acme",
-                       held_bytes=HELD, tickets=100_000, ticket_s=20.0)
+        terms = Flight(
+            listen="127.0.0.1:0",
+            engines=("f-cala", "f-duna", "f-duna-2"),
+            tenant="acme",
+            held_bytes=HELD,
+            tickets=100_000,
+            ticket_s=20.0,
+        )
         ready = loop.create_future()
 
         def log(event, **facts):
@@ -223,7 +280,9 @@
         self.directory.serial += 1
         self.directory.entries = {
             name: (self.port(name), name in draining, ZONES.get(name, "sud"))
-            for name in self.engines if name not in without}
+            for name in self.engines
+            if name not in without
+        }
         return self.directory.serial
 
     async def told_anew(self, draining):
@@ -342,8 +401,11 @@
         handle = parcels.command(body).prepared_statement_handle
         command = sql.CommandPreparedStatementQuery(prepared_statement_handle=handle)
         info = await flight_client.unary(channel, "GetFlightInfo", flight_client.descriptor(command), said)
-        await flight_client.action(channel, "ClosePreparedStatement", parcels.wrapped(
-            sql.ActionClosePreparedStatementRequest(prepared_statement_handle=handle)))
+        await flight_client.action(
+            channel,
+            "ClosePreparedStatement",
+            parcels.wrapped(sql.ActionClosePreparedStatementRequest(prepared_statement_handle=handle)),
+        )
         return pb.FlightInfo.FromString(info)
 
     async def leaves(self, asked, channel, info):
@@ -390,8 +452,11 @@
         owed = [a for a in self.asked if a.what not in ("not taken", "left") and a.manner not in LEAVERS]
         answers = Counter("2+" if a.answers > 1 else str(a.answers) for a in owed)
         answers["2+"] += self.extra_answers
-        ran = Counter(line.txn if line.lane == "pay" else line.mark for line in lines
-                      if line.what == "ran" and line.lane != "lookup")
+        ran = Counter(
+            line.txn if line.lane == "pay" else line.mark
+            for line in lines
+            if line.what == "ran" and line.lane != "lookup"
+        )
         twice = sum(count > 1 for count in ran.values())
         most = max(self.common.most.values(), default=0)
         broken = []
@@ -417,13 +482,18 @@
         for name, engine in self.engines.items():
             by_engine["flight" if name.startswith("f") else "http"] += engine.book.count("arrived")
         figures = {
-            "batches": len(self.asked), "by_door": dict(Counter(a.door for a in self.asked)),
+            "batches": len(self.asked),
+            "by_door": dict(Counter(a.door for a in self.asked)),
             "dispatches_by_protocol": dict(by_engine),
             "answers": {name: answers[name] for name in ("0", "1", "2+")},
-            "ends": dict(Counter(a.what or "left" for a in self.asked)), "effects_twice": twice,
-            "most_out_at_once": most, "rows_wrong": self.rows_wrong,
-            "went_on_before_whole": counts["Begun"], "drains": len(self.drains),
-            "faults": dict(sorted(self.faults.items())), "statuses": dict(sorted(self.statuses.items())),
+            "ends": dict(Counter(a.what or "left" for a in self.asked)),
+            "effects_twice": twice,
+            "most_out_at_once": most,
+            "rows_wrong": self.rows_wrong,
+            "went_on_before_whole": counts["Begun"],
+            "drains": len(self.drains),
+            "faults": dict(sorted(self.faults.items())),
+            "statuses": dict(sorted(self.statuses.items())),
             "front": {name: count for name, count in sorted(counts.items()) if name.startswith("dispatches")},
             "cpu_s": round(process_time(), 1),
             "peak_mb": round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024),
@@ -436,8 +506,9 @@
         for name, serial, back in self.drains:
             since = self.directory.told[serial] + GRACE + LATE
             until = self.directory.told.get(back, float("inf"))
-            found += sum(since < line.at < until for line in self.engines[name].book.lines
-                         if line.what == "arrived")
+            found += sum(
+                since < line.at < until for line in self.engines[name].book.lines if line.what == "arrived"
+            )
         return [f"3: {found} dispatches after a drain"] if found else []
 
     def by_key(self, lines):
@@ -494,9 +565,13 @@
         asked.number, done = self.next, asyncio.get_running_loop().create_future()
         self.open_calls[self.next] = asked, done
         params = {
-            "id": self.rig.chance.seed.to_bytes(4, "big").hex() + f"{asked.place:08x}", "wait": LIMIT_MS,
-            "tenant": "acme", "cost": 10, "need_mb": 8,
-            "bytes": b64encode(asked.statement().encode()).decode()}
+            "id": self.rig.chance.seed.to_bytes(4, "big").hex() + f"{asked.place:08x}",
+            "wait": LIMIT_MS,
+            "tenant": "acme",
+            "cost": 10,
+            "need_mb": 8,
+            "bytes": b64encode(asked.statement().encode()).decode(),
+        }
         if asked.group == "load":
             params["once"] = asked.mark
         if asked.of:
@@ -543,6 +618,7 @@
 
 def resend():
     """What may have run is told as never run."""
+
     async def fate(self, why, entry, batch, sent):
         return it.Fate.UNSENT
 
@@ -568,6 +644,7 @@
 
 def forget():
     """A dispatch that is given up is not called off at its engine."""
+
     async def nothing(self, batch, entry, sent):
         return None
 
--- a/rigs/flight_cost.py
+++ b/rigs/flight_cost.py
@@ -38,8 +38,13 @@
     reader, writer = await asyncio.open_connection(*listen, limit=2**20)
     count = 0
     for number in range(1, times + 1):
-        params = {"id": f"{number:016x}", "wait": 3000, "tenant": "acme", "cost": 50,
-                  "bytes": b64encode(STATEMENT.encode()).decode()}
+        params = {
+            "id": f"{number:016x}",
+            "wait": 3000,
+            "tenant": "acme",
+            "cost": 50,
+            "bytes": b64encode(STATEMENT.encode()).decode(),
+        }
         call = {"jsonrpc": "2.0", "id": number, "method": "lookup", "params": params}
         writer.write(json.dumps(call).encode() + b"\n")
         answer = json.loads(await reader.readline())
@@ -76,13 +81,19 @@
     http.text = "".join(small)
     over_rpc.times = over_flight.times = times
     cpu, count, memory = await measured(http, over_rpc, False)
-    figures["rows_by_http_and_rpc"] = {"us_a_row": cpu / count * 1e6, "ms_a_batch": cpu / times * 1e3,
-                                       "memory_mb": memory}
+    figures["rows_by_http_and_rpc"] = {
+        "us_a_row": cpu / count * 1e6,
+        "ms_a_batch": cpu / times * 1e3,
+        "memory_mb": memory,
+    }
     flight, whole = FlightEngine(stir), columns.of_rows(["".join(small).encode()])
     flight.result = lambda statement: whole
     cpu, count, memory = await measured(flight, over_flight, True)
-    figures["columns_by_flight"] = {"us_a_row": cpu / count * 1e6, "ms_a_batch": cpu / times * 1e3,
-                                    "memory_mb": memory}
+    figures["columns_by_flight"] = {
+        "us_a_row": cpu / count * 1e6,
+        "ms_a_batch": cpu / times * 1e3,
+        "memory_mb": memory,
+    }
     flight, least = FlightEngine(stir), columns.of_rows([b"a\tb\tc\n"])
     flight.result = lambda statement: least
     cpu, count, memory = await measured(flight, over_flight, True)
@@ -95,15 +106,23 @@
     flight = FlightEngine(stir)
     flight.result = lambda statement: messages
     cpu, count, memory = await measured(flight, over_flight, True)
-    figures["large_by_flight"] = {"us_a_row": cpu / count * 1e6, "ms_a_batch": cpu / over_flight.times * 1e3,
-                                  "memory_mb": memory, "bytes": sum(map(len, messages))}
-    text, small_way, large_way = (figures[name]["us_a_row"] for name in (
-        "rows_by_http_and_rpc", "columns_by_flight", "large_by_flight"))
+    figures["large_by_flight"] = {
+        "us_a_row": cpu / count * 1e6,
+        "ms_a_batch": cpu / over_flight.times * 1e3,
+        "memory_mb": memory,
+        "bytes": sum(map(len, messages)),
+    }
+    text, small_way, large_way = (
+        figures[name]["us_a_row"] for name in ("rows_by_http_and_rpc", "columns_by_flight", "large_by_flight")
+    )
     # What the bytes themselves cost, beside the calls that a batch of any size takes.
     calls = figures["one_row_by_flight"]["ms_a_batch"]
-    return figures | {"times": times, "rows_cost_against_columns": text / small_way,
-                      "rows_cost_against_columns_of_10_mb": text / large_way,
-                      "share_of_calls_at_48_kb": calls / figures["columns_by_flight"]["ms_a_batch"]}
+    return figures | {
+        "times": times,
+        "rows_cost_against_columns": text / small_way,
+        "rows_cost_against_columns_of_10_mb": text / large_way,
+        "share_of_calls_at_48_kb": calls / figures["columns_by_flight"]["ms_a_batch"],
+    }
 
 
 @click.command()
--- a/rigs/flight_slow.py
+++ b/rigs/flight_slow.py
@@ -20,8 +20,11 @@
 MESSAGE, PACE = 60_000, 0.25
 # What memory may rise by between the first and the last quarter of the time.
 FLAT_MB = 2.0
-OPTIONS = (("grpc.use_local_subchannel_pool", 1), ("grpc.http2.bdp_probe", 0),
-           ("grpc.http2.lookahead_bytes", 65_536))
+OPTIONS = (
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.http2.lookahead_bytes", 65_536),
+)
 
 
 def settings(seconds):
@@ -56,8 +59,9 @@
     async with AsyncExitStack() as stack:
         served = await stack.enter_async_context(front({"big": big}, settings(seconds), operator))
         address = f"127.0.0.1:{served.flight[1]}"
-        slowly, other = [await stack.enter_async_context(aio.insecure_channel(address, options=OPTIONS))
-                         for _ in range(2)]
+        slowly, other = [
+            await stack.enter_async_context(aio.insecure_channel(address, options=OPTIONS)) for _ in range(2)
+        ]
         reading = asyncio.create_task(slow(slowly, seen, seconds))
         loop = asyncio.get_running_loop()
         while not reading.done():
@@ -69,13 +73,21 @@
             usual.append(loop.time() - begun if table.num_rows == 1 else 1e9)
         await reading
     quarter = max(len(memory) // 4, 1)
-    first, last = (sum(part) / len(part) for part in (memory[quarter:2 * quarter], memory[-quarter:]))
+    first, last = (sum(part) / len(part) for part in (memory[quarter : 2 * quarter], memory[-quarter:]))
     usual.sort()
-    return {"seconds": seconds, "messages_read": len(seen), "bytes_read": sum(seen),
-            "memory_mb": {"second_quarter": round(first, 2), "last_quarter": round(last, 2),
-                          "most": round(max(memory), 2)},
-            "most_ahead_bytes": max(sent), "others_median_ms": round(usual[len(usual) // 2] * 1e3, 1),
-            "others_longest_ms": round(usual[-1] * 1e3, 1)}
+    return {
+        "seconds": seconds,
+        "messages_read": len(seen),
+        "bytes_read": sum(seen),
+        "memory_mb": {
+            "second_quarter": round(first, 2),
+            "last_quarter": round(last, 2),
+            "most": round(max(memory), 2),
+        },
+        "most_ahead_bytes": max(sent),
+        "others_median_ms": round(usual[len(usual) // 2] * 1e3, 1),
+        "others_longest_ms": round(usual[-1] * 1e3, 1),
+    }
 
 
 @click.command()
--- a/rigs/membership.py
+++ b/rigs/membership.py
@@ -38,8 +38,15 @@
 
     def __init__(self, fleet, chance):
         self.fleet, self.chance, self.broken, self.healing = fleet, chance, [], []
-        self.steps = [self.one_way, self.short_pause, self.kill, self.long_pause, self.one_to_all, self.leave,
-                      self.halves]
+        self.steps = [
+            self.one_way,
+            self.short_pause,
+            self.kill,
+            self.long_pause,
+            self.one_to_all,
+            self.leave,
+            self.halves,
+        ]
 
     async def run(self):
         fleet, wire = self.fleet, self.fleet.wire
@@ -158,16 +165,28 @@
             if state != "dead":
                 continue
             deaths[name] += 1
-            due = [f for f in fleet.faults if covered(f, at) and (
-                f["kind"] in ("killed", "stopped", "left", "cut off") and name in f["names"]
-                or f["kind"] == "halves" and any(front.name in s and name not in s for s in f["names"]))]
-            mine = [f for f in fleet.faults if f["kind"] == "cut off" and front.name in f["names"] and
-                    f["from"] <= at <= f["till"]]
+            due = [
+                f
+                for f in fleet.faults
+                if covered(f, at)
+                and (
+                    f["kind"] in ("killed", "stopped", "left", "cut off")
+                    and name in f["names"]
+                    or f["kind"] == "halves"
+                    and any(front.name in s and name not in s for s in f["names"])
+                )
+            ]
+            mine = [
+                f
+                for f in fleet.faults
+                if f["kind"] == "cut off" and front.name in f["names"] and f["from"] <= at <= f["till"]
+            ]
             if mine:
                 alone_accuses += 1
             elif not due:
-                false.append({"at": round(at, 2), "in": front.name, "of": name, "by": line["by"],
-                              "path": line["path"]})
+                false.append(
+                    {"at": round(at, 2), "in": front.name, "of": name, "by": line["by"], "path": line["path"]}
+                )
         suffered = Counter(n for f in fleet.faults if f["kind"] != "pair" for n in flat(f["names"]))
         flaps += sum(max(0, many - suffered[name]) for name, many in deaths.items())
     if false:
@@ -177,14 +196,22 @@
         broken.append("own health: a front that is cut off held others dead")
     missed = 0
     for fault in (f for f in fleet.faults if f["kind"] == "killed"):
-        halves = [f for f in fleet.faults
-                  if f["kind"] == "halves" and f["from"] <= fault["from"] <= f["till"]]
+        halves = [
+            f for f in fleet.faults if f["kind"] == "halves" and f["from"] <= fault["from"] <= f["till"]
+        ]
         for front in fleet.fronts:
             if front.name == fault["names"][0] or any(front.name in h["names"][0] for h in halves):
                 continue
-            at = next((line["at"] for line in front.lines
-                       if line["event"] == "member dead" and line["at"] >= fault["from"]
-                       and line["member"] == fault["names"][0]), None)
+            at = next(
+                (
+                    line["at"]
+                    for line in front.lines
+                    if line["event"] == "member dead"
+                    and line["at"] >= fault["from"]
+                    and line["member"] == fault["names"][0]
+                ),
+                None,
+            )
             if at is None or at > fault["till"] + BACK:
                 missed += 1
             else:
@@ -201,8 +228,12 @@
         broken.append("flapping")
     detect.sort()
     return broken, {
-        "false_deaths": len(false), "false": false[:4], "missed_deaths": missed, "flaps": flaps,
-        "most_doubts_of_one_in_one_view": doubts, "pairs_cut": pairs,
+        "false_deaths": len(false),
+        "false": false[:4],
+        "missed_deaths": missed,
+        "flaps": flaps,
+        "most_doubts_of_one_in_one_view": doubts,
+        "pairs_cut": pairs,
         "detect_p50_s": round(detect[len(detect) // 2], 3) if detect else None,
         "detect_p99_s": round(detect[int(len(detect) * 0.99)], 3) if detect else None,
         "agree_after_s": [round(took, 2) for took in play.healing],
@@ -216,16 +247,29 @@
 def doubted(fleet, fault):
     """How often the sender of a cut pair came to doubt its receiver meanwhile."""
     source, target = fault["names"]
-    return sum(line["event"] == "member suspected" and
-               line["member"] == fleet.fronts[target].name and line["by"] == fleet.fronts[source].name and
-               fault["from"] <= line["at"] <= fault["till"] + 0.2 for line in fleet.fronts[source].lines)
+    return sum(
+        line["event"] == "member suspected"
+        and line["member"] == fleet.fronts[target].name
+        and line["by"] == fleet.fronts[source].name
+        and fault["from"] <= line["at"] <= fault["till"] + 0.2
+        for line in fleet.fronts[source].lines
+    )
 
 
 async def shown(front):
     """What the command says, as an operator would ask."""
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "thistlelever", "members", "show", "--json", "--operator", str(front.operator),
-        cwd=ROOT, stdout=asyncio.subprocess.PIPE)
+        sys.executable,
+        "-m",
+        "thistlelever",
+        "members",
+        "show",
+        "--json",
+        "--operator",
+        str(front.operator),
+        cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE,
+    )
     said, _ = await process.communicate()
     return json.loads(said)
 
@@ -240,18 +284,31 @@
     rows = {front.name: place for place, front in enumerate(fleet.fronts)}
     begun = min(line["at"] for front in fleet.fronts for line in front.lines)
     figure, axes = pyplot.subplots(figsize=(12, 1 + 0.6 * len(rows)))
-    marks = {"suspected": ("tab:orange", "|"), "dead": ("tab:red", "x"), "alive": ("tab:green", "."),
-             "left": ("tab:blue", "v"), "unfit": ("tab:purple", "s")}
+    marks = {
+        "suspected": ("tab:orange", "|"),
+        "dead": ("tab:red", "x"),
+        "alive": ("tab:green", "."),
+        "left": ("tab:blue", "v"),
+        "unfit": ("tab:purple", "s"),
+    }
     for fault in fleet.faults:
         names = [fleet.fronts[n].name for n in fault["names"]] if fault["kind"] == "pair" else fault["names"]
         for name in flat(names):
-            axes.barh(rows[name], fault["till"] - fault["from"], left=fault["from"] - begun, height=0.7,
-                      color="lightgrey")
+            axes.barh(
+                rows[name],
+                fault["till"] - fault["from"],
+                left=fault["from"] - begun,
+                height=0.7,
+                color="lightgrey",
+            )
             axes.text(fault["from"] - begun, rows[name] + 0.36, fault["kind"], fontsize=7)
     for state, (colour, mark) in marks.items():
-        found = [(line["at"] - begun, rows[line["member"]] - 0.25 + 0.5 * place / len(rows))
-                 for place, front in enumerate(fleet.fronts) for line in front.lines
-                 if line["event"] == f"member {state}" and line["member"] in rows]
+        found = [
+            (line["at"] - begun, rows[line["member"]] - 0.25 + 0.5 * place / len(rows))
+            for place, front in enumerate(fleet.fronts)
+            for line in front.lines
+            if line["event"] == f"member {state}" and line["member"] in rows
+        ]
         if found:
             axes.scatter(*zip(*found, strict=True), color=colour, marker=mark, s=18, label=state)
     axes.set_yticks(list(rows.values()), list(rows))
--- a/rigs/membership_model.py
+++ b/rigs/membership_model.py
@@ -67,8 +67,9 @@
         seed = self.chance.below(2**31, name, life)
         self.judges[name] = self.way(self.terms, me, tuple(known), fronts, seed, self.now)
         self.dead.discard(name)
-        self.at(self.now + self.terms.period * self.chance.share("start", name), "turn", name,
-                self.judges[name])
+        self.at(
+            self.now + self.terms.period * self.chance.share("start", name), "turn", name, self.judges[name]
+        )
         return self.judges[name]
 
     def at(self, when, what, *facts):
@@ -186,8 +187,9 @@
     def agree(self):
         """Whether all the living hold just the living for alive."""
         living = set(self.living())
-        return all({m.name for m in self.judges[n].members.values() if m.lives} == living - {n}
-                   for n in living)
+        return all(
+            {m.name for m in self.judges[n].members.values() if m.lives} == living - {n} for n in living
+        )
 
 
 class Heartbeats:
@@ -260,11 +262,16 @@
                 known.append(held - at)
     net.run(begun + seconds)
     took = net.now - begun
-    return {"detect_s": figures(known), "missed": missed, "false_deaths": len(net.false),
-            "false_deaths_an_hour": round(len(net.false) / took * 3600, 1),
-            "bytes_a_member_s": round(net.bytes / members / took),
-            "sends_a_member_s": round(net.sent / members / took, 1),
-            "cpu_ms_a_member_s": round(net.cpu / members / took * 1e3, 2), "why": net.false[:3]}
+    return {
+        "detect_s": figures(known),
+        "missed": missed,
+        "false_deaths": len(net.false),
+        "false_deaths_an_hour": round(len(net.false) / took * 3600, 1),
+        "bytes_a_member_s": round(net.bytes / members / took),
+        "sends_a_member_s": round(net.sent / members / took, 1),
+        "cpu_ms_a_member_s": round(net.cpu / members / took * 1e3, 2),
+        "why": net.false[:3],
+    }
 
 
 @click.command()
@@ -280,8 +287,11 @@
     plain = Terms(witnesses=0)
     found["swim"] = measure(Swim, members, loss, seconds, deaths, seed, bursts, pauses, plain)
     times, false = Heartbeats(members, loss, seed, 0.1, 1.0).play(seconds, deaths * 20)
-    found["heartbeats"] = {"detect_s": figures(times), "false_deaths_an_hour": round(false, 1),
-                           "bytes_a_member_s": round((members - 1) * 60 / 0.1)}
+    found["heartbeats"] = {
+        "detect_s": figures(times),
+        "false_deaths_an_hour": round(false, 1),
+        "bytes_a_member_s": round((members - 1) * 60 / 0.1),
+    }
     for way, told in found.items():
         print(json.dumps({"way": way, **told}))
     broken = []
--- a/rigs/restart.py
+++ b/rigs/restart.py
@@ -40,8 +40,12 @@
     told = json.loads(json.dumps(SETTINGS))
     limit = {"Deadline": int(WAIT * 1e6), "Slo": int(GOAL * 1e6), "AimStretch": 0.0}
     told["Classes"] = [GROUP | limit, GROUP | limit | {"Name": "load", "Idempotency": "by_key"}]
-    told["FamilyInfo"] |= {"HoldsTables": [False, True], "WidthByClass": [1, 1], "KindCores": [16],
-                           "YieldsToLoads": [False, False]}
+    told["FamilyInfo"] |= {
+        "HoldsTables": [False, True],
+        "WidthByClass": [1, 1],
+        "KindCores": [16],
+        "YieldsToLoads": [False, False],
+    }
     return told
 
 
@@ -89,7 +93,8 @@
         for one in dead[::2]:
             await one.stop()
         _, directory = await loop.create_datagram_endpoint(
-            lambda: Directory(self.stir), local_addr=("127.0.0.1", 0))
+            lambda: Directory(self.stir), local_addr=("127.0.0.1", 0)
+        )
         # Past what the configuration knows, and far behind what a former life wrote down: it may have gone
         # back.
         directory.serial = 9
@@ -126,16 +131,47 @@
         if self.kept:
             path = str(folder / "state.db")
             file = File(path)
-            file.write([("listed", name.encode(), records.pack(Listed(
-                name.encode(), "127.0.0.1", at, 0, 1, 0, 1, 0.0, 4.0, 900, Moment(then, 0.0, ""))))
-                for name, at in known.items()])
+            file.write(
+                [
+                    (
+                        "listed",
+                        name.encode(),
+                        records.pack(
+                            Listed(
+                                name.encode(),
+                                "127.0.0.1",
+                                at,
+                                0,
+                                1,
+                                0,
+                                1,
+                                0.0,
+                                4.0,
+                                900,
+                                Moment(then, 0.0, ""),
+                            )
+                        ),
+                    )
+                    for name, at in known.items()
+                ]
+            )
             file.close()
             sections = {"state": {"path": path}}
         operator.write_text(json.dumps(sections))
         self.begun = asyncio.get_running_loop().time()
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-O", "-m", "thistlelever", "serve", "--operator", str(operator), cwd=ROOT,
-            env=os.environ | {"BALANCER_CONFIG": str(config)}, stdout=asyncio.subprocess.PIPE, limit=2**20)
+            sys.executable,
+            "-O",
+            "-m",
+            "thistlelever",
+            "serve",
+            "--operator",
+            str(operator),
+            cwd=ROOT,
+            env=os.environ | {"BALANCER_CONFIG": str(config)},
+            stdout=asyncio.subprocess.PIPE,
+            limit=2**20,
+        )
         self.ready = asyncio.Event()
         self.reading = asyncio.create_task(self.read(process))
         async with asyncio.timeout(20):
@@ -171,8 +207,14 @@
                 break
             one = waiting[number] = {"at": loop.time(), "took": None, "what": "", "answers": 0}
             self.asked.append(one)
-            params = {"id": f"{number:016x}", "wait": WAIT * 1e3, "tenant": "acme", "cost": WORK * 1e3,
-                      "need_mb": 1, "bytes": body}
+            params = {
+                "id": f"{number:016x}",
+                "wait": WAIT * 1e3,
+                "tenant": "acme",
+                "cost": WORK * 1e3,
+                "need_mb": 1,
+                "bytes": body,
+            }
             call = {"jsonrpc": "2.0", "id": number, "method": "lookup", "params": params}
             pairs[number % len(pairs)][1].write(json.dumps(call).encode() + b"\n")
             await asyncio.sleep(EVERY)
@@ -184,15 +226,19 @@
     def judged(self, directory, dead):
         good = [one["what"] == "returned" and one["took"] <= GOAL for one in self.asked]
         many = max(int(WINDOW / EVERY), 1)
-        shares = [sum(good[n:n + many]) / len(good[n:n + many]) for n in range(0, len(good), many)]
+        shares = [sum(good[n : n + many]) / len(good[n : n + many]) for n in range(0, len(good), many)]
         steady = next((n for n in range(len(shares)) if all(s >= NINE for s in shares[n:])), len(shares))
         told = min(directory.told.values(), default=float("inf")) + GRACE
         faults = [line["event"] for line in self.lines if "failed" in line["event"]]
-        return {"answerless": sum(one["answers"] != 1 for one in self.asked),
-                "to_gone": sum(at > told for one in dead for at in one.posts),
-                "in_time": round(sum(good) / len(good), 4), "batches": len(good),
-                "ready_s": round(self.ready_at - self.begun, 3), "steady_s": round(steady * WINDOW, 2),
-                "faults": faults}
+        return {
+            "answerless": sum(one["answers"] != 1 for one in self.asked),
+            "to_gone": sum(at > told for one in dead for at in one.posts),
+            "in_time": round(sum(good) / len(good), 4),
+            "batches": len(good),
+            "ready_s": round(self.ready_at - self.begun, 3),
+            "steady_s": round(steady * WINDOW, 2),
+            "faults": faults,
+        }
 
 
 async def both(chance, where, some):
@@ -233,13 +279,22 @@
         cell = dict(zip(("age", "dead", "away_s"), where, strict=True))
         print(json.dumps(cell | {"kept": kept, "today": today}))
     old = [(k, t) for (age, dead, _), k, t in rows if AGES[age] > 30 and dead]
-    close("restart", seed, broken, {
-        "cells": len(rows), "answerless": sum(k["answerless"] for _, k, _ in rows),
-        "to_gone": sum(k["to_gone"] for _, k, _ in rows),
-        "in_time_old": [round(sum(x["in_time"] for x in side) / len(side), 4)
-                        for side in zip(*old, strict=True)],
-        "steady_s_old": [round(sum(x["steady_s"] for x in side) / len(side), 3)
-                         for side in zip(*old, strict=True)]})
+    close(
+        "restart",
+        seed,
+        broken,
+        {
+            "cells": len(rows),
+            "answerless": sum(k["answerless"] for _, k, _ in rows),
+            "to_gone": sum(k["to_gone"] for _, k, _ in rows),
+            "in_time_old": [
+                round(sum(x["in_time"] for x in side) / len(side), 4) for side in zip(*old, strict=True)
+            ],
+            "steady_s_old": [
+                round(sum(x["steady_s"] for x in side) / len(side), 3) for side in zip(*old, strict=True)
+            ],
+        },
+    )
 
 
 if __name__ == "__main__":
--- a/rigs/sabotaged.py
+++ b/rigs/sabotaged.py
@@ -29,8 +29,9 @@
     def believing(self, now, rumour, by):
         member = self.members.get(rumour.name)
         if member and rumour.incarnation < member.incarnation and rumour.name != self.me.name:
-            rumour = type(rumour)(rumour.name, rumour.address, member.incarnation, rumour.life, rumour.state,
-                                  rumour.accuser)
+            rumour = type(rumour)(
+                rumour.name, rumour.address, member.incarnation, rumour.life, rumour.state, rumour.accuser
+            )
         learn(self, now, rumour, by)
 
     Judge.learn = believing
@@ -38,8 +39,9 @@
 
 def promise():
     """A place that says yes to whoever asks, and nothing of what it knows."""
-    Holder.claim = lambda self, now, word: Word(Verb.YES, word.nonce, word.key, word.epoch, word.owner,
-                                                lease_ms=word.lease_ms)
+    Holder.claim = lambda self, now, word: Word(
+        Verb.YES, word.nonce, word.key, word.epoch, word.owner, lease_ms=word.lease_ms
+    )
 
 
 def fate():
--- a/rigs/takeover.py
+++ b/rigs/takeover.py
@@ -40,8 +40,11 @@
 def settings():
     told = json.loads(json.dumps(SETTINGS))
     limit = {"Deadline": int(LIMIT * 1e6), "Slo": 2_500_000}
-    told["Classes"] = [GROUP | limit, GROUP | limit | {"Name": "load", "Idempotency": "by_key", "Value": 0.6},
-                       GROUP | limit | {"Name": "pay", "Idempotency": "once", "Value": 1.0}]
+    told["Classes"] = [
+        GROUP | limit,
+        GROUP | limit | {"Name": "load", "Idempotency": "by_key", "Value": 0.6},
+        GROUP | limit | {"Name": "pay", "Idempotency": "once", "Value": 1.0},
+    ]
     told["FamilyInfo"] |= {"HoldsTables": [False, False, False], "WidthByClass": [1, 1, 1], "KindCores": [64]}
     return told
 
@@ -184,15 +187,24 @@
             await asyncio.wait(heard, timeout=0.5, return_when=asyncio.FIRST_COMPLETED)
             heard = [task for task in heard if not task.done()]
         asked.over_at = asked.over_at or loop.time()
-        asked.outcome = "returned" if asked.results() else "errored" if any(
-            t.what == "errored" for t in asked.tries) else "pushed back" if any(
-            t.what for t in asked.tries) else "unheard"
+        asked.outcome = (
+            "returned"
+            if asked.results()
+            else "errored"
+            if any(t.what == "errored" for t in asked.tries)
+            else "pushed back"
+            if any(t.what for t in asked.tries)
+            else "unheard"
+        )
 
     def owed(self):
         """Whether a try may still be answered."""
         now = asyncio.get_running_loop().time()
-        return any(not t.answers and not t.closed and now < t.at + LIMIT + 0.3
-                   for a in self.requests[-800:] for t in a.tries)
+        return any(
+            not t.answers and not t.closed and now < t.at + LIMIT + 0.3
+            for a in self.requests[-800:]
+            for t in a.tries
+        )
 
     def settled(self, asked):
         if asked.results():
@@ -209,8 +221,14 @@
             return
         self.connections.add(writer)
         text = f"/*{asked.mark}*/ {asked.group} {asked.mark} {asked.seconds:.3f} sales_17.orders"
-        params = {"id": one.txn, "wait": LIMIT * 1e3, "tenant": "acme", "need_mb": 4,
-                  "cost": asked.seconds * 1e3, "bytes": b64encode(text.encode()).decode()}
+        params = {
+            "id": one.txn,
+            "wait": LIMIT * 1e3,
+            "tenant": "acme",
+            "need_mb": 4,
+            "cost": asked.seconds * 1e3,
+            "bytes": b64encode(text.encode()).decode(),
+        }
         # A look-up carries no mark: nobody can come back for it.
         params |= {"once": asked.mark} if asked.group != "lookup" else {}
         params |= {"retry": "1"} if again else {}
@@ -253,8 +271,16 @@
         self.fleet, self.chance, self.machines, self.clients = fleet, chance, machines, clients
         self.broken, self.kills, self.lost_engines, self.round = [], [], [], 0
         self.done = []
-        self.steps = [self.kill, self.stop_long, self.deaf, self.stop_short, self.mute, self.leave,
-                      self.kill_with_engine, self.kill_two]
+        self.steps = [
+            self.kill,
+            self.stop_long,
+            self.deaf,
+            self.stop_short,
+            self.mute,
+            self.leave,
+            self.kill_with_engine,
+            self.kill_two,
+        ]
         if fleet.many >= 10:
             self.steps += [self.seven_in_ten, self.each_tenth_leaves]
 
@@ -286,8 +312,12 @@
 
     async def at_work(self, front, many, machines, stir):
         while True:
-            mine = {t.txn for r in self.clients.requests[-400:] for t in r.tries
-                    if t.front is front and r.group != "lookup"}
+            mine = {
+                t.txn
+                for r in self.clients.requests[-400:]
+                for t in r.tries
+                if t.front is front and r.group != "lookup"
+            }
             if sum(run.ended is None for txn, run in machines.of_txn.items() if txn in mine) >= many:
                 return
             stir.clear()
@@ -348,17 +378,17 @@
     async def seven_in_ten(self):
         """At once, under load, and all back a few at a time."""
         fronts = sorted(self.fleet.fronts, key=lambda f: self.chance.share("seven", self.round, f.place))
-        dead = fronts[:len(fronts) * 7 // 10]
+        dead = fronts[: len(fronts) * 7 // 10]
         await self.in_hand(dead[0], 1)
         await self.killed(*dead)
         await asyncio.sleep(1.5)
         for place in range(0, len(dead), 4):
-            await asyncio.gather(*(front.start() for front in dead[place:place + 4]))
+            await asyncio.gather(*(front.start() for front in dead[place : place + 4]))
 
     async def each_tenth_leaves(self):
         fronts, many = self.fleet.fronts, max(len(self.fleet.fronts) // 10, 1)
         for place in range(0, len(fronts), many):
-            some = fronts[place:place + many]
+            some = fronts[place : place + many]
             await asyncio.gather(*(front.stop() for front in some))
             await asyncio.gather(*(front.start() for front in some))
 
@@ -435,19 +465,32 @@
     if failed := {event: n for event, n in events.items() if event.endswith("failed")}:
         broken.append(f"fronts failed: {failed}")
     return broken, {
-        "requests": len(clients.requests), "outcomes": dict(logical),
-        "answers": {"0": answers["0"], "2+": answers["2+"]}, "effects_twice": twice, "most_out_at_once": most,
-        "owners_at_once": heirs, "wrongly_harmless": wrongly,
-        "taken_over": events["work taken over"], "adopted": events["work adopted"],
-        "handed_back": events["work handed back"], "handed_over": events["work handed over"],
-        "lost": events["work lost"], "let_go": events["work let go"], "called_off": events["work called off"],
-        **served(play, machines, clients)}
+        "requests": len(clients.requests),
+        "outcomes": dict(logical),
+        "answers": {"0": answers["0"], "2+": answers["2+"]},
+        "effects_twice": twice,
+        "most_out_at_once": most,
+        "owners_at_once": heirs,
+        "wrongly_harmless": wrongly,
+        "taken_over": events["work taken over"],
+        "adopted": events["work adopted"],
+        "handed_back": events["work handed back"],
+        "handed_over": events["work handed over"],
+        "lost": events["work lost"],
+        "let_go": events["work let go"],
+        "called_off": events["work called off"],
+        **served(play, machines, clients),
+    }
 
 
 def owners_at_once(fleet):
     """Of each key the most living fronts that held it as heirs at once, by their own logs."""
-    lines = sorted((line["at"], front.name, line["event"], line.get("key"))
-                   for front in fleet.fronts for line in front.lines if line.get("key"))
+    lines = sorted(
+        (line["at"], front.name, line["event"], line.get("key"))
+        for front in fleet.fronts
+        for line in front.lines
+        if line.get("key")
+    )
     heirs, most = {}, 0
     for at, name, event, key in lines:
         if event == "work taken over":
@@ -462,8 +505,12 @@
     """What became of requests whose front was killed, and what engines did for nobody."""
     shares, after, beyond = defaultdict(list), [], []
     for asked in clients.requests:
-        hit = [(at, t) for at, front, life in play.kills for t in asked.tries
-               if t.front is front and t.life == life and t.at <= at and (t.answered_at or 1e18) > at]
+        hit = [
+            (at, t)
+            for at, front, life in play.kills
+            for t in asked.tries
+            if t.front is front and t.life == life and t.at <= at and (t.answered_at or 1e18) > at
+        ]
         hit = [(at, t) for at, t in hit if asked.over_at is not None and asked.over_at > at]
         if not hit:
             continue
@@ -478,22 +525,37 @@
                 beyond.append(max(asked.over_at - max(ends[0], came[0]), 0.0))
     now = asyncio.get_running_loop().time()
     got = {run.txn for a in clients.requests if a.outcome == "returned" for run in machines.runs[a.mark][-1:]}
-    wasted = sum((run.ended or min(now, run.began + DROPS_AFTER)) - run.began
-                 for runs in machines.runs.values() for run in runs if run.txn not in got)
+    wasted = sum(
+        (run.ended or min(now, run.began + DROPS_AFTER)) - run.began
+        for runs in machines.runs.values()
+        for run in runs
+        if run.txn not in got
+    )
     spent = sum((run.ended or now) - run.began for runs in machines.runs.values() for run in runs)
     done = [a for a in clients.requests if a.over_at is not None]
     in_time = sum(a.outcome == "returned" and a.over_at - a.at <= GOAL for a in done) / max(len(done), 1)
-    return {"in_time": round(in_time, 4),
-            "in_time_after_a_kill": {g: round(sum(v) / len(v), 3) for g, v in sorted(shares.items())},
-            "hit_by_a_kill": {g: len(v) for g, v in sorted(shares.items())},
-            "death_to_outcome_s": spread(after), "beyond_a_perfect_heir_s": spread(beyond),
-            "engine_seconds_wasted": round(wasted, 1), "engine_seconds": round(spent, 1)}
+    return {
+        "in_time": round(in_time, 4),
+        "in_time_after_a_kill": {g: round(sum(v) / len(v), 3) for g, v in sorted(shares.items())},
+        "hit_by_a_kill": {g: len(v) for g, v in sorted(shares.items())},
+        "death_to_outcome_s": spread(after),
+        "beyond_a_perfect_heir_s": spread(beyond),
+        "engine_seconds_wasted": round(wasted, 1),
+        "engine_seconds": round(spent, 1),
+    }
 
 
 def spread(times):
     times = sorted(times)
-    return {"p50": round(times[len(times) // 2], 3), "p99": round(times[int(len(times) * 0.99)], 3),
-            "most": round(times[-1], 3)} if times else {}
+    return (
+        {
+            "p50": round(times[len(times) // 2], 3),
+            "p99": round(times[int(len(times) * 0.99)], 3),
+            "most": round(times[-1], 3),
+        }
+        if times
+        else {}
+    )
 
 
 def picture(play, clients, folder, name):
@@ -513,8 +575,9 @@
         for outcome, mark in (("returned", "."), ("errored", "x")):
             found = [(a.at - began, a.over_at - a.at) for a in done if a.outcome == outcome]
             if found:
-                axes.scatter(*zip(*found, strict=True), s=9, color=colour, marker=mark,
-                             label=f"{group} {outcome}")
+                axes.scatter(
+                    *zip(*found, strict=True), s=9, color=colour, marker=mark, label=f"{group} {outcome}"
+                )
     axes.set_xlabel("seconds; grey: what was done to fronts")
     axes.set_ylabel("seconds to the outcome")
     axes.legend(fontsize=7)
@@ -573,9 +636,20 @@
     broken, figures = asyncio.run(played(seed, fronts, every, batches, program, plot=plot))
     if full:
         _, without = asyncio.run(played(seed, fronts, every, batches, program, False, plot))
-        figures["without"] = {name: without[name] for name in (
-            "in_time", "in_time_after_a_kill", "hit_by_a_kill", "death_to_outcome_s", "engine_seconds_wasted",
-            "engine_seconds", "outcomes", "effects_twice", "wrongly_harmless")}
+        figures["without"] = {
+            name: without[name]
+            for name in (
+                "in_time",
+                "in_time_after_a_kill",
+                "hit_by_a_kill",
+                "death_to_outcome_s",
+                "engine_seconds_wasted",
+                "engine_seconds",
+                "outcomes",
+                "effects_twice",
+                "wrongly_harmless",
+            )
+        }
     close("takeover", seed, broken, {"fronts": fronts, **figures})
 
 
--- a/rigs/takeover_cost.py
+++ b/rigs/takeover_cost.py
@@ -40,8 +40,10 @@
 
     async def play(self, rate, seconds):
         loop = asyncio.get_running_loop()
-        pairs = [await asyncio.open_connection("127.0.0.1", self.front.port, limit=2**20)
-                 for _ in range(CONNECTIONS)]
+        pairs = [
+            await asyncio.open_connection("127.0.0.1", self.front.port, limit=2**20)
+            for _ in range(CONNECTIONS)
+        ]
         hearing = [loop.create_task(self.hear(reader)) for reader, _ in pairs]
         body = b64encode(b"select a from sales_17.orders").decode()
         began, sent = loop.time(), 0
@@ -51,8 +53,14 @@
                 number = next(self.numbers)
                 marked = self.chance.share("marked", number) < self.marked
                 group = "pay" if marked else "lookup"
-                params = {"id": f"{self.life:04x}{number:012x}", "wait": WAIT_MS, "tenant": "acme",
-                          "cost": 1.0, "need_mb": 1, "bytes": body}
+                params = {
+                    "id": f"{self.life:04x}{number:012x}",
+                    "wait": WAIT_MS,
+                    "tenant": "acme",
+                    "cost": 1.0,
+                    "need_mb": 1,
+                    "bytes": body,
+                }
                 params |= {"once": f"{self.life:08x}{number:024x}"} if marked else {}
                 call = {"jsonrpc": "2.0", "id": number, "method": group, "params": params}
                 self.open[number] = loop.time(), marked
@@ -94,11 +102,15 @@
         sent = await load.play(rate, seconds)
         spent = cpu(front) - began
         said = await front.ask("inhand.show") if "takeover" in sections else None
-        return {"waits_ms": said and said["waits_ms"], "batches": sent,
-                "cpu_ms_a_batch": round(spent / sent * 1e3, 4),
-                "bytes_a_batch": round((fleet.wire.bytes - bytes_before) / sent, 1),
-                "marked_ms": spread(load.took["marked"]), "unmarked_ms": spread(load.took["unmarked"]),
-                "said": load.said}
+        return {
+            "waits_ms": said and said["waits_ms"],
+            "batches": sent,
+            "cpu_ms_a_batch": round(spent / sent * 1e3, 4),
+            "bytes_a_batch": round((fleet.wire.bytes - bytes_before) / sent, 1),
+            "marked_ms": spread(load.took["marked"]),
+            "unmarked_ms": spread(load.took["unmarked"]),
+            "said": load.said,
+        }
 
 
 @click.command()
@@ -107,8 +119,11 @@
 @click.option("--seconds", default=8.0)
 def main(seed, rate, seconds):
     members = {"membership": {"tier": "yard"}}
-    ways = {"off": (members, False), "on": (members | {"takeover": {"keep_s": 0.5}}, False),
-            "places silent": (members | {"takeover": {"keep_s": 0.5, "demand": []}}, True)}
+    ways = {
+        "off": (members, False),
+        "on": (members | {"takeover": {"keep_s": 0.5}}, False),
+        "places silent": (members | {"takeover": {"keep_s": 0.5, "demand": []}}, True),
+    }
     figures, life = {}, seed * 100
     for mix, share in MIXES.items():
         for way, (sections, silent) in ways.items():
--- a/rigs/takeover_model.py
+++ b/rigs/takeover_model.py
@@ -67,7 +67,8 @@
         """The world after one step; what the step can't change is shared with this one."""
         other = alike(self)
         touched = {"deliver": lambda: (self.mail[which][1],), "send": tuple, "jump": lambda: (0, 1, 2)}.get(
-            what, lambda: (which,))()
+            what, lambda: (which,)
+        )()
         wards = {None: None}
         other.judges = [twin(j, wards) if n in touched else j for n, j in enumerate(self.judges)]
         other.wards = [wards.get(ward, ward) for ward in self.wards]
@@ -80,9 +81,15 @@
         nothing whenever it comes, and is left out."""
         judge = self.judges[place]
         self.mail += [(place, FRONTS.index(send.address), send.word) for send in judge.sends]
-        self.mail = [(s, t, w) for s, t, w in self.mail if w.verb not in (Verb.YES, Verb.NO)
-                     or w.nonce in self.judges[t].asked
-                     or w.verb is Verb.YES and w.lease_ms and w.owner.txn not in self.judges[t].wards]
+        self.mail = [
+            (s, t, w)
+            for s, t, w in self.mail
+            if w.verb not in (Verb.YES, Verb.NO)
+            or w.nonce in self.judges[t].asked
+            or w.verb is Verb.YES
+            and w.lease_ms
+            and w.owner.txn not in self.judges[t].wards
+        ]
         judge.sends = []
         done, judge.done = judge.done, []
         judge.orders, judge.notes = [], []
@@ -111,8 +118,11 @@
 
     def steps(self, most_jumps, most_forgets):
         found = [("deliver", n) for n in range(len(self.mail))]
-        found += [("enter", place) for place in (0, 1)
-                  if self.at[place] == "away" and self.tries[place] < self.most_tries]
+        found += [
+            ("enter", place)
+            for place in (0, 1)
+            if self.at[place] == "away" and self.tries[place] < self.most_tries
+        ]
         found += [("send", place) for place in (0, 1) if self.at[place] == "cleared"]
         if self.jumps < most_jumps:
             # The clock goes on for all, and one that is stopped does not notice.
@@ -150,6 +160,7 @@
 
     def key(self):
         """What tells this state from others: no counters, no nonces."""
+
         def value(v):
             return v and (v.epoch, v.step, v.state, v.txn)
 
@@ -162,19 +173,41 @@
         found = []
         for judge in self.judges:
             kept = judge.holder.kept.get(MARK)
-            found.append(kept and (kept.epoch, owner(kept.owner), kept.heir, kept.released,
-                                   kept.left(self.now) > 0, value(kept.value)))
+            found.append(
+                kept
+                and (
+                    kept.epoch,
+                    owner(kept.owner),
+                    kept.heir,
+                    kept.released,
+                    kept.left(self.now) > 0,
+                    value(kept.value),
+                )
+            )
             found.append(judge.holder.young(self.now))
             for txn, w in sorted(judge.wards.items()):
                 q = w.question
-                asked = q and (q.verb, q.regains, tuple(sorted(
-                    (a, word(x)) for a, x in (*q.yes.items(), *q.no.items()))))
+                asked = q and (
+                    q.verb,
+                    q.regains,
+                    tuple(sorted((a, word(x)) for a, x in (*q.yes.items(), *q.no.items()))),
+                )
                 found.append((txn, w.heir, w.phase, w.epoch, w.step, w.state, w.bare, w.tries, asked))
         live = {n for judge in self.judges for n in judge.asked}
-        mail = Counter((s, t, word(w), w.nonce in live or w.verb in (Verb.RELEASE, Verb.DROP))
-                       for s, t, w in self.mail)
-        return hash((tuple(found), frozenset(mail.items()), tuple(self.at), tuple(self.tries),
-                     tuple(self.runs), self.jumps, self.forgets))
+        mail = Counter(
+            (s, t, word(w), w.nonce in live or w.verb in (Verb.RELEASE, Verb.DROP)) for s, t, w in self.mail
+        )
+        return hash(
+            (
+                tuple(found),
+                frozenset(mail.items()),
+                tuple(self.at),
+                tuple(self.tries),
+                tuple(self.runs),
+                self.jumps,
+                self.forgets,
+            )
+        )
 
 
 def alike(thing):
@@ -255,8 +288,9 @@
     def taking(self, now, word):
         kept = self.kept.get(word.key)
         if kept and word.epoch < kept.epoch:
-            word = type(word)(word.verb, word.nonce, word.key, kept.epoch, kept.owner, word.value,
-                              word.lease_ms)
+            word = type(word)(
+                word.verb, word.nonce, word.key, kept.epoch, kept.owner, word.value, word.lease_ms
+            )
         return put(self, now, word)
 
     Holder.put = taking
@@ -269,8 +303,12 @@
 
 # Accused whatever is true, tries of each client, jumps of the clock, places that forget.
 SMALL = {"once each": (False, 1, 0, 0), "a place forgets": (False, 1, 0, 1)}
-DEEP = {"twice each": (False, 2, 0, 0), "twice, a place forgets": (False, 2, 0, 1),
-        "a jump of the clock": (False, 1, 1, 0), "accused, a jump": (True, 1, 1, 0)}
+DEEP = {
+    "twice each": (False, 2, 0, 0),
+    "twice, a place forgets": (False, 2, 0, 1),
+    "a jump of the clock": (False, 1, 1, 0),
+    "accused, a jump": (True, 1, 1, 0),
+}
 GUARDS = {"majority": no_majority, "word first": no_word_first, "epoch": no_epoch, "youth": no_youth}
 
 
--- a/rigs/takeover_steps.py
+++ b/rigs/takeover_steps.py
@@ -34,8 +34,11 @@
 def settings():
     told = json.loads(json.dumps(SETTINGS))
     limit = {"Deadline": int(LIMIT * 1e6), "Slo": int(LIMIT * 1e6)}
-    told["Classes"] = [GROUP | limit, GROUP | limit | {"Name": "load", "Idempotency": "by_key"},
-                       GROUP | limit | {"Name": "pay", "Idempotency": "once"}]
+    told["Classes"] = [
+        GROUP | limit,
+        GROUP | limit | {"Name": "load", "Idempotency": "by_key"},
+        GROUP | limit | {"Name": "pay", "Idempotency": "once"},
+    ]
     return told
 
 
@@ -65,8 +68,9 @@
     def mark(self):
         """One whose places are neither the owner, which comes and goes, nor the front that is asked next."""
         away = {self.owner.known_as, self.other.known_as}
-        return next(m for m in (f"{n:032x}" for n in self.marks)
-                    if not away & set(self.places.of(bytes.fromhex(m))))
+        return next(
+            m for m in (f"{n:032x}" for n in self.marks) if not away & set(self.places.of(bytes.fromhex(m)))
+        )
 
     def reaches(self, step):
         """The batch has come to a step: where it is this case's, the fault comes now."""
@@ -196,8 +200,15 @@
         raw.setblocking(False)
         await asyncio.get_running_loop().sock_connect(raw, ("127.0.0.1", front.port))
         reader, writer = await asyncio.open_connection(sock=raw, limit=2_048 if half else 2**20)
-        params = {"id": txn, "wait": LIMIT * 1e3, "tenant": "acme", "need_mb": 4, "cost": RUNS_FOR * 1e3,
-                  "once": mark, "bytes": b64encode(b"insert into sales_17.orders").decode()}
+        params = {
+            "id": txn,
+            "wait": LIMIT * 1e3,
+            "tenant": "acme",
+            "need_mb": 4,
+            "cost": RUNS_FOR * 1e3,
+            "once": mark,
+            "bytes": b64encode(b"insert into sales_17.orders").decode(),
+        }
         params |= {"retry": "1"} if again else {}
         call = {"jsonrpc": "2.0", "id": 1, "method": "pay", "params": params}
         writer.write(json.dumps(call).encode() + b"\n")
@@ -221,9 +232,19 @@
         return "harmless" if lines[0]["error"]["code"] == -32001 else "not known"
 
 
-STEPS = ("claim lost", "claim not acknowledged", "word lost", "word not acknowledged", "mid-request",
-         "after the request", "a poll is out", "after page 1", "after the last page", "answer half written",
-         "before it is taken back")
+STEPS = (
+    "claim lost",
+    "claim not acknowledged",
+    "word lost",
+    "word not acknowledged",
+    "mid-request",
+    "after the request",
+    "a poll is out",
+    "after page 1",
+    "after the last page",
+    "answer half written",
+    "before it is taken back",
+)
 # Where the batch's fate is known, the client that comes back has to hear it.
 KNOWN = STEPS[5:]
 
@@ -256,8 +277,10 @@
                 case = await yard.play(step, fault)
                 cases.append(case)
                 broken += [f"{step}, {fault}: {why}" for why in judged(case)]
-                print(f"{fault:10} {step:26} ran {case.runs}  there: {case.first:12} back: {case.second}",
-                      flush=True)
+                print(
+                    f"{fault:10} {step:26} ran {case.runs}  there: {case.first:12} back: {case.second}",
+                    flush=True,
+                )
         await yard.without_disks()
         case = await yard.play("after the request", "kill")
         print(f"kill       {'places without disks':26} ran {case.runs}  back: {case.second}", flush=True)
--- a/rigs/yard.py
+++ b/rigs/yard.py
@@ -45,7 +45,8 @@
             extra.write_text(json.dumps(operator))
             words += ["--operator", str(extra)]
         process = await asyncio.create_subprocess_exec(
-            *words, cwd=ROOT, env=os.environ | {"BALANCER_CONFIG": str(told)}, stdout=asyncio.subprocess.PIPE)
+            *words, cwd=ROOT, env=os.environ | {"BALANCER_CONFIG": str(told)}, stdout=asyncio.subprocess.PIPE
+        )
         try:
             async with asyncio.timeout(20):
                 while (line := json.loads(await process.stdout.readline()))["event"] != "ready":
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -66,7 +66,8 @@
 
     async def open_directory(self):
         _, self.directory = await asyncio.get_running_loop().create_datagram_endpoint(
-            lambda: Directory(self.stir), local_addr=("127.0.0.1", 0))
+            lambda: Directory(self.stir), local_addr=("127.0.0.1", 0)
+        )
         self.directory.entries = {name: (self.port(name), False) for name in self.engines}
         self.config["dns"] = f"127.0.0.1:{self.directory.port}"
 
@@ -75,8 +76,13 @@
         self.config = configuration(entries, settings=self.settings)
         await self.open_directory()
         told = papers.read(self.config, {})._replace(sockets=int(sockets))
-        self.office = run.Office(told, self.log, lambda: papers.read(self.config, {}), self.operator(),
-                                 self.operator if self.door is not None or self.sections else None)
+        self.office = run.Office(
+            told,
+            self.log,
+            lambda: papers.read(self.config, {}),
+            self.operator(),
+            self.operator if self.door is not None or self.sections else None,
+        )
         self.running = asyncio.create_task(self.office.run())
         await self.until(lambda: any(event == "ready" for event, _ in self.events))
         listen = next(facts["listen"] for event, facts in self.events if event == "ready")
@@ -159,7 +165,7 @@
 
     async def do_order(self, name, *calls):
         """The last calls that the engine got, as often as each came."""
-        assert [c for c, _, _ in self.engines[name].calls][-len(calls):] == list(calls)
+        assert [c for c, _, _ in self.engines[name].calls][-len(calls) :] == list(calls)
 
     async def do_one_got(self, *calls):
         """One engine got all calls, these in this order, and any other none."""
@@ -191,7 +197,8 @@
         """The directory's list from now on, and two queries more, of which the second saw it whole."""
         self.directory.serial = int(serial)
         self.directory.entries = {
-            name.strip("-"): (self.port(name.strip("-")), name.endswith("-")) for name in names}
+            name.strip("-"): (self.port(name.strip("-")), name.endswith("-")) for name in names
+        }
         asked = self.directory.asked
         await self.until(lambda: self.directory.asked >= asked + 2)
 
@@ -200,8 +207,9 @@
 
     async def do_listed(self, *names):
         roll = self.office.roll
-        await self.until(lambda: sorted(names) == sorted(
-            e.id.decode() for e in roll.told() if roll.open_to(e.id)))
+        await self.until(
+            lambda: sorted(names) == sorted(e.id.decode() for e in roll.told() if roll.open_to(e.id))
+        )
 
     async def do_lags(self, seconds):
         """As if the loop had just come so late; remembered for as long as the scenario lasts."""
@@ -259,20 +267,20 @@
         """In one moment so many clients connect with a batch each, behind them others that say nothing."""
         address = self.writer.get_extra_info("peername")
         socks = [socket.create_connection(address) for _ in range(int(count) + int(silent))]
-        for n, sock in enumerate(socks[:int(count)], 500 + len(self.crowd)):
+        for n, sock in enumerate(socks[: int(count)], 500 + len(self.crowd)):
             sock.sendall(self.submission(n, "lookup"))
         self.crowd += [await asyncio.open_connection(sock=sock) for sock in socks]
 
     async def do_answered(self, count):
         """The first of the crowd get their rows."""
         async with asyncio.timeout(LONGEST_WAIT):
-            for reader, _ in self.crowd[:int(count)]:
+            for reader, _ in self.crowd[: int(count)]:
                 assert "result" in json.loads(await reader.readline())
 
     async def do_crowd_closed(self, count):
         """The front closes so many of them, those that came first before others."""
         async with asyncio.timeout(LONGEST_WAIT):
-            for reader, _ in self.crowd[:int(count)]:
+            for reader, _ in self.crowd[: int(count)]:
                 with suppress(ConnectionError):
                     assert not await reader.read()
 
@@ -467,8 +475,12 @@
 
         if client not in self.channels:
             port = self.office.flight.door.port
-            options = (("grpc.use_local_subchannel_pool", 1), ("grpc.http2.lookahead_bytes", 65_536),
-                       ("grpc.http2.bdp_probe", 0), ("grpc.enable_retries", 0))
+            options = (
+                ("grpc.use_local_subchannel_pool", 1),
+                ("grpc.http2.lookahead_bytes", 65_536),
+                ("grpc.http2.bdp_probe", 0),
+                ("grpc.enable_retries", 0),
+            )
             self.channels[client] = aio.insecure_channel(f"127.0.0.1:{port}", options=options)
         return self.channels[client]
 
@@ -554,6 +566,7 @@
 
     async def do_got(self, number, least):
         """So many messages of the call's result have come."""
+
         def enough():
             return any(e == f"messages of {number}" and len(f) >= int(least) for e, f in self.events)
 
--- a/tests/test_binding.py
+++ b/tests/test_binding.py
@@ -10,9 +10,17 @@
 
 TEXT = st.text(st.characters(exclude_characters="\0", codec="utf-8"), max_size=12)
 VALUES = st.one_of(
-    st.none(), st.booleans(), st.integers(-2**63, 2**63), TEXT,
-    st.floats(allow_nan=False, allow_infinity=False), st.binary(max_size=8), st.dates(), st.times(),
-    st.datetimes(), st.decimals(-10**9, 10**9))
+    st.none(),
+    st.booleans(),
+    st.integers(-(2**63), 2**63),
+    TEXT,
+    st.floats(allow_nan=False, allow_infinity=False),
+    st.binary(max_size=8),
+    st.dates(),
+    st.times(),
+    st.datetimes(),
+    st.decimals(-(10**9), 10**9),
+)
 # One whole literal and nothing beside it.
 WHOLE = re.compile(rb"(?:(?:date|time|timestamp) |x)?'(?:[^']|'')*'|null|true|false|-?[0-9.e+-]+", re.DOTALL)
 
@@ -31,22 +39,34 @@
     assert bound(statement, [row]).endswith(wanted)
 
 
-@pytest.mark.parametrize("statement, rows, wanted", [
-    (b"insert into s_1.x values (?, 2, ?);", [(1, "a"), (2, None)],
-     b"insert into s_1.x values (1, 2, 'a'), (2, 2, null)"),
-    (b"select 1 from s_1.x", [], b"select 1 from s_1.x"),
-])
+@pytest.mark.parametrize(
+    "statement, rows, wanted",
+    [
+        (
+            b"insert into s_1.x values (?, 2, ?);",
+            [(1, "a"), (2, None)],
+            b"insert into s_1.x values (1, 2, 'a'), (2, 2, null)",
+        ),
+        (b"select 1 from s_1.x", [], b"select 1 from s_1.x"),
+    ],
+)
 def test_rows(statement, rows, wanted):
     assert bound(statement, rows) == wanted
 
 
-@pytest.mark.parametrize("statement, rows", [
-    (b"select ? from s_1.x", []), (b"select ? from s_1.x", [(1, 2)]), (b"select 1 from s_1.x", [(1,)]),
-    (b"select ? from s_1.x", [(1,), (2,)]), (b"update s_1.x set a = ? where b in (?)", [(1, 2), (3, 4)]),
-    (b"insert into s_1.x values (?)", [("x" * 200_000,)]),
-    (b"insert into s_1.x values (?)", [(1,)] * 100_000),
-    (b"select ? from s_1.x", [({},)]),
-])
+@pytest.mark.parametrize(
+    "statement, rows",
+    [
+        (b"select ? from s_1.x", []),
+        (b"select ? from s_1.x", [(1, 2)]),
+        (b"select 1 from s_1.x", [(1,)]),
+        (b"select ? from s_1.x", [(1,), (2,)]),
+        (b"update s_1.x set a = ? where b in (?)", [(1, 2), (3, 4)]),
+        (b"insert into s_1.x values (?)", [("x" * 200_000,)]),
+        (b"insert into s_1.x values (?)", [(1,)] * 100_000),
+        (b"select ? from s_1.x", [({},)]),
+    ],
+)
 def test_what_does_not_fit(statement, rows):
     with pytest.raises(Unbindable):
         bound(statement, rows)
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -19,12 +19,19 @@
 
 
 def tree(**brokers):
-    return Plan({name: Branch(share, {team: Branch(of, {}) for team, of in teams.items()})
-                 for name, (share, teams) in brokers.items()}, Share(weight=0.5))
+    return Plan(
+        {
+            name: Branch(share, {team: Branch(of, {}) for team, of in teams.items()})
+            for name, (share, teams) in brokers.items()
+        },
+        Share(weight=0.5),
+    )
 
 
-PLAN = tree(rosso=(Share(0.5), {"a": Share(0.3, weight=2.0), "b": Share(0.2)}),
-            verde=(Share(0.25, 0.5), {"c": Share(0.25), "d": Share(0.0, 0.25)}))
+PLAN = tree(
+    rosso=(Share(0.5), {"a": Share(0.3, weight=2.0), "b": Share(0.2)}),
+    verde=(Share(0.25, 0.5), {"c": Share(0.25), "d": Share(0.0, 0.25)}),
+)
 
 
 class Yard:
@@ -36,11 +43,24 @@
         self.released, self.refused, self.work = {}, {}, Counter()
         self.preempted, self.order, self.taken = [], defaultdict(list), {}
 
-    def submit(self, team, work=0.1, group="lookup", width=1.0, limit=5.0, utility=1.0, key=0, true=None,
-               goal=2.0, again=False, at_once=False):
+    def submit(
+        self,
+        team,
+        work=0.1,
+        group="lookup",
+        width=1.0,
+        limit=5.0,
+        utility=1.0,
+        key=0,
+        true=None,
+        goal=2.0,
+        again=False,
+        at_once=False,
+    ):
         self.number += 1
         entry = self.entries[self.number] = Entry(
-            self.number, team, group, utility, work, width, self.now + limit, self.now + goal, key, again)
+            self.number, team, group, utility, work, width, self.now + limit, self.now + goal, key, again
+        )
         self.truth[self.number], self.taken[self.number] = true or work, self.now
         self.does(self.judge.submit(self.now, entry))
         if at_once:
@@ -319,13 +339,22 @@
     assert len(yard.judge.nodes()) <= 2 and not yard.judge.cost
 
 
-@pytest.mark.parametrize("plan, words", [
-    (lambda: tree(x=(Share(0.7), {}), y=(Share(0.4), {})), "the platform: the guarantees below it are 1.1"),
-    (lambda: tree(x=(Share(0.5), {"a": Share(0.3), "b": Share(0.3)})), "x: the guarantees below it are 0.6"),
-    (lambda: tree(x=(Share(0.5, 0.4), {})), "x: a guarantee"),
-    (lambda: tree(x=(Share(weight=0), {})), "x: a weight"),
-    (lambda: tree(x=(Share(), {"a": Share()}), y=(Share(), {"a": Share()})), "y.a: also a team of x"),
-])
+@pytest.mark.parametrize(
+    "plan, words",
+    [
+        (
+            lambda: tree(x=(Share(0.7), {}), y=(Share(0.4), {})),
+            "the platform: the guarantees below it are 1.1",
+        ),
+        (
+            lambda: tree(x=(Share(0.5), {"a": Share(0.3), "b": Share(0.3)})),
+            "x: the guarantees below it are 0.6",
+        ),
+        (lambda: tree(x=(Share(0.5, 0.4), {})), "x: a guarantee"),
+        (lambda: tree(x=(Share(weight=0), {})), "x: a weight"),
+        (lambda: tree(x=(Share(), {"a": Share()}), y=(Share(), {"a": Share()})), "y.a: also a team of x"),
+    ],
+)
 def test_a_tree_that_can_not_be_kept(plan, words):
     with pytest.raises(Unsound) as why:
         plan()
@@ -335,17 +364,27 @@
 class Budgets(RuleBasedStateMachine):
     """Batches of all teams come, end, leave; engines come and go; trees change; time goes on."""
 
-    PLANS = (PLAN,
-             tree(rosso=(Share(0.2), {"a": Share(0.2)}), blu=(Share(0.5), {"c": Share(), "e": Share(0.4)})),
-             tree(verde=(Share(0.0, 0.0), {"b": Share(0.0, 0.0)})), Plan({}, Share()))
+    PLANS = (
+        PLAN,
+        tree(rosso=(Share(0.2), {"a": Share(0.2)}), blu=(Share(0.5), {"c": Share(), "e": Share(0.4)})),
+        tree(verde=(Share(0.0, 0.0), {"b": Share(0.0, 0.0)})),
+        Plan({}, Share()),
+    )
 
     def __init__(self):
         super().__init__()
         self.yard = Yard(threads=4.0)
 
-    @rule(team=st.sampled_from("abcdef"), work=st.floats(0.001, 2), width=st.sampled_from([1.0, 2.0]),
-          limit=st.floats(0.05, 5), key=st.integers(0, 3), again=st.booleans(),
-          lie=st.sampled_from([0.1, 1, 10]), utility=st.sampled_from([0.1, 0.5, 1.0]))
+    @rule(
+        team=st.sampled_from("abcdef"),
+        work=st.floats(0.001, 2),
+        width=st.sampled_from([1.0, 2.0]),
+        limit=st.floats(0.05, 5),
+        key=st.integers(0, 3),
+        again=st.booleans(),
+        lie=st.sampled_from([0.1, 1, 10]),
+        utility=st.sampled_from([0.1, 0.5, 1.0]),
+    )
     def submit(self, team, work, width, limit, key, again, lie, utility):
         self.yard.submit(team, work, "g", width, limit, utility, key, work * lie, limit / 2, again, True)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -28,8 +28,10 @@
     """The first dispatch of a batch at 10 s, and the one that follows after a reset 0.5 s later."""
     front = Front(MANIFEST._replace(tariffs=(group,), allowance=allowance), 7)
     engines = tuple(it.Engine(name, 0, 0, 0, it.Standing.READY, 0.0, 1.0) for name in (b"a", b"b"))
-    found = front.handle(10.0, [it.ListTold(it.ListKind.CACHED, 1, engines),
-                                it.BatchTaken(1, 0, 0, 0, 30.0, 0.1, 0.0, 1.0, False)])
+    found = front.handle(
+        10.0,
+        [it.ListTold(it.ListKind.CACHED, 1, engines), it.BatchTaken(1, 0, 0, 0, 30.0, 0.1, 0.0, 1.0, False)],
+    )
     first = next(a for a in found if type(a) is it.Dispatch)
     found = front.handle(10.5, [it.DispatchEnded(1, 0, first.engine, it.Fate.RESET, 0.5, False, 0, 0, ())])
     return first, next((a for a in found if type(a) is it.Dispatch), None)
@@ -54,8 +56,10 @@
     # Risk: the engine runs on, and the next dispatch is a second copy (`Front.patience`).
     front = Front(MANIFEST._replace(tariffs=(GROUP,), cancel=cancel), 7)
     engines = (it.Engine(b"a", 0, 0, 0, it.Standing.READY, 0.0, 1.0),)
-    found = front.handle(10.0, [it.ListTold(it.ListKind.CACHED, 1, engines),
-                                it.BatchTaken(1, 0, 0, 0, 5.0, 0.1, 0.0, 1.0, False)])
+    found = front.handle(
+        10.0,
+        [it.ListTold(it.ListKind.CACHED, 1, engines), it.BatchTaken(1, 0, 0, 0, 5.0, 0.1, 0.0, 1.0, False)],
+    )
     assert (next(a for a in found if type(a) is it.Dispatch).time_out > 0) is cut
 
 
@@ -144,8 +148,9 @@
 
 def called_off_before_its_first_step(then):
     async def run():
-        roll = SimpleNamespace(begin=lambda engine: out.update([engine]),
-                               end=lambda engine: out.subtract([engine]), entries={})
+        roll = SimpleNamespace(
+            begin=lambda engine: out.update([engine]), end=lambda engine: out.subtract([engine]), entries={}
+        )
         out = Counter()
         terms = SimpleNamespace(cancel=True, copies=False)
         dispatcher = Dispatcher(terms, roll, None, None, Tally(), None)
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -67,14 +67,18 @@
     assert tally.counts["decisions failed"] == 1 and log == ["decisions failed"]
 
 
-@pytest.mark.parametrize("crossing, answers", [
-    ([LEFT, it.PushBack(1, 0.0)], []),
-    ([OVERDUE, it.Dispatch(1, b"a", 0.0), it.Error(1)], [it.Error]),
-    ([it.Dispatch(1, b"a", 0.0), LEFT, OVERDUE, it.Error(1)], []),
-    ([it.Dispatch(1, b"a", 0.0), it.PushBack(1, 0.0), OVERDUE], [it.PushBack]),
-])
+@pytest.mark.parametrize(
+    "crossing, answers",
+    [
+        ([LEFT, it.PushBack(1, 0.0)], []),
+        ([OVERDUE, it.Dispatch(1, b"a", 0.0), it.Error(1)], [it.Error]),
+        ([it.Dispatch(1, b"a", 0.0), LEFT, OVERDUE, it.Error(1)], []),
+        ([it.Dispatch(1, b"a", 0.0), it.PushBack(1, 0.0), OVERDUE], [it.PushBack]),
+    ],
+)
 def test_what_crosses_an_end_is_no_second_answer(crossing, answers):
     """The dispatch here ends last, and is told as of a batch that is over."""
+
     async def run():
         told, given, tally = [], [], Tally()
 
@@ -83,7 +87,8 @@
             batch.inbox.put_nowait(End(0, b"a", it.Fate.RETURNED))
 
         dispatcher = SimpleNamespace(
-            start=lambda batch, number, order: asyncio.get_running_loop().create_task(ends(batch)))
+            start=lambda batch, number, order: asyncio.get_running_loop().create_task(ends(batch))
+        )
         desk = SimpleNamespace(tell=told.append)
         courses = Courses(desk, dispatcher, Batches(), tally, lambda *a, **f: None)
         batch = Batch(1, SimpleNamespace(txn="1"), "taken", "lookup", clock.now() + 60)
--- a/tests/test_flight.py
+++ b/tests/test_flight.py
@@ -37,6 +37,7 @@
 
 def played(work, *lines):
     """The work against a front; it gets the stage and a blocking call's runner."""
+
     async def run():
         async with front(*lines) as stage:
             return await work(stage, f"grpc://127.0.0.1:{stage.office.flight.door.port}")
@@ -53,7 +54,8 @@
             with pytest.raises(pa.ArrowException, match="redeemed already"):
                 flight.do_get(info.endpoints[0].ticket).read_all()
             flight.cancel_flight_info(arrow_flight.CancelFlightInfoRequest(info)) if hasattr(
-                arrow_flight, "CancelFlightInfoRequest") else None
+                arrow_flight, "CancelFlightInfoRequest"
+            ) else None
             return table, [kind.type for kind in flight.list_actions()]
 
     async def work(stage, address):
@@ -111,8 +113,11 @@
     assert kinds == ["TABLE"] and vendor == "thistlelever"
     assert objects[0]["catalog_db_schemas"][0]["db_schema_tables"][0]["table_name"] == "orders"
     sent = [body for call, _, body in calls if call in ("GetFlightInfo", "DoPut")]
-    assert sent == [STATEMENT.encode(), f"{STATEMENT} where b = 5 and c = 'o''hara'".encode(),
-                    b"insert into sales_17.orders values (1, 'a'), (2, 'b')"]
+    assert sent == [
+        STATEMENT.encode(),
+        f"{STATEMENT} where b = 5 and c = 'o''hara'".encode(),
+        b"insert into sales_17.orders values (1, 'a'), (2, 'b')",
+    ]
 
 
 def test_groups_by_header_and_by_session():
@@ -125,9 +130,14 @@
     async def work(stage, address):
         rows = await asyncio.to_thread(use, address)
         channel, option = stage.channel(), pb.SessionOptionValue
-        request = pb.SetSessionOptionsRequest(session_options={
-            "group": option(string_value="load"), "wait_ms": option(int64_value=900),
-            "colour": option(string_value="red"), "need_mb": option(string_value="much")})
+        request = pb.SetSessionOptionsRequest(
+            session_options={
+                "group": option(string_value="load"),
+                "wait_ms": option(int64_value=900),
+                "colour": option(string_value="red"),
+                "need_mb": option(string_value="much"),
+            }
+        )
         said, metadata = await client.action(channel, "SetSessionOptions", request.SerializeToString())
         errors = pb.SetSessionOptionsResult.FromString(said).errors
         cookie = (("cookie", metadata["set-cookie"].split(";")[0]),)
@@ -157,20 +167,44 @@
     ("GetFlightInfo", pb.FlightDescriptor(type=2, cmd=b"\xff\xff"), "INVALID_ARGUMENT", "no Any"),
     ("GetFlightInfo", pb.FlightDescriptor(type=1, path=["a"]), "INVALID_ARGUMENT", "a command expected"),
     ("GetFlightInfo", by_hand("google.protobuf.Any"), "INVALID_ARGUMENT", "type URL"),
-    ("GetFlightInfo", by_hand("arrow.flight.protocol.sql.CommandStatementQuery", ""), "INVALID_ARGUMENT",
-     "type URL"),
-    ("GetFlightInfo", by_hand("arrow.flight.protocol.sql.CommandGetPrimaryKeys"), "UNIMPLEMENTED",
-     "CommandGetPrimaryKeys"),
-    ("GetFlightInfo", asked(sql.CommandStatementQuery(query=STATEMENT, transaction_id=b"1")),
-     "UNIMPLEMENTED", "transactions"),
-    ("GetFlightInfo", asked(sql.CommandStatementUpdate(query=STATEMENT)), "UNIMPLEMENTED",
-     "CommandStatementUpdate as a query"),
-    ("GetFlightInfo", asked(sql.CommandPreparedStatementQuery(prepared_statement_handle=b"none")),
-     "NOT_FOUND", "no such prepared statement"),
+    (
+        "GetFlightInfo",
+        by_hand("arrow.flight.protocol.sql.CommandStatementQuery", ""),
+        "INVALID_ARGUMENT",
+        "type URL",
+    ),
+    (
+        "GetFlightInfo",
+        by_hand("arrow.flight.protocol.sql.CommandGetPrimaryKeys"),
+        "UNIMPLEMENTED",
+        "CommandGetPrimaryKeys",
+    ),
+    (
+        "GetFlightInfo",
+        asked(sql.CommandStatementQuery(query=STATEMENT, transaction_id=b"1")),
+        "UNIMPLEMENTED",
+        "transactions",
+    ),
+    (
+        "GetFlightInfo",
+        asked(sql.CommandStatementUpdate(query=STATEMENT)),
+        "UNIMPLEMENTED",
+        "CommandStatementUpdate as a query",
+    ),
+    (
+        "GetFlightInfo",
+        asked(sql.CommandPreparedStatementQuery(prepared_statement_handle=b"none")),
+        "NOT_FOUND",
+        "no such prepared statement",
+    ),
     ("GetSchema", asked(sql.CommandStatementQuery(query=STATEMENT)), "UNIMPLEMENTED", "GetSchema"),
     ("PollFlightInfo", pb.FlightDescriptor(type=2, cmd=b"x" * 300_000), "INVALID_ARGUMENT", "300000 bytes"),
-    ("GetFlightInfo", pb.FlightDescriptor(type=2, cmd=b"x" * 2_000_000), "RESOURCE_EXHAUSTED",
-     "larger than max"),
+    (
+        "GetFlightInfo",
+        pb.FlightDescriptor(type=2, cmd=b"x" * 2_000_000),
+        "RESOURCE_EXHAUSTED",
+        "larger than max",
+    ),
 ]
 
 
@@ -189,10 +223,17 @@
     assert rows == len(ROWS) and still_open == 0
 
 
-@pytest.mark.parametrize("ticket", [
-    b"", b"\xff", parcels.wrapped(sql.TicketStatementQuery(statement_handle=b"abc")),
-    parcels.wrapped(sql.TicketStatementQuery(statement_handle=b"\x97.abc")),
-    parcels.wrapped(sql.CommandStatementQuery(query=STATEMENT)), b"x" * 300_000])
+@pytest.mark.parametrize(
+    "ticket",
+    [
+        b"",
+        b"\xff",
+        parcels.wrapped(sql.TicketStatementQuery(statement_handle=b"abc")),
+        parcels.wrapped(sql.TicketStatementQuery(statement_handle=b"\x97.abc")),
+        parcels.wrapped(sql.CommandStatementQuery(query=STATEMENT)),
+        b"x" * 300_000,
+    ],
+)
 def test_bad_tickets_run_nothing(ticket):
     async def work(stage, address):
         with pytest.raises(client.Refused) as why:
@@ -227,6 +268,7 @@
 
 def parameters(table):
     """What becomes of a prepared statement with two places to which the table is bound."""
+
     async def work(stage, address):
         wanted = sql.ActionCreatePreparedStatementRequest(query=f"{STATEMENT} where b = ? and c = ?")
         said, _ = await client.action(stage.channel(), "CreatePreparedStatement", parcels.wrapped(wanted))
@@ -241,8 +283,11 @@
             await client.get(stage.channel(), pb.FlightInfo.FromString(info).endpoint[0].ticket)
         except client.Refused as why:
             return str(why)
-        await client.action(stage.channel(), "ClosePreparedStatement", parcels.wrapped(
-            sql.ActionClosePreparedStatementRequest(prepared_statement_handle=handle)))
+        await client.action(
+            stage.channel(),
+            "ClosePreparedStatement",
+            parcels.wrapped(sql.ActionClosePreparedStatementRequest(prepared_statement_handle=handle)),
+        )
         assert not stage.office.flight.door.shelf.held and not stage.office.flight.door.shelf.bytes
         return stage.engines["f"].calls[0][2].decode().partition("where ")[2]
 
@@ -259,8 +304,14 @@
         async for _ in call:
             pass
     except (aio.AioRpcError, asyncio.InvalidStateError):
-        raise client.Refused(aio.AioRpcError(await call.code(), await call.initial_metadata(),
-                                             await call.trailing_metadata(), await call.details())) from None
+        raise client.Refused(
+            aio.AioRpcError(
+                await call.code(),
+                await call.initial_metadata(),
+                await call.trailing_metadata(),
+                await call.details(),
+            )
+        ) from None
 
 
 def test_parameters_of_usual_types():
@@ -273,14 +324,17 @@
     assert parameters(pa.table({"b": words.take(pa.array([1])), "c": [True]})) == "b = 'y' and c = true"
 
 
-@pytest.mark.parametrize("table, words", [
-    (pa.table({"b": [5]}), "2 parameters wanted, 1 bound"),
-    (pa.table({"b": [[1]], "c": [2]}), "type list"),
-    (pa.table({"b": [1, 2], "c": [3, 4]}), "2 rows of parameters"),
-    (pa.table({"b": [float("nan")], "c": [1]}), "nan"),
-    (pa.table({"b": ["a\0b"], "c": [1]}), "NUL"),
-    (pa.table({"b": range(20_000), "c": range(20_000)}), "20000 rows of parameters"),
-])
+@pytest.mark.parametrize(
+    "table, words",
+    [
+        (pa.table({"b": [5]}), "2 parameters wanted, 1 bound"),
+        (pa.table({"b": [[1]], "c": [2]}), "type list"),
+        (pa.table({"b": [1, 2], "c": [3, 4]}), "2 rows of parameters"),
+        (pa.table({"b": [float("nan")], "c": [1]}), "nan"),
+        (pa.table({"b": ["a\0b"], "c": [1]}), "NUL"),
+        (pa.table({"b": range(20_000), "c": range(20_000)}), "20000 rows of parameters"),
+    ],
+)
 def test_parameters_that_do_not_fit(table, words):
     said = parameters(table)
     assert said.startswith("INVALID_ARGUMENT") and words in said, said
@@ -298,7 +352,8 @@
 
 def test_more_parameters_than_are_taken():
     assert parameters(pa.table({"b": ["x" * 900_000], "c": ["y" * 300_000]})).startswith(
-        ("INVALID_ARGUMENT", "RESOURCE_EXHAUSTED"))
+        ("INVALID_ARGUMENT", "RESOURCE_EXHAUSTED")
+    )
 
 
 def test_metadata_without_end():
@@ -321,16 +376,28 @@
 
 def test_a_gigabyte_declared_and_half_open_streams():
     """By hand, as no client library says such things (RFC 9113; the length prefix is gRPC's)."""
+
     async def work(stage, address):
         path = parcels.SERVICE.encode() + b"DoPut"
-        head = b"".join((literal(b":method", b"POST"), literal(b":scheme", b"http"), literal(b":path", path),
-                         literal(b":authority", b"x"), literal(b"te", b"trailers"),
-                         literal(b"content-type", b"application/grpc")))
+        head = b"".join(
+            (
+                literal(b":method", b"POST"),
+                literal(b":scheme", b"http"),
+                literal(b":path", path),
+                literal(b":authority", b"x"),
+                literal(b"te", b"trailers"),
+                literal(b"content-type", b"application/grpc"),
+            )
+        )
         port, socks = stage.office.flight.door.port, []
         for _ in range(20):
             sock = socket.create_connection(("127.0.0.1", port))
-            sock.sendall(b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + frame(4, 0, 0, b"") + frame(1, 4, 1, head)
-                         + frame(0, 0, 1, struct.pack(">BI", 0, 1 << 30) + b"x" * 100))
+            sock.sendall(
+                b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
+                + frame(4, 0, 0, b"")
+                + frame(1, 4, 1, head)
+                + frame(0, 0, 1, struct.pack(">BI", 0, 1 << 30) + b"x" * 100)
+            )
             socks.append(sock)
         # Others that say nothing at all.
         socks += [socket.create_connection(("127.0.0.1", port)) for _ in range(20)]
@@ -344,11 +411,13 @@
 
 def test_hundreds_of_streams():
     """A client with hundreds of calls gets its share; those past the bound hear so, and another is served."""
+
     async def work(stage, address):
         many = [stage.channel(f"many {n}") for n in range(10)]
         stage.engines["f"].steps["DoGet"].extend([("wait",)] * 20)
-        calls = [asyncio.create_task(client.query(many[n % 10], f"select a from sales_{n}.x"))
-                 for n in range(300)]
+        calls = [
+            asyncio.create_task(client.query(many[n % 10], f"select a from sales_{n}.x")) for n in range(300)
+        ]
         await stage.until(lambda: stage.engines["f"].book.count("arrived") >= 20)
         usual = asyncio.create_task(client.query(stage.channel(), STATEMENT))
         stage.engines["f"].released.set()
@@ -366,21 +435,25 @@
     async def work(stage, address):
         async def ask(message):
             info = pb.FlightInfo.FromString(
-                await client.unary(stage.channel(), "GetFlightInfo", asked(message)))
+                await client.unary(stage.channel(), "GetFlightInfo", asked(message))
+            )
             schema = await client.unary(stage.channel(), "GetSchema", asked(message))
             assert pb.SchemaResult.FromString(schema).schema == info.schema
             return (await client.get(stage.channel(), info.endpoint[0].ticket)).to_pylist()
 
-        return (await ask(sql.CommandGetCatalogs()),
-                await ask(sql.CommandGetDbSchemas(db_schema_filter_pattern="sal%")),
-                await ask(sql.CommandGetTables(table_name_filter_pattern="_rders", include_schema=True)),
-                await ask(sql.CommandGetTables(catalog="other")),
-                await ask(sql.CommandGetSqlInfo(info=[0, 3, 9, 77])),
-                await ask(sql.CommandGetXdbcTypeInfo(data_type=12)),
-                await ask(sql.CommandGetTables(table_name_filter_pattern="%a" * 60)))
-
-    tables = ('door group="lookup" tables=[{"schema":"sales_17","name":"orders"},'
-              '{"schema":"hr","name":"staff"}]')
+        return (
+            await ask(sql.CommandGetCatalogs()),
+            await ask(sql.CommandGetDbSchemas(db_schema_filter_pattern="sal%")),
+            await ask(sql.CommandGetTables(table_name_filter_pattern="_rders", include_schema=True)),
+            await ask(sql.CommandGetTables(catalog="other")),
+            await ask(sql.CommandGetSqlInfo(info=[0, 3, 9, 77])),
+            await ask(sql.CommandGetXdbcTypeInfo(data_type=12)),
+            await ask(sql.CommandGetTables(table_name_filter_pattern="%a" * 60)),
+        )
+
+    tables = (
+        'door group="lookup" tables=[{"schema":"sales_17","name":"orders"},{"schema":"hr","name":"staff"}]'
+    )
     catalogs, schemas, found, none, facts, types, long = played(work, "flight_engine f", tables, "front")
     assert catalogs == [{"catalog_name": "thistlelever"}]
     assert [row["db_schema_name"] for row in schemas] == ["sales_17"]
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -19,17 +19,20 @@
 EACH = "tests/test_x.py::test_each[a b], why, 30"
 
 
-@pytest.mark.parametrize("also, listed, code, says", [
-    ("True", None, 1, ""),
-    ("True", [BAD, EACH], 0, "known red: " + BAD),
-    ("True", [BAD], 1, "failed, and is not listed: tests/test_x.py::test_each[a b]"),
-    ("False", [BAD, EACH], 1, "failed, and is not listed: tests/test_x.py::test_also"),
-    ("True", [BAD, EACH, GOOD], 1, "listed, and passed: tests/test_x.py::test_good"),
-    ("True", [BAD, EACH, "tests/test_x.py::test_none, why, 30"], 1, "listed, and did not run"),
-    ("True", [BAD, EACH, BAD, BAD], 1, "more than 3 lines"),
-    ("True", [BAD, EACH.replace(", 30", "")], 1, "not of the form"),
-    ("syntax error", [BAD, EACH], 1, "did not come to its end"),
-])
+@pytest.mark.parametrize(
+    "also, listed, code, says",
+    [
+        ("True", None, 1, ""),
+        ("True", [BAD, EACH], 0, "known red: " + BAD),
+        ("True", [BAD], 1, "failed, and is not listed: tests/test_x.py::test_each[a b]"),
+        ("False", [BAD, EACH], 1, "failed, and is not listed: tests/test_x.py::test_also"),
+        ("True", [BAD, EACH, GOOD], 1, "listed, and passed: tests/test_x.py::test_good"),
+        ("True", [BAD, EACH, "tests/test_x.py::test_none, why, 30"], 1, "listed, and did not run"),
+        ("True", [BAD, EACH, BAD, BAD], 1, "more than 3 lines"),
+        ("True", [BAD, EACH.replace(", 30", "")], 1, "not of the form"),
+        ("syntax error", [BAD, EACH], 1, "did not come to its end"),
+    ],
+)
 def test_only_what_is_listed_may_fail_and_all_of_it_must(tmp_path, also, listed, code, says):
     (tmp_path / "tests").mkdir()
     (tmp_path / "tests" / "test_x.py").write_text(TEST % also)
@@ -37,7 +40,15 @@
         (tmp_path / "KNOWN-RED.txt").write_text("\n".join(listed) + "\n")
     pytest_code = subprocess.run(
         [sys.executable, "-m", "pytest", "-q", "-p", "no:cacheprovider", "--junit-xml=report.xml"],
-        cwd=tmp_path, capture_output=True, check=False).returncode
-    done = subprocess.run([sys.executable, JUDGE, "report.xml", "KNOWN-RED.txt", str(pytest_code)],
-                          cwd=tmp_path, capture_output=True, text=True, check=False)
+        cwd=tmp_path,
+        capture_output=True,
+        check=False,
+    ).returncode
+    done = subprocess.run(
+        [sys.executable, JUDGE, "report.xml", "KNOWN-RED.txt", str(pytest_code)],
+        cwd=tmp_path,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
     assert done.returncode == code and says in done.stdout, done.stdout
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -93,7 +93,7 @@
         with pytest.raises(Damaged):
             records.unpack("mark", spoilt)
     _, check = records.HEAD.unpack_from(data)
-    later = records.HEAD.pack(records.SCHEMA + 1, check) + data[records.HEAD.size:]
+    later = records.HEAD.pack(records.SCHEMA + 1, check) + data[records.HEAD.size :]
     with pytest.raises(Newer):
         records.unpack("mark", later)
 
@@ -151,21 +151,27 @@
 
 
 def test_a_kill_loses_no_more_than_the_write_that_was_under_way(tmp_path):
-    code = ("import sys\n"
-            "from thistlelever.ledger.file import File\n"
-            "from thistlelever.ledger import records\n"
-            "from test_ledger import mark\n"
-            "file = File(sys.argv[1])\n"
-            "n = 0\n"
-            "while True:\n"
-            "    file.write([('mark', b'%016d' % k, records.pack(mark(k))) for k in range(n, n + 5)])\n"
-            "    n += 5\n"
-            "    print(n, flush=True)\n"
-            "    file.compact(always=n % 50 == 0)\n")
+    code = (
+        "import sys\n"
+        "from thistlelever.ledger.file import File\n"
+        "from thistlelever.ledger import records\n"
+        "from test_ledger import mark\n"
+        "file = File(sys.argv[1])\n"
+        "n = 0\n"
+        "while True:\n"
+        "    file.write([('mark', b'%016d' % k, records.pack(mark(k))) for k in range(n, n + 5)])\n"
+        "    n += 5\n"
+        "    print(n, flush=True)\n"
+        "    file.compact(always=n % 50 == 0)\n"
+    )
     for turn in range(8):
         path = tmp_path / f"{turn}.db"
-        process = subprocess.Popen([sys.executable, "-c", code, str(path)], stdout=subprocess.PIPE, cwd=ROOT,
-                                   env=os.environ | {"PYTHONPATH": f"{ROOT}:{ROOT}/tests"})
+        process = subprocess.Popen(
+            [sys.executable, "-c", code, str(path)],
+            stdout=subprocess.PIPE,
+            cwd=ROOT,
+            env=os.environ | {"PYTHONPATH": f"{ROOT}:{ROOT}/tests"},
+        )
         for _ in range(3 + turn * 7):
             said = int(process.stdout.readline())
         process.send_signal(signal.SIGKILL)
@@ -177,11 +183,16 @@
         assert not wrong and said <= len(found) <= said + 5 and len(found) % 5 == 0
 
 
-@pytest.mark.parametrize("what, word", [
-    (lambda p: p.write_bytes(b"no database at all " * 300), "foreign"),
-    (lambda p: foreign(p), "foreign"), (lambda p: newer(p), "newer"), (lambda p: p.mkdir(), "gone"),
-    (lambda p: p.symlink_to("/dev/full"), "full"),
-])
+@pytest.mark.parametrize(
+    "what, word",
+    [
+        (lambda p: p.write_bytes(b"no database at all " * 300), "foreign"),
+        (lambda p: foreign(p), "foreign"),
+        (lambda p: newer(p), "newer"),
+        (lambda p: p.mkdir(), "gone"),
+        (lambda p: p.symlink_to("/dev/full"), "full"),
+    ],
+)
 def test_what_is_no_store_of_ours_is_not_written_to(tmp_path, what, word):
     path = tmp_path / "a.db"
     what(path)
@@ -213,7 +224,7 @@
     found, wrong = kept(path)
     assert len(found) == 399 and len(wrong) == 1
     data = bytearray(path.read_bytes())
-    data[4096 * 2:4096 * 4] = os.urandom(8192)
+    data[4096 * 2 : 4096 * 4] = os.urandom(8192)
     path.write_bytes(data)
     keeper = Keeper(lambda: File(str(path)))
     keeper.open()
@@ -223,8 +234,10 @@
 
 def test_one_owner_at_a_time_and_a_dead_one_leaves_it_free(tmp_path):
     path = str(tmp_path / "a.db")
-    code = "import sys, time\nfrom thistlelever.ledger.file import File\nf = File(sys.argv[1])\n" \
-           "print('open', flush=True)\ntime.sleep(60)\n"
+    code = (
+        "import sys, time\nfrom thistlelever.ledger.file import File\nf = File(sys.argv[1])\n"
+        "print('open', flush=True)\ntime.sleep(60)\n"
+    )
     process = subprocess.Popen([sys.executable, "-c", code, path], stdout=subprocess.PIPE, cwd=ROOT)
     assert process.stdout.readline() == b"open\n"
     with pytest.raises(Failing, match="held"):
@@ -306,16 +319,21 @@
 HERE = Now(2e9, 1_000.0, "this")
 
 
-@pytest.mark.parametrize("then, found", [
-    ((2e9 - 60, 940.0, "this"), Age(60, 60)),
-    # The wall's clock was set while this boot went on: the machine's own tells it.
-    ((2e9 + 3_600, 940.0, "this"), Age(60, 60)), ((2e9 - 86_400, 940.0, "this"), Age(60, 60)),
-    ((2e9 - 5_000, 10.0, "that"), Age(5_000, 5_000)),
-    # Younger than this boot, or in the future: no age.
-    ((2e9 - 10, 10.0, "that"), Age(1_000, float("inf"))),
-    ((2e9 + 10, 10.0, "that"), Age(1_000, float("inf"))),
-    ((2e9 - 10, 0.0, ""), Age(10, 10)), ((2e9 + 10, 0.0, ""), Age(0, float("inf"))),
-])
+@pytest.mark.parametrize(
+    "then, found",
+    [
+        ((2e9 - 60, 940.0, "this"), Age(60, 60)),
+        # The wall's clock was set while this boot went on: the machine's own tells it.
+        ((2e9 + 3_600, 940.0, "this"), Age(60, 60)),
+        ((2e9 - 86_400, 940.0, "this"), Age(60, 60)),
+        ((2e9 - 5_000, 10.0, "that"), Age(5_000, 5_000)),
+        # Younger than this boot, or in the future: no age.
+        ((2e9 - 10, 10.0, "that"), Age(1_000, float("inf"))),
+        ((2e9 + 10, 10.0, "that"), Age(1_000, float("inf"))),
+        ((2e9 - 10, 0.0, ""), Age(10, 10)),
+        ((2e9 + 10, 0.0, ""), Age(0, float("inf"))),
+    ],
+)
 def test_an_age_is_a_range_and_the_future_is_not_fresh(then, found):
     assert age(*then, HERE) == found
     if found.most == float("inf"):
@@ -378,18 +396,27 @@
 
 # Marks.
 
-def tariff(scope=it.Scope.ALL):
-    return it.Tariff("load", 1.0, 0.0, 1.0, 0.0, 4.0, it.Repeat.REFERENCED, scope, 5.0, 1, False, False,
-                     False, None, None)
-
 
-@pytest.mark.parametrize("scope, listed, ran, out, answer", [
-    (it.Scope.ALL, True, 1.0, b"e-1", None), (it.Scope.ALL, False, 1.0, b"", None),
-    (it.Scope.CELL, False, 1.0, b"", it.Error), (it.Scope.ALL, True, 5.0, b"", it.Error),
-    (it.Scope.CELL, True, 1.0, b"e-1", None), (it.Scope.ALL, True, float("inf"), b"", it.Error),
-])
-def test_what_may_have_run_before_a_restart_goes_only_where_its_repeat_is_dropped(scope, listed, ran, out,
-                                                                                    answer):
+def tariff(scope=it.Scope.ALL):
+    return it.Tariff(
+        "load", 1.0, 0.0, 1.0, 0.0, 4.0, it.Repeat.REFERENCED, scope, 5.0, 1, False, False, False, None, None
+    )
+
+
+@pytest.mark.parametrize(
+    "scope, listed, ran, out, answer",
+    [
+        (it.Scope.ALL, True, 1.0, b"e-1", None),
+        (it.Scope.ALL, False, 1.0, b"", None),
+        (it.Scope.CELL, False, 1.0, b"", it.Error),
+        (it.Scope.ALL, True, 5.0, b"", it.Error),
+        (it.Scope.CELL, True, 1.0, b"e-1", None),
+        (it.Scope.ALL, True, float("inf"), b"", it.Error),
+    ],
+)
+def test_what_may_have_run_before_a_restart_goes_only_where_its_repeat_is_dropped(
+    scope, listed, ran, out, answer
+):
     roll = SimpleNamespace(listed=lambda engine: listed)
     tally = SimpleNamespace(add=lambda name: None)
     found = b"e-1", Name("a" * 16, 2), ran
@@ -404,6 +431,7 @@
 
 # Commands.
 
+
 def test_the_commands_on_a_dead_a_damaged_and_a_held_store(tmp_path):
     path = str(tmp_path / "a.db")
     file = File(path)
@@ -439,11 +467,28 @@
 def test_a_mark_outlives_its_front_and_its_repeat_goes_where_it_is_dropped(tmp_path):
     # Two lives of one front on one store; its engine is another process by then, under the same id.
     section = f'section state {{"path":"{tmp_path}/a.db"}}'
-    first = [section, "engine a", "front", f"submit 1 load once={'5a' * 16}", "answer 1 result rows",
-             f"submit 2 load once={'6a' * 16} table=sales_18.x", "answer 2 result rows"]
-    again = [section, "engine a", "front", f"submit 3 load once={'5a' * 16}", "answer 3 result rows",
-             "calls a GET0 1", "order a GET0 POST", f"saw a POST x-dedupe={'5a' * 16}",
-             f"submit 4 load once={'7a' * 16} table=sales_18.x", "answer 4 result rows", "calls a GET0 1"]
+    first = [
+        section,
+        "engine a",
+        "front",
+        f"submit 1 load once={'5a' * 16}",
+        "answer 1 result rows",
+        f"submit 2 load once={'6a' * 16} table=sales_18.x",
+        "answer 2 result rows",
+    ]
+    again = [
+        section,
+        "engine a",
+        "front",
+        f"submit 3 load once={'5a' * 16}",
+        "answer 3 result rows",
+        "calls a GET0 1",
+        "order a GET0 POST",
+        f"saw a POST x-dedupe={'5a' * 16}",
+        f"submit 4 load once={'7a' * 16} table=sales_18.x",
+        "answer 4 result rows",
+        "calls a GET0 1",
+    ]
 
     async def run():
         for lines in (first, again):
@@ -456,8 +501,13 @@
 
 
 def test_a_store_that_fails_stops_nobody_and_is_said_once(tmp_path):
-    lines = [f'section state {{"path":"{tmp_path}/none/a.db","every_s":0.01}}', "engine a", "front",
-             f"submit 1 load once={'5a' * 16}", "answer 1 result rows"]
+    lines = [
+        f'section state {{"path":"{tmp_path}/none/a.db","every_s":0.01}}',
+        "engine a",
+        "front",
+        f"submit 1 load once={'5a' * 16}",
+        "answer 1 result rows",
+    ]
 
     async def run():
         with brisk():
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -20,8 +20,15 @@
 
 
 def message(rumours=(), **words):
-    facts = {"kind": Kind.PING, "name": "front-0", "life": 5, "incarnation": 5, "count": 1, "nonce": 3,
-             "digest": 9} | words
+    facts = {
+        "kind": Kind.PING,
+        "name": "front-0",
+        "life": 5,
+        "incarnation": 5,
+        "count": 1,
+        "nonce": 3,
+        "digest": 9,
+    } | words
     return Message(**facts, rumours=tuple(wire.packed(r) for r in rumours))
 
 
@@ -32,25 +39,38 @@
     assert (matter, told.name, told.place, rumours) == (wire.MEMBERSHIP, "front-0", "front-2", (WORD,))
 
 
-@pytest.mark.parametrize("spoil, kind", [
-    (lambda d: d + bytes(wire.LONGEST), "too long"), (lambda d: d[:5], "too short"),
-    (lambda d: bytes((2,)) + d[1:], "of another version"),
-    (lambda d: d[:2] + b"xxxx" + d[6:], "of another tier"),
-    (lambda d: d[:-1] + bytes((d[-1] ^ 1,)), "damaged"), (lambda d: d[:-1], "damaged"),
-    (lambda d: d[:1] + b"\7" + d[2:], "damaged"),
-])
+@pytest.mark.parametrize(
+    "spoil, kind",
+    [
+        (lambda d: d + bytes(wire.LONGEST), "too long"),
+        (lambda d: d[:5], "too short"),
+        (lambda d: bytes((2,)) + d[1:], "of another version"),
+        (lambda d: d[:2] + b"xxxx" + d[6:], "of another tier"),
+        (lambda d: d[:-1] + bytes((d[-1] ^ 1,)), "damaged"),
+        (lambda d: d[:-1], "damaged"),
+        (lambda d: d[:1] + b"\7" + d[2:], "damaged"),
+    ],
+)
 def test_what_is_no_word_of_this_tier_says_why(spoil, kind):
     with pytest.raises(wire.Unfit) as why:
         wire.opened(spoil(wire.encode(message(), TIER)), TIER)
     assert why.value.kind == kind
 
 
-@pytest.mark.parametrize("body", [
-    b"", b"\xc1", wire._pack([1, 2]), wire._pack(message(name="")), wire._pack(message(name="x" * 65)),
-    wire._pack(message(incarnation=2**32)), wire._pack(message(count=-1)),
-    wire._pack(message([Rumour("a", b"short", 1, 1, State.ALIVE)])),
-    wire._pack(message([Rumour("a", bytes(6), 2**40, 1, State.ALIVE)])),
-])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xc1",
+        wire._pack([1, 2]),
+        wire._pack(message(name="")),
+        wire._pack(message(name="x" * 65)),
+        wire._pack(message(incarnation=2**32)),
+        wire._pack(message(count=-1)),
+        wire._pack(message([Rumour("a", b"short", 1, 1, State.ALIVE)])),
+        wire._pack(message([Rumour("a", bytes(6), 2**40, 1, State.ALIVE)])),
+    ],
+)
 def test_a_body_out_of_form_raises_nothing_else(body):
     with pytest.raises(wire.Unfit, match="out of form"):
         wire.decode(body)
@@ -145,8 +165,12 @@
     # Held up, and nobody's list read since: nothing of its view is acted on.
     assert seconds < 0.5 or all(net.judges[name].view(net.now).alone for name in paused)
     settle(net)
-    by_woken = [c for log in net.changes.values() for c in log
-                if c[0] >= woken and c[1] in paused and c[2] is State.DEAD and c[3] == c[1]]
+    by_woken = [
+        c
+        for log in net.changes.values()
+        for c in log
+        if c[0] >= woken and c[1] in paused and c[2] is State.DEAD and c[3] == c[1]
+    ]
     assert not by_woken and not net.false
 
 
@@ -241,8 +265,14 @@
 def test_of_two_processes_under_one_name_the_older_stands_down():
     net = tier(4)
     older = net.judges["n2"]
-    newer = Judge(Terms(), Self("n2", ("127.9.9.9", 1), older.me.life + 50),
-                  tuple(net.judges[n].me.address for n in ("n0", "n1")), 4, 77, net.now)
+    newer = Judge(
+        Terms(),
+        Self("n2", ("127.9.9.9", 1), older.me.life + 50),
+        tuple(net.judges[n].me.address for n in ("n0", "n1")),
+        4,
+        77,
+        net.now,
+    )
     net.judges["twin"], net.names[newer.me.address] = newer, "twin"
     net.at(net.now, "turn", "twin", newer)
     net.run(net.now + 6)
@@ -409,8 +439,10 @@
         for name in list(self.net.stopped):
             self.net.go_on(name)
 
-    @rule(pairs=st.sets(st.tuples(st.integers(0, 4), st.integers(0, 4)), max_size=5),
-          loss=st.sampled_from((0.0, 0.2)))
+    @rule(
+        pairs=st.sets(st.tuples(st.integers(0, 4), st.integers(0, 4)), max_size=5),
+        loss=st.sampled_from((0.0, 0.2)),
+    )
     def network(self, pairs, loss):
         cut = {(f"n{a}", f"n{b}") for a, b in pairs}
         self.net.cut, self.net.loss = lambda s, t: (s, t) in cut, loss
@@ -442,5 +474,10 @@
 
 
 TestTier = Tier.TestCase
-TestTier.settings = settings(max_examples=60, stateful_step_count=30, deadline=None, derandomize=True,
-                             suppress_health_check=list(HealthCheck))
+TestTier.settings = settings(
+    max_examples=60,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -18,15 +18,20 @@
 DEPLOY = Path(__file__).parents[1] / "deploy"
 
 
-@pytest.mark.parametrize("text, words", [
-    ("{", "no JSON"), ("[]", "the whole"), ('{"flights": {}}', "flights"),
-    ('{"flight": {}}', "flight: "),
-    ('{"flight": {"listen": "localhost:1"}}', "flight.listen"),
-    ('{"flight": {"listen": 8447}}', "flight.listen"),
-    ('{"flight": {"kinds": ["std", 7]}}', "flight.kinds[1]"),
-    ('{"flight": {"streams": 0}}', "flight.streams"),
-    ('{"flight": {"listen": "127.0.0.1:1", "tables": [{"schema": "a"}]}}', "flight.tables[0]"),
-])
+@pytest.mark.parametrize(
+    "text, words",
+    [
+        ("{", "no JSON"),
+        ("[]", "the whole"),
+        ('{"flights": {}}', "flights"),
+        ('{"flight": {}}', "flight: "),
+        ('{"flight": {"listen": "localhost:1"}}', "flight.listen"),
+        ('{"flight": {"listen": 8447}}', "flight.listen"),
+        ('{"flight": {"kinds": ["std", 7]}}', "flight.kinds[1]"),
+        ('{"flight": {"streams": 0}}', "flight.streams"),
+        ('{"flight": {"listen": "127.0.0.1:1", "tables": [{"schema": "a"}]}}', "flight.tables[0]"),
+    ],
+)
 def test_a_fault_names_its_key(text, words):
     with pytest.raises(Unreadable, match="operator file") as why:
         operator.read(text.encode())
@@ -63,13 +68,15 @@
 
 def test_switched_off_nothing_of_it_is_imported():
     # Risk: a library of an extra in a front without it takes more memory than the platform gives.
-    code = ("import sys, thistlelever.__main__, thistlelever.lifecycle.run, thistlelever.wirehost.host\n"
-            "extra = ('grpc', 'pyarrow', 'google', 'msgspec', 'itsdangerous', 'thistlelever.flight', "
-            "'thistlelever.state', 'thistlelever.standins', 'thistlelever.membership', "
-            "'thistlelever.carrier.peers', 'thistlelever.wire.peers', 'thistlelever.lifecycle.parts', "
-            "'thistlelever.takeover', 'thistlelever.wire.work', 'thistlelever.carrier.wards', 'xxhash', "
-            "'thistlelever.recovery', 'thistlelever.ledger', 'thistlelever.carrier.recollection', 'apsw')\n"
-            "print([m for m in sys.modules if m.startswith(extra)])")
+    code = (
+        "import sys, thistlelever.__main__, thistlelever.lifecycle.run, thistlelever.wirehost.host\n"
+        "extra = ('grpc', 'pyarrow', 'google', 'msgspec', 'itsdangerous', 'thistlelever.flight', "
+        "'thistlelever.state', 'thistlelever.standins', 'thistlelever.membership', "
+        "'thistlelever.carrier.peers', 'thistlelever.wire.peers', 'thistlelever.lifecycle.parts', "
+        "'thistlelever.takeover', 'thistlelever.wire.work', 'thistlelever.carrier.wards', 'xxhash', "
+        "'thistlelever.recovery', 'thistlelever.ledger', 'thistlelever.carrier.recollection', 'apsw')\n"
+        "print([m for m in sys.modules if m.startswith(extra)])"
+    )
     root = Path(__file__).parents[1]
     said = subprocess.run([sys.executable, "-c", code], cwd=root, capture_output=True, text=True, check=True)
     assert said.stdout.strip() == "[]"
@@ -81,8 +88,9 @@
     extra.write_text(json.dumps({"budgets": {"brokers": brokers}}))
     config = tmp_path / "config.json"
     config.write_text(json.dumps(configuration()))
-    said = CliRunner().invoke(command.main, ["check", "--operator", str(extra)],
-                              env={"BALANCER_CONFIG": str(config)})
+    said = CliRunner().invoke(
+        command.main, ["check", "--operator", str(extra)], env={"BALANCER_CONFIG": str(config)}
+    )
     assert said.exit_code == 2 and "budgets: x: the guarantees below it are 0.6" in said.output
 
 
@@ -92,8 +100,9 @@
     config, extra = tmp_path / "config.json", tmp_path / "operator.json"
     config.write_text(json.dumps(configuration()))
     extra.write_text('{"membership": {"tier": "x"}}')
-    said = CliRunner().invoke(command.main, [verb, "--operator", str(extra)],
-                              env={"BALANCER_CONFIG": str(config)})
+    said = CliRunner().invoke(
+        command.main, [verb, "--operator", str(extra)], env={"BALANCER_CONFIG": str(config)}
+    )
     assert said.exit_code == 2 and "membership: peer_listen" in said.output and "Trace" not in said.output
 
 
@@ -106,14 +115,34 @@
         return CliRunner().invoke(command.main, ["budgets", *words, "--operator", str(extra)])
 
     async def run():
-        async with staged([(line, line.split()) for line in (
-                "settings FamilyInfo.KindCores [1]", "section budgets {}",
-                f'section admin {{"socket":"{tmp_path}/front.sock"}}', "engine a",
-                "on a POST hold 200 Chunks=1 body=x", "on a POST hold 200 Chunks=1 body=x", "front",
-                "submit 1 pay cost=100", "submit 2 pay cost=100 table=sales_18.x", "posted a 2",
-                "submit 3 lookup cost=100", "held_back 1")]) as stage:
-            shown, explained, none, as_json = [await asyncio.to_thread(ask, *words) for words in (
-                ("show",), ("explain", f"{3:016x}"), ("explain", f"{9:016x}"), ("show", "--json"))]
+        async with staged(
+            [
+                (line, line.split())
+                for line in (
+                    "settings FamilyInfo.KindCores [1]",
+                    "section budgets {}",
+                    f'section admin {{"socket":"{tmp_path}/front.sock"}}',
+                    "engine a",
+                    "on a POST hold 200 Chunks=1 body=x",
+                    "on a POST hold 200 Chunks=1 body=x",
+                    "front",
+                    "submit 1 pay cost=100",
+                    "submit 2 pay cost=100 table=sales_18.x",
+                    "posted a 2",
+                    "submit 3 lookup cost=100",
+                    "held_back 1",
+                )
+            ]
+        ) as stage:
+            shown, explained, none, as_json = [
+                await asyncio.to_thread(ask, *words)
+                for words in (
+                    ("show",),
+                    ("explain", f"{3:016x}"),
+                    ("explain", f"{9:016x}"),
+                    ("show", "--json"),
+                )
+            ]
             stage.engines["a"].released.set()
             await stage.line("answer", "3", "result", "rows")
         return shown, explained, none, as_json
--- a/tests/test_papers.py
+++ b/tests/test_papers.py
@@ -33,21 +33,28 @@
     return told
 
 
-@pytest.mark.parametrize("path, value, said", [
-    ("listen", "nowhere", "listen: HOST:PORT expected"),
-    ("dns", None, "dns: missing"),
-    ("seed", "xyz", "seed: hex digits expected"),
-    ("known.pos", -1, "known.pos: a whole number"),
-    ("limits.sockets", "many", "limits.sockets: a whole number"),
-    (HOSTS + "lifecycle", "Sleeping", "known.entries[0].hosts.instances[0].lifecycle: one of Ready,"),
-    (HOSTS + "machineType", "huge", "instances[0].machineType: one of std expected"),
-    (HOSTS + "hostPort", "127.0.0.1", "instances[0].hostPort: HOST:PORT expected"),
-    ("settings", [], "settings: an object expected"),
-    ("settings.Limits.Keepalive", None, "setting Limits.Keepalive is missing"),
-    ("settings.Classes.0.Slo", "soon", "setting Classes.0.Slo is no number: soon"),
-    ("settings.Classes.0.RunsIn", ["est"], "setting Classes.0.RunsIn says est, which is no place of Failure"),
-    ("settings.Telemetry.How", "loudly", "setting Telemetry.How says loudly"),
-])
+@pytest.mark.parametrize(
+    "path, value, said",
+    [
+        ("listen", "nowhere", "listen: HOST:PORT expected"),
+        ("dns", None, "dns: missing"),
+        ("seed", "xyz", "seed: hex digits expected"),
+        ("known.pos", -1, "known.pos: a whole number"),
+        ("limits.sockets", "many", "limits.sockets: a whole number"),
+        (HOSTS + "lifecycle", "Sleeping", "known.entries[0].hosts.instances[0].lifecycle: one of Ready,"),
+        (HOSTS + "machineType", "huge", "instances[0].machineType: one of std expected"),
+        (HOSTS + "hostPort", "127.0.0.1", "instances[0].hostPort: HOST:PORT expected"),
+        ("settings", [], "settings: an object expected"),
+        ("settings.Limits.Keepalive", None, "setting Limits.Keepalive is missing"),
+        ("settings.Classes.0.Slo", "soon", "setting Classes.0.Slo is no number: soon"),
+        (
+            "settings.Classes.0.RunsIn",
+            ["est"],
+            "setting Classes.0.RunsIn says est, which is no place of Failure",
+        ),
+        ("settings.Telemetry.How", "loudly", "setting Telemetry.How says loudly"),
+    ],
+)
 def test_a_fault_names_its_key(tmp_path, path, value, said):
     file = tmp_path / "config.json"
     file.write_text(json.dumps(changed(path, value)))
@@ -67,15 +74,23 @@
 def test_later_events_change_the_first_list_and_defaults_hold():
     told = configuration([*ENTRY, ("s-2", "127.0.0.1:8444"), ("s-3", "127.0.0.1:8445")])
     first = told["known"]["entries"][0]["hosts"]["instances"]
-    told["known"]["entries"].append({"pos": 2, "hosts": {"instances": [
-        first[0] | {"lifecycle": "Terminating"}, first[1] | {"lifecycle": "Gone"}]}})
+    told["known"]["entries"].append(
+        {
+            "pos": 2,
+            "hosts": {
+                "instances": [first[0] | {"lifecycle": "Terminating"}, first[1] | {"lifecycle": "Gone"}]
+            },
+        }
+    )
     told["settings"]["Classes"][1]["RunsIn"] = ["sud", 0]
     del told["limits"], told["name"]
     read = papers.read(told, {"BALANCER_NAME": "n9"})
     assert read.manifest.tariffs[1].zones == {0, 1} and read.manifest.tariffs[0].zones is None
     assert (read.name, read.sockets) == ("n9", papers.DEFAULT_SOCKETS)
     assert [(e.engine.id, e.engine.standing) for e in read.known] == [
-        (b"s-1", it.Standing.DRAINING), (b"s-3", it.Standing.READY)]
+        (b"s-1", it.Standing.DRAINING),
+        (b"s-3", it.Standing.READY),
+    ]
 
 
 def test_a_new_engine_at_a_gone_ones_address_is_another():
--- a/tests/test_rigs.py
+++ b/tests/test_rigs.py
@@ -11,8 +11,14 @@
 
 
 def played(name, *words):
-    said = subprocess.run([sys.executable, "-m", f"rigs.{name}", *words], cwd=ROOT, capture_output=True,
-                          text=True, timeout=240, check=False)
+    said = subprocess.run(
+        [sys.executable, "-m", f"rigs.{name}", *words],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=240,
+        check=False,
+    )
     assert said.stdout, said.stderr[-2000:]
     last = json.loads(said.stdout.splitlines()[-1])
     assert last["holds"] == (said.returncode == 0)
@@ -26,10 +32,15 @@
     assert all(count > 100 for count in last["dispatches_by_protocol"].values())
 
 
-@pytest.mark.parametrize("guard, broken", [
-    ("resend", "2: no effect twice"), ("short", "1: rows of one run, whole"),
-    ("twice", "1: one final answer"),
-    ("forget", "one dispatch out at a time")])
+@pytest.mark.parametrize(
+    "guard, broken",
+    [
+        ("resend", "2: no effect twice"),
+        ("short", "1: rows of one run, whole"),
+        ("twice", "1: one final answer"),
+        ("forget", "one dispatch out at a time"),
+    ],
+)
 def test_flight_says_no(guard, broken):
     # Few results break off after they have begun to go on; enough batches, that some surely do.
     batches = "1500" if guard == "short" else "600"
@@ -43,8 +54,9 @@
     assert last["views_agree"] and last["answers"]["0"] == last["answers"]["2+"] == last["missed_deaths"] == 0
 
 
-@pytest.mark.parametrize("guard, broken", [
-    ("health", "own health"), ("detour", "detours"), ("incarnation", "incarnations")])
+@pytest.mark.parametrize(
+    "guard, broken", [("health", "own health"), ("detour", "detours"), ("incarnation", "incarnations")]
+)
 def test_membership_says_no(guard, broken):
     last = played("membership", "--seed", "2", "--sabotage", guard)
     assert not last["holds"] and any(broken in rule for rule in last["broken_rules"]), last
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -13,18 +13,71 @@
 FILES = sorted(Path(__file__).with_name("scenarios").glob("*.txt"))
 SOCKETS = sorted(Path(__file__).with_name("scenarios").glob("*/*.txt"))
 GROUP = it.Tariff(
-    "g", 1.0, 0.0, 1.0, 2.0, 5.0, it.Repeat.REPEATABLE, it.Scope.ALL, 0.0, 1, False, False, False,
-    None, None,
+    "g",
+    1.0,
+    0.0,
+    1.0,
+    2.0,
+    5.0,
+    it.Repeat.REPEATABLE,
+    it.Scope.ALL,
+    0.0,
+    1,
+    False,
+    False,
+    False,
+    None,
+    None,
 )
 MANIFEST = it.Manifest(
-    2, 0, (), (), 1.0, (4, 4), (8000.0, 8000.0), 0.5, False, False, it.Shortage.LINE, 0.0, False,
-    it.Reports.WITH_ANSWERS, ("util",), False, False, 0.0, 0.005, False, 0.0, 0.0, False, False, True, 1.0, 3,
-    0.25, 1.0, 0.3, 10.0, 3.0, 1.0, 0.3, None,
+    2,
+    0,
+    (),
+    (),
+    1.0,
+    (4, 4),
+    (8000.0, 8000.0),
+    0.5,
+    False,
+    False,
+    it.Shortage.LINE,
+    0.0,
+    False,
+    it.Reports.WITH_ANSWERS,
+    ("util",),
+    False,
+    False,
+    0.0,
+    0.005,
+    False,
+    0.0,
+    0.0,
+    False,
+    False,
+    True,
+    1.0,
+    3,
+    0.25,
+    1.0,
+    0.3,
+    10.0,
+    3.0,
+    1.0,
+    0.3,
+    None,
 )
 ENUMS = {"repeat": it.Repeat, "scope": it.Scope, "shortage": it.Shortage, "reports": it.Reports}
-TALLY = {it.Dispatch: "dispatch", it.PushBack: "pushback", it.Error: "error", it.Cancel: "cancel",
-         it.Terms: "terms", it.Probe: "probe", it.Timer: "timer", it.AskList: "asklist",
-         it.FollowList: "followlist"}
+TALLY = {
+    it.Dispatch: "dispatch",
+    it.PushBack: "pushback",
+    it.Error: "error",
+    it.Cancel: "cancel",
+    it.Terms: "terms",
+    it.Probe: "probe",
+    it.Timer: "timer",
+    it.AskList: "asklist",
+    it.FollowList: "followlist",
+}
 
 
 def value(name, word):
@@ -97,18 +150,37 @@
         place = list(self.groups).index(group)
         limit = p.get("limit", self.groups[group].time_limit)
         for number in batch.split("-")[:1] if "-" not in batch else range(*map(int, batch.split("-"))):
-            self.tell(it.BatchTaken(
-                int(number), place, p.get("owner", 0), p.get("key", 0), limit, p.get("work"),
-                p.get("memory", 0.0), p.get("tables", 1.0), False,
-            ))
+            self.tell(
+                it.BatchTaken(
+                    int(number),
+                    place,
+                    p.get("owner", 0),
+                    p.get("key", 0),
+                    limit,
+                    p.get("work"),
+                    p.get("memory", 0.0),
+                    p.get("tables", 1.0),
+                    False,
+                )
+            )
 
     def do_end(self, dispatch, engine, fate, *words):
         p, (batch, number) = pairs(w for w in words if "report" not in w), map(int, dispatch.split("/"))
         report = tuple(float(x) for w in words if w.startswith("report=") for x in w[7:].split("+"))
         fate = it.Fate[fate.upper()]
-        self.tell(it.DispatchEnded(batch, number, engine.encode(), fate, p.get("took", 0.1),
-                                   p.get("complete", fate is it.Fate.RETURNED), p.get("work", 0.0),
-                                   p.get("memory", 0.0), report))
+        self.tell(
+            it.DispatchEnded(
+                batch,
+                number,
+                engine.encode(),
+                fate,
+                p.get("took", 0.1),
+                p.get("complete", fate is it.Fate.RETURNED),
+                p.get("work", 0.0),
+                p.get("memory", 0.0),
+                report,
+            )
+        )
 
     def do_note(self, dispatch, engine, tidings, amount):
         batch, number = map(int, dispatch.split("/"))
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -123,8 +123,12 @@
     assert sessions.find("a", 19.6) is None and not sessions.close("a")
 
 
-@given(st.text(max_size=8), st.one_of(st.none(), st.booleans(), st.floats(), st.text(max_size=40),
-                                      st.lists(st.text(max_size=2), max_size=2)))
+@given(
+    st.text(max_size=8),
+    st.one_of(
+        st.none(), st.booleans(), st.floats(), st.text(max_size=40), st.lists(st.text(max_size=2), max_size=2)
+    ),
+)
 def test_an_option_that_is_taken_has_its_form(name, value):
     # Risk: what a session holds goes into every later batch of its client, and a fault there names no call.
     for known in (name, "group", "wait_ms", "retry"):
--- a/tests/test_takeover.py
+++ b/tests/test_takeover.py
@@ -17,16 +17,26 @@
 from thistlelever.wire.work import Owner, State, Value, Verb, Word
 
 FRONTS = tuple(("127.0.0.1", 7000 + n) for n in range(5))
-GROUPS = (Group("lookup", 1.0, True, False, 4.0, False), Group("load", 0.6, False, True, 4.0, False),
-          Group("pay", 2.0, False, False, 4.0, True))
+GROUPS = (
+    Group("lookup", 1.0, True, False, 4.0, False),
+    Group("load", 0.6, False, True, 4.0, False),
+    Group("pay", 2.0, False, False, 4.0, True),
+)
 LOOKUP, LOAD, PAY = range(3)
 MARK, T1, T2, T3 = b"m" * 16, b"txn-one-", b"txn-two-", b"txn-thre"
 OWNER = Owner(bytes((127, 0, 0, 1, 27, 88)), 5, T1)
 
 
 def word(**facts):
-    given = {"verb": Verb.PUT, "nonce": 7, "key": MARK, "epoch": 1, "owner": OWNER,
-             "value": Value(1, 2, State.OUT, 2, 3000, "e-1", T1, 40), "lease_ms": 1000} | facts
+    given = {
+        "verb": Verb.PUT,
+        "nonce": 7,
+        "key": MARK,
+        "epoch": 1,
+        "owner": OWNER,
+        "value": Value(1, 2, State.OUT, 2, 3000, "e-1", T1, 40),
+        "lease_ms": 1000,
+    } | facts
     return Word(**given)
 
 
@@ -42,19 +52,36 @@
 def test_the_longest_word_fits_a_datagram():
     name, ms = "e" * work.LONGEST_NAME, work.MOST_MS
     most = Value(2**32 - 1, 2**32 - 1, State.OUT, 255, ms, name, T1, ms)
-    longest = word(verb=Verb.NO, nonce=2**32 - 1, epoch=2**32 - 1, value=most, lease_ms=ms,
-                   owner=Owner(OWNER.address, 2**32 - 1, T1), heir=True, young=True)
+    longest = word(
+        verb=Verb.NO,
+        nonce=2**32 - 1,
+        epoch=2**32 - 1,
+        value=most,
+        lease_ms=ms,
+        owner=Owner(OWNER.address, 2**32 - 1, T1),
+        heir=True,
+        young=True,
+    )
     assert len(work.encode([longest], 1)[0]) <= peers.LONGEST
 
 
-@pytest.mark.parametrize("body", [
-    b"", b"\xc1", work._pack([1]), work._pack([word(key=b"short")]), work._pack([word(nonce=-1)]),
-    work._pack([word(epoch=2**32)]), work._pack([word(lease_ms=10**9)]),
-    work._pack([word(owner=Owner(b"", 1, T1))]), work._pack([word(owner=Owner(OWNER.address, 1, b"x"))]),
-    work._pack([word(value=Value(1, 1, State.OUT, 256, 1))]),
-    work._pack([word(value=Value(1, 1, State.OUT, 1, 1, "e" * 65))]),
-    work._pack([word(value=Value(1, 1, State.OUT, 1, 1, "e", b"xx"))]),
-])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xc1",
+        work._pack([1]),
+        work._pack([word(key=b"short")]),
+        work._pack([word(nonce=-1)]),
+        work._pack([word(epoch=2**32)]),
+        work._pack([word(lease_ms=10**9)]),
+        work._pack([word(owner=Owner(b"", 1, T1))]),
+        work._pack([word(owner=Owner(OWNER.address, 1, b"x"))]),
+        work._pack([word(value=Value(1, 1, State.OUT, 256, 1))]),
+        work._pack([word(value=Value(1, 1, State.OUT, 1, 1, "e" * 65))]),
+        work._pack([word(value=Value(1, 1, State.OUT, 1, 1, "e", b"xx"))]),
+    ],
+)
 def test_a_word_out_of_form_raises_nothing_else(body):
     with pytest.raises(peers.Unfit, match="out of form"):
         work.decode(body)
@@ -79,8 +106,9 @@
     def __init__(self, many=5, terms=None):
         self.terms, self.now = terms or Terms(), 1100.0
         self.fronts = FRONTS[:many]
-        self.judges = {f: Judge(self.terms, f, 5, self.fronts, GROUPS, n, 1000.0)
-                       for n, f in enumerate(self.fronts)}
+        self.judges = {
+            f: Judge(self.terms, f, 5, self.fronts, GROUPS, n, 1000.0) for n, f in enumerate(self.fronts)
+        }
         self.dead, self.lost = set(), lambda source, target, word: False
         self.suspected, self.said, self.orders, self.notes = set(), {}, [], []
         for f in self.fronts:
@@ -92,8 +120,11 @@
 
         def standing(address, life):
             held = self.dead if gone is None else gone
-            return Standing.GONE if address in held or life != self.judges[address].life else (
-                Standing.SUSPECTED if address in self.suspected else Standing.ALIVE)
+            return (
+                Standing.GONE
+                if address in held or life != self.judges[address].life
+                else (Standing.SUSPECTED if address in self.suspected else Standing.ALIVE)
+            )
 
         heirs.standing = standing
         heirs.alive = lambda address: address not in (self.dead if gone is None else gone)
@@ -201,7 +232,7 @@
     for f in FRONTS[1:]:
         tier.see(f)
     tier.go_on(2.0)
-    heir, = tier.noted("taken over")
+    (heir,) = tier.noted("taken over")
     first = next(place for place in ward.places if place != FRONTS[0])
     assert heir == first and len(tier.what(AskOn)) == 1
     _, told = tier.enter(FRONTS.index(first) if first != FRONTS[1] else 2, T2)
@@ -249,8 +280,11 @@
     tier.go_on(2.5)
     asked = {front for front, _ in tier.what(AskOn)}
     assert asked == set(left)
-    claimed = [j for j in tier.judges.values() if any(
-        w.heir and w.phase is Phase.OWNED and w.holds(tier.now) for w in j.wards.values())]
+    claimed = [
+        j
+        for j in tier.judges.values()
+        if any(w.heir and w.phase is Phase.OWNED and w.holds(tier.now) for w in j.wards.values())
+    ]
     assert len(claimed) <= 1
 
 
@@ -467,8 +501,11 @@
         if failing == "failing":
             tier.judges[place].holder.failing = "no space"
     marks = [b"%016d" % n for n in range(40)]
-    mark = next(m for m in marks if failing == "failing" or not (
-        set(tier.judges[FRONTS[0]].places.of(m)) - set(ward.places)))
+    mark = next(
+        m
+        for m in marks
+        if failing == "failing" or not (set(tier.judges[FRONTS[0]].places.of(m)) - set(ward.places))
+    )
     again, told = tier.enter(1, T1, mark=mark)
     assert told.say is Say.ALONE and again.bare == "the places refuse"
 
@@ -492,12 +529,22 @@
         assert any("sent" in end for end in ends) and any("led" in end for end in ends)
 
 
-@pytest.mark.parametrize("guard, facts", [
-    ("majority", (False, 1, 0, 0)), ("word first", (False, 1, 1, 0)), ("youth", (False, 1, 0, 1)),
-    ("epoch", (False, 1, 1, 0))])
+@pytest.mark.parametrize(
+    "guard, facts",
+    [
+        ("majority", (False, 1, 0, 0)),
+        ("word first", (False, 1, 1, 0)),
+        ("youth", (False, 1, 0, 1)),
+        ("epoch", (False, 1, 1, 0)),
+    ],
+)
 def test_each_guard_taken_out_shows_its_fault(guard, facts, monkeypatch):
-    for owner, name in ((model.judging.Ward, "__init__"), (Judge, "goes_out"), (model.Holder, "put"),
-                        (model.Holder, "young")):
+    for owner, name in (
+        (model.judging.Ward, "__init__"),
+        (Judge, "goes_out"),
+        (model.Holder, "put"),
+        (model.Holder, "young"),
+    ):
         monkeypatch.setattr(owner, name, getattr(owner, name))
     model.GUARDS[guard]()
     _, way, _ = model.search(*facts, most_states=200_000)
@@ -530,5 +577,6 @@
 
 
 AtLength.TestCase.settings = settings(
-    max_examples=150, stateful_step_count=60, deadline=None, suppress_health_check=list(HealthCheck))
+    max_examples=150, stateful_step_count=60, deadline=None, suppress_health_check=list(HealthCheck)
+)
 TestAtLength = AtLength.TestCase
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,8 +8,10 @@
 from thistlelever.wire.inflow import Inflow, Purse, TooLong
 
 PAGE = b"HTTP/1.1 200 OK\r\nChunk:  2 \r\nX-Gauges: inflight:7;util:0.61\r\nContent-Length: 5\r\n\r\nrow\t1"
-CHUNKED = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Gauges: util:0.61;inflight:7\r\nChunk: 2\r\n"
-           b"\r\n3;x=y\r\nrow\r\n2\r\n\t1\r\n0\r\nTrailer: t\r\n\r\n")
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Gauges: util:0.61;inflight:7\r\nChunk: 2\r\n"
+    b"\r\n3;x=y\r\nrow\r\n2\r\n\t1\r\n0\r\nTrailer: t\r\n\r\n"
+)
 LISTING = dns_answer(77, 41, {"s-1": (8443, False), "s-2": (8444, True)})
 
 
@@ -19,8 +21,8 @@
     for cut in (*cuts, len(data)):
         while at < cut:
             room = inflow.room()
-            piece = data[at:min(cut, at + len(room))]
-            room[:len(piece)] = piece
+            piece = data[at : min(cut, at + len(room))]
+            room[: len(piece)] = piece
             inflow.filled(len(piece))
             at += len(piece)
             while (message := read(inflow)) is not None:
@@ -29,8 +31,13 @@
 
 
 def copied(reply):
-    return (reply.status, bytes(reply.body), reply.number(b"chunk"),
-            http.gauges(reply.text(b"x-gauges"), ("inflight", "util")), reply.keeps)
+    return (
+        reply.status,
+        bytes(reply.body),
+        reply.number(b"chunk"),
+        http.gauges(reply.text(b"x-gauges"), ("inflight", "util")),
+        reply.keeps,
+    )
 
 
 @pytest.mark.parametrize("data", [PAGE, CHUNKED])
@@ -42,14 +49,21 @@
         assert poured(two, [cut], http.reply) == wanted, cut
 
 
-@pytest.mark.parametrize("data", [
-    b"HTTP/2 200\r\n\r\n", b"HTTP/1.1 2x0 OK\r\n\r\n", b"HTTP/1.1 200 OK\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", b"HTTP/1.1 200 OK\r\n: x\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nX: " + b"x" * 9000,
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/2 200\r\n\r\n",
+        b"HTTP/1.1 2x0 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n: x\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX: " + b"x" * 9000,
+    ],
+)
 def test_a_reply_out_of_form(data):
     with pytest.raises((http.Unreadable, TooLong)):
         poured(data, [], http.reply)
@@ -75,11 +89,18 @@
             dns.listing(LISTING[:cut], 77, NAME)
 
 
-@pytest.mark.parametrize("at, value", [
-    (1, 78), (2, 0x04), (2, 0x86), (3, 0x02),
-    # Risk: pointers that go round hold the front for good. The first record's owner points at 12.
-    (12 + 25 + 1, 12 + 25), (12 + 25 + 1, 200),
-])
+@pytest.mark.parametrize(
+    "at, value",
+    [
+        (1, 78),
+        (2, 0x04),
+        (2, 0x86),
+        (3, 0x02),
+        # Risk: pointers that go round hold the front for good. The first record's owner points at 12.
+        (12 + 25 + 1, 12 + 25),
+        (12 + 25 + 1, 200),
+    ],
+)
 def test_a_list_out_of_form(at, value):
     data = bytearray(LISTING)
     data[at] = value
@@ -87,16 +108,19 @@
         dns.listing(bytes(data), 77, NAME)
 
 
-@pytest.mark.parametrize("text, found", [
-    ("select a from sales_17.orders", (17, b"sales_17.orders")),
-    ("-- from old_1.t\nselect 'from x_2.t', ''' y_3.t' /* z_4.t */ from sales_5.o", (5, b"sales_5.o")),
-    ("insert into staging.batch_9 select * from sales_6.orders", (6, b"sales_6.orders")),
-    ('select o_3.total from "sales_7" . "orders" o_3', (7, b"sales_7.orders")),
-    ("merge x_8.facts", (8, b"x_8.facts")),
-    ("select 1 from staging.orders_3", None),
-    ("select 'from sales_1.t", None),
-    ("/* from sales_1.t", None),
-])
+@pytest.mark.parametrize(
+    "text, found",
+    [
+        ("select a from sales_17.orders", (17, b"sales_17.orders")),
+        ("-- from old_1.t\nselect 'from x_2.t', ''' y_3.t' /* z_4.t */ from sales_5.o", (5, b"sales_5.o")),
+        ("insert into staging.batch_9 select * from sales_6.orders", (6, b"sales_6.orders")),
+        ('select o_3.total from "sales_7" . "orders" o_3', (7, b"sales_7.orders")),
+        ("merge x_8.facts", (8, b"x_8.facts")),
+        ("select 1 from staging.orders_3", None),
+        ("select 'from sales_1.t", None),
+        ("/* from sales_1.t", None),
+    ],
+)
 def test_the_table_group_of_a_statement(text, found):
     assert statement.table(text.encode()) == found
 
@@ -108,18 +132,35 @@
 
 
 # Risk: one figure that is none stays in the decisions' averages for good.
-@pytest.mark.parametrize("word, report", [
-    ("util:0.5;inflight:3;more:1", (3.0, 0.5)), ("util:0.5", ()), ("", ()), ("util", ()),
-    ("util:nan;inflight:3", ()), ("util:0.5;inflight:inf", ()), ("util:-1;inflight:3", ()),
-])
+@pytest.mark.parametrize(
+    "word, report",
+    [
+        ("util:0.5;inflight:3;more:1", (3.0, 0.5)),
+        ("util:0.5", ()),
+        ("", ()),
+        ("util", ()),
+        ("util:nan;inflight:3", ()),
+        ("util:0.5;inflight:inf", ()),
+        ("util:-1;inflight:3", ()),
+    ],
+)
 def test_a_load_report_is_whole_or_none(word, report):
     assert http.gauges(word, ("inflight", "util")) == report
 
 
-@pytest.mark.parametrize("body, whole", [
-    (b"", True), (b"a\tb\tc\n", True), (b"\t\t\n" * 2000, True), (b"\t\t\n" * 2001, False),
-    (b"a\tb\tc", False), (b"a\tb\n", False), (b"a\tb\tc\td\n", False), (b"a\tb\tc\n\n", False),
-])
+@pytest.mark.parametrize(
+    "body, whole",
+    [
+        (b"", True),
+        (b"a\tb\tc\n", True),
+        (b"\t\t\n" * 2000, True),
+        (b"\t\t\n" * 2001, False),
+        (b"a\tb\tc", False),
+        (b"a\tb\n", False),
+        (b"a\tb\tc\td\n", False),
+        (b"a\tb\tc\n\n", False),
+    ],
+)
 def test_a_page_holds_whole_rows_of_three_columns(body, whole):
     if whole:
         assert http.page(memoryview(body)) == body
@@ -132,7 +173,7 @@
 def test_interim_replies_without_end_are_none():
     inflow = Inflow(65_536, 65_536)
     sent = b"HTTP/1.1 100 X\r\n\r\n" * 3000
-    inflow.room()[:len(sent)] = sent
+    inflow.room()[: len(sent)] = sent
     inflow.filled(len(sent))
     with pytest.raises(http.Unreadable):
         http.reply(inflow)
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -32,7 +32,8 @@
     sent = codec.write(3, it.Dispatch(0x44F375D3A91C4, engine, 0.08))
     assert sent == bytes.fromhex("46 0300 c4913a5d374f0400 0a124a07431f 80380100")
     assert codec.write(3, it.Terms(0x44F375D3A91C4, 640.0, 2)) == bytes.fromhex(
-        "82 0300 c4913a5d374f0400 00002044 02")
+        "82 0300 c4913a5d374f0400 00002044 02"
+    )
 
 
 def test_a_list_slot_used_twice_in_a_frame_is_looked_up_in_order():
@@ -42,15 +43,18 @@
     assert [event.engines[0].id[-1] for _, event in events] == [0x1F, 0x20]
 
 
-@pytest.mark.parametrize("data, said", [
-    (frame(0)[:7], "header"),
-    (frame(1, SUBMIT)[:30], "input ended inside a frame"),
-    (frame(1, "63 0300"), "unknown event code 99"),
-    (frame(1, SUBMIT[:-3]), "cut short"),
-    (frame(1, SUBMIT, "3c 0300"), "left over"),
-    (frame(1, "46 0300 2900000000000000 0500 03"), "list 5"),
-    (struct.pack("<IIQ", 12, 5, 0), "impossible"),
-])
+@pytest.mark.parametrize(
+    "data, said",
+    [
+        (frame(0)[:7], "header"),
+        (frame(1, SUBMIT)[:30], "input ended inside a frame"),
+        (frame(1, "63 0300"), "unknown event code 99"),
+        (frame(1, SUBMIT[:-3]), "cut short"),
+        (frame(1, SUBMIT, "3c 0300"), "left over"),
+        (frame(1, "46 0300 2900000000000000 0500 03"), "list 5"),
+        (struct.pack("<IIQ", 12, 5, 0), "impossible"),
+    ],
+)
 def test_malformed_input_ends_with_one_line(data, said):
     errors = io.StringIO()
     assert serve(io.BytesIO(data), io.BytesIO(), errors) == 1
--- a/thistlelever/__main__.py
+++ b/thistlelever/__main__.py
@@ -20,8 +20,13 @@
     """An admission controller for batches on a pool of query engines."""
 
 
-OPERATOR = click.option("--operator", "operator", type=click.Path(), envvar="BALANCER_OPERATOR",
-                        help="Operator file: what is switched on beyond the platform's own front.")
+OPERATOR = click.option(
+    "--operator",
+    "operator",
+    type=click.Path(),
+    envvar="BALANCER_OPERATOR",
+    help="Operator file: what is switched on beyond the platform's own front.",
+)
 
 
 @main.command()
@@ -48,8 +53,10 @@
     """Read the configuration, say what it holds, and start nothing."""
     told = load()
     extra = switched_on(operator, told)
-    click.echo(f"{told.name}: listens at {told.listen[0]}:{told.listen[1]}, "
-               f"{len(told.manifest.tariffs)} service groups, {len(told.known)} engines known")
+    click.echo(
+        f"{told.name}: listens at {told.listen[0]}:{told.listen[1]}, "
+        f"{len(told.manifest.tariffs)} service groups, {len(told.known)} engines known"
+    )
     for section in (name for name in extra.__struct_fields__ if getattr(extra, name)) if extra else ():
         click.echo(f"operator file: {section} is on")
 
@@ -77,13 +84,26 @@
         return
     errors = said["estimate_errors"]
     backlog, wasted = said["backlog_core_s"], said["thrown_away_core_s"]
-    click.echo(f"{said['out']:g} of {said['threads']:g} threads out, {said['held']} batches held "
-               f"({backlog:g} core-seconds), thrown away {wasted:g}")
+    click.echo(
+        f"{said['out']:g} of {said['threads']:g} threads out, {said['held']} batches held "
+        f"({backlog:g} core-seconds), thrown away {wasted:g}"
+    )
     wrong = " / ".join(f"{errors[name]:.0%}" for name in ("p50", "p90", "p99"))
-    click.echo(f"estimates wrong by {wrong} of the wait (50th, 90th, 99th), "
-               f"a naive one by {errors['naive_p90']:.0%} (90th)")
+    click.echo(
+        f"estimates wrong by {wrong} of the wait (50th, 90th, 99th), "
+        f"a naive one by {errors['naive_p90']:.0%} (90th)"
+    )
     columns = (
-        "path", "held", "backlog_core_s", "out", "guarantee", "ceiling", "lends", "borrows", "oldest_s")
+        "path",
+        "held",
+        "backlog_core_s",
+        "out",
+        "guarantee",
+        "ceiling",
+        "lends",
+        "borrows",
+        "oldest_s",
+    )
     table(columns, [tuple(str(node[name]) for name in columns) for node in said["nodes"]])
 
 
@@ -114,8 +134,10 @@
         print_json(said)
     else:
         alone = f"ALONE ({said['alone']}): the settings' figures hold; " if said["alone"] else ""
-        click.echo(f"{said['name']}: {alone}{said['alive']} alive, {said['suspected']} of them suspected, "
-                   f"{said['unfit']} unfit; {said['fronts']} counted; own health {said['health']} of 8")
+        click.echo(
+            f"{said['name']}: {alone}{said['alive']} alive, {said['suspected']} of them suspected, "
+            f"{said['unfit']} unfit; {said['fronts']} counted; own health {said['health']} of 8"
+        )
         columns = ("name", "address", "state", "for_s", "answered_ago_s", "incarnation", "refutals")
         table(columns, [tuple(str(one[name]) for name in columns) for one in said["members"]])
     sys.exit(1 if said["alone"] else 0)
@@ -206,10 +228,12 @@
     if as_json:
         print_json(said)
     else:
-        click.echo(f"{said['own']} batches of its own that can be come back for, {said['protected']} of them "
-                   f"protected, {said['unprotected']} not; {said['kept']} records kept for others"
-                   + (" (too young to know all)" if said["young"] else "")
-                   + (f"; FAILING: {said['failing']}" if said["failing"] else ""))
+        click.echo(
+            f"{said['own']} batches of its own that can be come back for, {said['protected']} of them "
+            f"protected, {said['unprotected']} not; {said['kept']} records kept for others"
+            + (" (too young to know all)" if said["young"] else "")
+            + (f"; FAILING: {said['failing']}" if said["failing"] else "")
+        )
         columns = "batch", "engine", "owner", "for_s", "claimed", "engine_says"
         table(columns, [tuple(str(one[name]) for name in columns) for one in said["taken"]])
     sys.exit(1 if said["failing"] else 0)
@@ -279,8 +303,10 @@
         print_json(said)
     else:
         for name, value in said.items():
-            click.echo(f"{name}: " + (", ".join(f"{k} {v}" for k, v in value.items())
-                                      if isinstance(value, dict) else str(value)))
+            click.echo(
+                f"{name}: "
+                + (", ".join(f"{k} {v}" for k, v in value.items()) if isinstance(value, dict) else str(value))
+            )
     sys.exit(0 if said["keeps"] else 1)
 
 
--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -32,10 +32,35 @@
 ASKS = 2
 HOLD, WAIT = "hold", "wait"
 # The figures about engines: those that the list gives, and the others with their first value.
-LISTED = ("id", "zone", "cell", "kind", "cores", "memory", "started", "bound", "reported", "slow_at",
-          "fresh_at", "own", "cold")
-FIRST = {"listed": False, "down": False, "last": (), "gap": 0.5, "told_at": -1e9, "probe_at": -1e9,
-         "slow": 1.0, "busy": 0.0, "granted": 0.0, "shun": 0.0, "doubt": 0.0, "width": 0}
+LISTED = (
+    "id",
+    "zone",
+    "cell",
+    "kind",
+    "cores",
+    "memory",
+    "started",
+    "bound",
+    "reported",
+    "slow_at",
+    "fresh_at",
+    "own",
+    "cold",
+)
+FIRST = {
+    "listed": False,
+    "down": False,
+    "last": (),
+    "gap": 0.5,
+    "told_at": -1e9,
+    "probe_at": -1e9,
+    "slow": 1.0,
+    "busy": 0.0,
+    "granted": 0.0,
+    "shun": 0.0,
+    "doubt": 0.0,
+    "width": 0,
+}
 NEVER_RAN = frozenset((it.Fate.FULL, it.Fate.UNREACHABLE, it.Fate.LATE, it.Fate.UNSENT))
 MAY_RUN_ON = frozenset((it.Fate.TIMED_OUT, it.Fate.RESET, it.Fate.CANCELLED))
 
@@ -108,9 +133,14 @@
         vars(self).update({row: [] for row in (*LISTED, *FIRST)})
         self.ranks: dict[float, list[tuple[int, int]]] = {}
         self.handlers = {
-            it.BatchTaken: self.taken, it.DispatchEnded: self.ended, it.ProgressNote: self.noted,
-            it.ClientLeft: self.left, it.ProbeEnded: self.probed, it.ListTold: self.listed_anew,
-            it.FrontStops: self.stops, it.FrontsCounted: self.counted,
+            it.BatchTaken: self.taken,
+            it.DispatchEnded: self.ended,
+            it.ProgressNote: self.noted,
+            it.ClientLeft: self.left,
+            it.ProbeEnded: self.probed,
+            it.ListTold: self.listed_anew,
+            it.FrontStops: self.stops,
+            it.FrontsCounted: self.counted,
             it.Recalled: self.recalled,
         }
 
@@ -288,11 +318,22 @@
 
     def recall(self, now: float) -> it.Recalled:
         """What another life is to know; `recalled` puts it back."""
-        engines = [(e, self.bound[i], self.slow[i] ** exp((self.slow_at[i] - now) / self.forget),
-                    max(self.started[i], 0.0)) for e, i in self.index.items() if self.listed[i]]
+        engines = [
+            (
+                e,
+                self.bound[i],
+                self.slow[i] ** exp((self.slow_at[i] - now) / self.forget),
+                max(self.started[i], 0.0),
+            )
+            for e, i in self.index.items()
+            if self.listed[i]
+        ]
         keys = [(key, at - now) for key, at in self.key_free.items() if at > now]
-        return it.Recalled(tuple(engines), tuple(keys), *(tuple(now - at for at in times)
-                                                          for times in (self.took, self.extra)))
+        return it.Recalled(
+            tuple(engines),
+            tuple(keys),
+            *(tuple(now - at for at in times) for times in (self.took, self.extra)),
+        )
 
     def recalled(self, told: it.Recalled) -> None:
         for e, bound, pace, started in told.engines:
@@ -319,10 +360,23 @@
             if (i := self.index.get(e.id)) is None:
                 i = self.index[e.id] = self.spare.pop() if self.spare else len(self.id)
                 cores = self.kind_cores[e.kind]
-                known = (e.id, e.zone, e.cell, e.kind, cores, self.kind_memory[e.kind], e.started or -1e9,
-                         cores * THREADS_A_CORE / self.fronts, self.now, self.now, self.now, {}, deque())
+                known = (
+                    e.id,
+                    e.zone,
+                    e.cell,
+                    e.kind,
+                    cores,
+                    self.kind_memory[e.kind],
+                    e.started or -1e9,
+                    cores * THREADS_A_CORE / self.fronts,
+                    self.now,
+                    self.now,
+                    self.now,
+                    {},
+                    deque(),
+                )
                 for row, first in (*zip(LISTED, known, strict=True), *FIRST.items()):
-                    vars(self)[row][i:i + 1] = [first]
+                    vars(self)[row][i : i + 1] = [first]
             elif e.started > max(self.started[i], 0.0):
                 self.restarted(i, e.started)
             self.listed[i] = e.standing is it.Standing.READY
@@ -438,8 +492,12 @@
         if self.now - self.started[i] < self.warm_after and not self.cold_room(b, i):
             return False
         # Past its memory an engine that pages slows all that it holds, so this bound has no floor.
-        return not self.pages or self.granted[i] + (
-            sum(s.memory for s in self.unseen(i)) * self.alike + b.memory) / self.memory[i] <= 1
+        return (
+            not self.pages
+            or self.granted[i]
+            + (sum(s.memory for s in self.unseen(i)) * self.alike + b.memory) / self.memory[i]
+            <= 1
+        )
 
     def within(self, b: Batch, i: int) -> bool:
         return self.width[i] + b.width <= self.bound[i] or self.load_of(i) < BUSY
@@ -493,7 +551,7 @@
     def sample(self, b: Batch, loads: bool) -> tuple[list[tuple[int, int]], list[tuple[int, int]]]:
         """Of the first engines that may take the batch those within the bound, and those to go to in turn."""
         free, pressed, asks = [], [], ASKS if self.probing else 0
-        places = self.order(b.tables)[::-1 if loads and self.any_yields else 1]
+        places = self.order(b.tables)[:: -1 if loads and self.any_yields else 1]
         if len(places) > NEAR:
             # Risk: hundreds of fronts that hear little all look at the same few, and fill them together.
             far = FAR if self.step == 1.0 else NEAR // 2
@@ -509,7 +567,7 @@
             if len(free) + len(pressed) == NEAR:
                 break
         # Risk: what is never sent to is never heard of again, and stays full in this front's eyes.
-        for _, i in pressed[:0 if free else asks]:
+        for _, i in pressed[: 0 if free else asks]:
             self.ask(i)
         return free, [place for place in pressed if self.step < 1.0 and not self.own[place[1]]]
 
--- a/thistlelever/budgets/forecast.py
+++ b/thistlelever/budgets/forecast.py
@@ -43,8 +43,14 @@
     """One leaf's service as pieces of (from when, how fast), seen from one moment, if it always holds
     something: what is asked is when the last of what it holds goes, whatever comes behind that."""
 
-    def __init__(self, asking: Node, leaves: list[Node], inflow: dict[Node, Inflow], drain: float, now: float,
-                 ) -> None:
+    def __init__(
+        self,
+        asking: Node,
+        leaves: list[Node],
+        inflow: dict[Node, Inflow],
+        drain: float,
+        now: float,
+    ) -> None:
         self.at = now
         self.pieces: list[tuple[float, float]] = []
         weights = {leaf: weight(leaf) for leaf in leaves}
@@ -54,12 +60,16 @@
         sent = {leaf: inflow[leaf].lately(now) if leaf in inflow else 0.0 for leaf in leaves}
         time = 0.0
         for _ in range(2 * len(leaves) + 1):
-            wanted = {leaf: most[leaf] if backlog[leaf] > LEAST else min(sent[leaf], most[leaf])
-                      for leaf in leaves}
+            wanted = {
+                leaf: most[leaf] if backlog[leaf] > LEAST else min(sent[leaf], most[leaf]) for leaf in leaves
+            }
             rates = shared(leaves, wanted, sure, weights, drain)
             self.pieces.append((time, rates[asking]))
-            ends = [backlog[leaf] / (rates[leaf] - sent[leaf]) for leaf in leaves
-                    if leaf is not asking and backlog[leaf] > LEAST and rates[leaf] > sent[leaf] + LEAST]
+            ends = [
+                backlog[leaf] / (rates[leaf] - sent[leaf])
+                for leaf in leaves
+                if leaf is not asking and backlog[leaf] > LEAST and rates[leaf] > sent[leaf] + LEAST
+            ]
             step = min(ends, default=HORIZON)
             time += step
             if not ends or time >= HORIZON:
--- a/thistlelever/budgets/judge.py
+++ b/thistlelever/budgets/judge.py
@@ -131,8 +131,18 @@
         self.idle: dict[Node, float] = {}
         self.wasted: list[tuple[float, float]] = []
         self.counts = dict.fromkeys(
-            ("submitted", "released", "refused", "left", "preempted", "ended", "moved",
-             "too late to preempt"), 0)
+            (
+                "submitted",
+                "released",
+                "refused",
+                "left",
+                "preempted",
+                "ended",
+                "moved",
+                "too late to preempt",
+            ),
+            0,
+        )
         self.thrown_away = 0.0
 
     # What it is told.
@@ -251,8 +261,9 @@
         if now > self.pruned_at + FORESEEN * 20:
             # What has been sent nothing of late takes nothing from the others.
             self.pruned_at = now
-            self.inflow = {leaf: sent for leaf, sent in self.inflow.items()
-                           if leaf.held or sent.lately(now) > 1e-3}
+            self.inflow = {
+                leaf: sent for leaf, sent in self.inflow.items() if leaf.held or sent.lately(now) > 1e-3
+            }
             self.forecasts = {leaf: said for leaf, said in self.forecasts.items() if leaf in self.inflow}
         while self.idle and now - self.idle[next(iter(self.idle))] >= FORGET:
             self.forget(next(iter(self.idle)), now)
@@ -260,8 +271,10 @@
 
     def next_at(self) -> float:
         """When `tick` has something to do at the latest."""
-        return min(self.deadlines[0][0] if self.deadlines else float("inf"),
-                   self.ageing[0][0] if self.ageing else float("inf"))
+        return min(
+            self.deadlines[0][0] if self.deadlines else float("inf"),
+            self.ageing[0][0] if self.ageing else float("inf"),
+        )
 
     def stops(self, now: float, at: float) -> list[Order]:
         """The front ends then: what is held must have gone before, with the time for its run."""
@@ -273,8 +286,11 @@
 
     def renew(self, now: float, plan: Plan, terms: Terms) -> list[Order]:
         """Another tree: what is held and out moves into it, each once; what its leaf owed it owes there."""
-        owed = {leaf.path()[1:]: max(leaf.finish - leaf.parent.time, 0.0)
-                for leaf in self.nodes() if leaf.parent and not leaf.children}
+        owed = {
+            leaf.path()[1:]: max(leaf.finish - leaf.parent.time, 0.0)
+            for leaf in self.nodes()
+            if leaf.parent and not leaf.children
+        }
         self.plan, self.terms, self.root = plan, terms, Node("", None, plan.share(()))
         self.idle.clear()
         self.inflow.clear()
@@ -343,8 +359,9 @@
                 if held is None or held.out or not held.waiting:
                     heappop(self.aged)
                     continue
-                full = any(node.parent and node.full(self.capacity, held.entry.width)
-                           for node in upwards(held.leaf))
+                full = any(
+                    node.parent and node.full(self.capacity, held.entry.width) for node in upwards(held.leaf)
+                )
                 if now - held.leaf.served_at < STARVED:
                     # Looked at again after the others: it may have to wait for longer than they.
                     heappop(self.aged)
@@ -479,8 +496,10 @@
     def next_end(self, now: float) -> float:
         """In how long the next of what is out ends, as far as its cost tells. What lasts longer than that is
         taken to last half as long again as it has."""
-        rests = (max(held.released + held.charge / held.entry.width - now, (now - held.released) / 2)
-                 for held in self.running.values())
+        rests = (
+            max(held.released + held.charge / held.entry.width - now, (now - held.released) / 2)
+            for held in self.running.values()
+        )
         return min(rests, default=0.0)
 
     def pace(self, now: float) -> float:
@@ -509,7 +528,7 @@
         for depth, name in enumerate(path):
             child = node.children.get(name)
             if child is None:
-                child = node.children[name] = Node(name, node, self.plan.share(path[:depth + 1]))
+                child = node.children[name] = Node(name, node, self.plan.share(path[: depth + 1]))
                 child.finish = child.start = node.time
             node = child
         return node
@@ -552,9 +571,11 @@
         gone = c["refused"] + c["left"] + c["ended"]
         waiting = sum(not held.out for held in self.batches.values())
         behind = sum(len(line) - 1 for line in self.lines.values())
-        return (c["submitted"] == gone + len(self.batches)
-                and len(self.batches) == waiting + len(self.running)
-                and waiting == sum(held.waiting for held in self.batches.values()) + behind)
+        return (
+            c["submitted"] == gone + len(self.batches)
+            and len(self.batches) == waiting + len(self.running)
+            and waiting == sum(held.waiting for held in self.batches.values()) + behind
+        )
 
 
 def upwards(leaf: Node):
--- a/thistlelever/budgets/plan.py
+++ b/thistlelever/budgets/plan.py
@@ -65,8 +65,10 @@
     broken would hang on who comes first."""
     share, name = branch.share, path or "the platform"
     if not 0 <= share.guarantee <= share.ceiling <= 1:
-        raise Unsound(f"{name}: a guarantee from 0 up to its ceiling, and that up to 1 expected; "
-                      f"found {share.guarantee:g} and {share.ceiling:g}")
+        raise Unsound(
+            f"{name}: a guarantee from 0 up to its ceiling, and that up to 1 expected; "
+            f"found {share.guarantee:g} and {share.ceiling:g}"
+        )
     if share.weight <= 0 or share.burst < 0:
         raise Unsound(f"{name}: a weight above 0 and a burst from 0 up expected")
     promised = sum(below.share.guarantee for below in branch.below.values())
--- a/thistlelever/budgets/views.py
+++ b/thistlelever/budgets/views.py
@@ -10,12 +10,17 @@
     """All nodes that hold or have out anything, with what they are promised; threads, core-seconds,
     seconds."""
     return {
-        "threads": round(judge.capacity, 2), "out": round(judge.root.threads, 2), "held": judge.root.held,
-        "backlog_core_s": round(judge.root.backlog, 3), "pace_core_s": round(judge.pace(now), 3),
-        "counts": judge.counts, "thrown_away_core_s": round(judge.thrown_away, 3),
+        "threads": round(judge.capacity, 2),
+        "out": round(judge.root.threads, 2),
+        "held": judge.root.held,
+        "backlog_core_s": round(judge.root.backlog, 3),
+        "pace_core_s": round(judge.pace(now), 3),
+        "counts": judge.counts,
+        "thrown_away_core_s": round(judge.thrown_away, 3),
         "estimate_errors": judge.waits.percentiles(),
-        "nodes": [line(node, judge, now) for node in judge.nodes()
-                  if node.parent and (node.held or node.threads)],
+        "nodes": [
+            line(node, judge, now) for node in judge.nodes() if node.parent and (node.held or node.threads)
+        ],
     }
 
 
@@ -23,8 +28,11 @@
     promised = node.share.guarantee * judge.capacity
     oldest = min((held.since for held in node.queue), default=None)
     return {
-        "path": ".".join(node.path()), "held": node.held, "backlog_core_s": round(node.backlog, 3),
-        "out": round(node.threads, 2), "guarantee": round(promised, 2),
+        "path": ".".join(node.path()),
+        "held": node.held,
+        "backlog_core_s": round(node.backlog, 3),
+        "out": round(node.threads, 2),
+        "guarantee": round(promised, 2),
         "ceiling": round(node.share.ceiling * judge.capacity, 2),
         "lends": round(max(promised - node.threads, 0.0), 2) if not node.held else 0.0,
         "borrows": round(max(node.threads - promised, 0.0), 2),
@@ -37,12 +45,20 @@
     held = judge.batches.get(number)
     if held is None:
         return {"batch": number, "state": "not here: answered, or never taken"}
-    said = {"batch": number, "path": ".".join(held.leaf.path()), "charge_core_s": round(held.charge, 4),
-            "told_wait_s": round(held.told, 3), "waits_since_s": round(now - held.since, 3)}
+    said = {
+        "batch": number,
+        "path": ".".join(held.leaf.path()),
+        "charge_core_s": round(held.charge, 4),
+        "told_wait_s": round(held.told, 3),
+        "waits_since_s": round(now - held.since, 3),
+    }
     if held.out:
         return said | {"state": "released", "waited_s": round(held.released - held.since, 3)}
-    return said | {"state": "held", "must_go_within_s": round(held.must_go_by() - now, 3),
-                   "because": because(judge, held)}
+    return said | {
+        "state": "held",
+        "must_go_within_s": round(held.must_go_by() - now, 3),
+        "because": because(judge, held),
+    }
 
 
 def because(judge: Judge, held) -> str:
--- a/thistlelever/carrier/clients.py
+++ b/thistlelever/carrier/clients.py
@@ -99,8 +99,9 @@
             self.full_since = float("inf")
             raw.setblocking(False)
             raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            stream = IOStream(raw, max_buffer_size=LONGEST_LINE, max_write_buffer_size=MOST_UNREAD,
-                              read_chunk_size=BUFFER)
+            stream = IOStream(
+                raw, max_buffer_size=LONGEST_LINE, max_write_buffer_size=MOST_UNREAD, read_chunk_size=BUFFER
+            )
             session = Session(stream, self)
             self.sessions[session] = asyncio.get_running_loop().create_task(session.run())
 
--- a/thistlelever/carrier/directory.py
+++ b/thistlelever/carrier/directory.py
@@ -31,8 +31,16 @@
 class Inquiry:
     """One socket to the directory; asks at a steady pace, and at once where the decisions want it."""
 
-    def __init__(self, roll: Roll, forget: Callable[[it.EngineId], None], desk: Desk, tally: Tally,
-                 zones: tuple[str, ...], kinds: tuple[str, ...], seed: int) -> None:
+    def __init__(
+        self,
+        roll: Roll,
+        forget: Callable[[it.EngineId], None],
+        desk: Desk,
+        tally: Tally,
+        zones: tuple[str, ...],
+        kinds: tuple[str, ...],
+        seed: int,
+    ) -> None:
         # What drops connections to an engine that is gone or was started anew.
         self.roll, self.forget, self.desk, self.tally = roll, forget, desk, tally
         self.zones = {name: z for z, name in enumerate(zones)}
@@ -144,9 +152,13 @@
     def entry(self, found: dns.Found) -> Entry:
         facts = found.facts
         engine = it.Engine(
-            found.id.encode(), self.zones[found.zone], int(facts["cell"]), self.kinds[facts["kind"]],
+            found.id.encode(),
+            self.zones[found.zone],
+            int(facts["cell"]),
+            self.kinds[facts["kind"]],
             it.Standing.DRAINING if found.draining else it.Standing.READY,
-            float(facts["started"]) / 1e3, found.weight,
+            float(facts["started"]) / 1e3,
+            found.weight,
         )
         return Entry(engine, found.address)
 
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -50,8 +50,15 @@
 
     def event(self, batch: int, complete: bool) -> it.DispatchEnded:
         return it.DispatchEnded(
-            batch, self.number, self.engine, self.fate, self.took, complete, self.true_work,
-            self.true_memory, self.report,
+            batch,
+            self.number,
+            self.engine,
+            self.fate,
+            self.took,
+            complete,
+            self.true_work,
+            self.true_memory,
+            self.report,
         )
 
 
@@ -109,8 +116,15 @@
 class Dispatcher:
     """Starts dispatches and probes, and gives up on them."""
 
-    def __init__(self, manifest: it.Manifest, roll: Roll, speech: Callable[[Entry], Speech], desk: Desk,
-                 tally: Tally, log: Log) -> None:
+    def __init__(
+        self,
+        manifest: it.Manifest,
+        roll: Roll,
+        speech: Callable[[Entry], Speech],
+        desk: Desk,
+        tally: Tally,
+        log: Log,
+    ) -> None:
         self.cancels, self.copies = manifest.cancel, manifest.copies
         # What an entry's engine speaks.
         self.speech = speech
@@ -136,8 +150,12 @@
         """Whether something of a dispatch may still be sent. Risk: its client has left, its engine drains
         (which counts from the first byte), or its repeats are no longer dropped, and it goes out all the
         same."""
-        return (not batch.answered and self.roll.open_to(order.engine) and clock.now() < order.begin_by
-                and (not batch.ward or batch.ward.sure()))
+        return (
+            not batch.answered
+            and self.roll.open_to(order.engine)
+            and clock.now() < order.begin_by
+            and (not batch.ward or batch.ward.sure())
+        )
 
     async def dispatch(self, batch: Batch, end: End, order: it.Dispatch) -> None:
         """One dispatch from its first byte to its end."""
--- a/thistlelever/carrier/flight_engines.py
+++ b/thistlelever/carrier/flight_engines.py
@@ -32,13 +32,20 @@
 # Retries that gRPC makes of itself would be dispatches that nobody decided; keep-alives find a peer that has
 # vanished; windows that grow by measure would hold what a slow reader leaves.
 CHANNEL = (
-    ("grpc.enable_retries", 0), ("grpc.service_config_disable_resolution", 1),
-    ("grpc.use_local_subchannel_pool", 1), ("grpc.http2.bdp_probe", 0),
-    ("grpc.http2.lookahead_bytes", 262_144), ("grpc.max_receive_message_length", 16 << 20),
-    ("grpc.max_metadata_size", 16_384), ("grpc.absolute_max_metadata_size", 32_768),
-    ("grpc.keepalive_time_ms", 10_000), ("grpc.keepalive_timeout_ms", 5_000),
-    ("grpc.http2.max_pings_without_data", 2), ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.min_reconnect_backoff_ms", 100), ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.enable_retries", 0),
+    ("grpc.service_config_disable_resolution", 1),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.http2.lookahead_bytes", 262_144),
+    ("grpc.max_receive_message_length", 16 << 20),
+    ("grpc.max_metadata_size", 16_384),
+    ("grpc.absolute_max_metadata_size", 32_768),
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", 5_000),
+    ("grpc.http2.max_pings_without_data", 2),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
     ("grpc.enable_http_proxy", 0),
 )
 # Side calls (cancel, priority, load) are short; the cancel is repeated so long.
@@ -86,8 +93,16 @@
 class FlightEngines:
     """One channel an engine, kept by its id; see `Speech` in `dispatch.py`."""
 
-    def __init__(self, manifest: it.Manifest, roll: Roll, desk: Desk, tally: Tally, held: int, between: int,
-                 purse: Purse) -> None:
+    def __init__(
+        self,
+        manifest: it.Manifest,
+        roll: Roll,
+        desk: Desk,
+        tally: Tally,
+        held: int,
+        between: int,
+        purse: Purse,
+    ) -> None:
         self.fields, self.connect_limit = manifest.report_fields, manifest.connect_limit
         self.roll, self.desk, self.tally = roll, desk, tally
         # What one result may hold before it begins to go on, and all of them together.
@@ -118,8 +133,17 @@
             raise Ended(it.Fate.RESET) from None
         await self.fetch(channel, command(batch), batch, entry, end, sent, till, RESUMED)
 
-    async def fetch(self, channel: aio.Channel, order: bytes, batch: Batch, entry: Entry, end: End,
-                    sent: Sending, till: float, further: Metadata = ()) -> None:
+    async def fetch(
+        self,
+        channel: aio.Channel,
+        order: bytes,
+        batch: Batch,
+        entry: Entry,
+        end: End,
+        sent: Sending,
+        till: float,
+        further: Metadata = (),
+    ) -> None:
         """The calls of one dispatch."""
         sent.begun, sent.asked = True, clock.now()
         hold = Hold(self.held if batch.columns else MOST_FOR_ROWS, self.purse)
@@ -136,7 +160,8 @@
                 raise Unreadable(f"{len(info.endpoint)} endpoints")
             for endpoint in info.endpoint:
                 call = channel.unary_stream(SERVICE + "DoGet")(
-                    endpoint.ticket.SerializeToString(), **self.terms(batch, end.number, till))
+                    endpoint.ticket.SerializeToString(), **self.terms(batch, end.number, till)
+                )
                 await self.stream(call, batch, end, hold)
             self.whole(batch, end, hold)
         except aio.AioRpcError as why:
@@ -198,8 +223,9 @@
             end.pages = [columns.to_rows(hold.messages)]
         end.fate = it.Fate.RETURNED
 
-    async def update(self, channel: aio.Channel, order: bytes, batch: Batch, end: End, sent: Sending,
-                     till: float) -> None:
+    async def update(
+        self, channel: aio.Channel, order: bytes, batch: Batch, end: End, sent: Sending, till: float
+    ) -> None:
         call = channel.stream_stream(SERVICE + "DoPut")(**self.terms(batch, end.number, till))
         try:
             descriptor = read(pb.FlightDescriptor, order)
@@ -213,8 +239,9 @@
             end.fate = it.Fate.RETURNED
         except asyncio.InvalidStateError:
             # The call was over before all of it was written; its status says why.
-            raise aio.AioRpcError(await call.code(), await call.initial_metadata(),
-                                  await call.trailing_metadata()) from None
+            raise aio.AioRpcError(
+                await call.code(), await call.initial_metadata(), await call.trailing_metadata()
+            ) from None
         finally:
             call.cancel()
 
@@ -328,7 +355,8 @@
         """An action's first result."""
         channel = await self.channel(entry)
         call = channel.unary_stream(SERVICE + "DoAction")(
-            pb.Action(type=kind, body=body).SerializeToString(), timeout=WORD_WITHIN, metadata=metadata)
+            pb.Action(type=kind, body=body).SerializeToString(), timeout=WORD_WITHIN, metadata=metadata
+        )
         found = b""
         try:
             async for raw in call:
--- a/thistlelever/carrier/gate.py
+++ b/thistlelever/carrier/gate.py
@@ -24,8 +24,18 @@
 class Gate:
     """Batches pass here before the decisions hear of them."""
 
-    def __init__(self, manifest: it.Manifest, plan: Plan, terms: Terms, threads_a_core: float, seed: int,
-                 batches: Batches, roll: Roll, tally: Tally, log: Log) -> None:
+    def __init__(
+        self,
+        manifest: it.Manifest,
+        plan: Plan,
+        terms: Terms,
+        threads_a_core: float,
+        seed: int,
+        batches: Batches,
+        roll: Roll,
+        tally: Tally,
+        log: Log,
+    ) -> None:
         self.tariffs = {t.name: t for t in manifest.tariffs}
         self.fronts, self.kind_cores = max(manifest.fronts, 1), manifest.kind_cores
         self.threads_a_core, self.serial, self.engines = threads_a_core, -1, -1
@@ -41,9 +51,17 @@
         if taken.work:
             self.usual[batch.lane] += USUAL_PACE * (taken.work - self.usual[batch.lane])
         entry = Entry(
-            batch.number, batch.asked.consignor, batch.lane, tariff.utility,
-            taken.work or self.usual[batch.lane], float(tariff.width), batch.limit_at,
-            min(now + tariff.goal, batch.limit_at), taken.key, batch.asked.repeat)
+            batch.number,
+            batch.asked.consignor,
+            batch.lane,
+            tariff.utility,
+            taken.work or self.usual[batch.lane],
+            float(tariff.width),
+            batch.limit_at,
+            min(now + tariff.goal, batch.limit_at),
+            taken.key,
+            batch.asked.repeat,
+        )
         self.carry(self.judge.submit(now, entry))
         self.look_soon()
 
@@ -95,8 +113,11 @@
         """What the engines that are ready carry for this front: all fronts have like shares of them."""
         if (self.roll.serial, len(self.roll.entries)) != (self.serial, self.engines):
             self.serial, self.engines = self.roll.serial, len(self.roll.entries)
-            cores = sum(self.kind_cores[entry.engine.kind] for entry in self.roll.entries.values()
-                        if entry.engine.standing is it.Standing.READY)
+            cores = sum(
+                self.kind_cores[entry.engine.kind]
+                for entry in self.roll.entries.values()
+                if entry.engine.standing is it.Standing.READY
+            )
             self.found = cores * self.threads_a_core / self.fronts
         return self.found
 
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -48,8 +48,11 @@
         self.fields, self.probe_limit = manifest.report_fields, manifest.connect_limit
         self.once_only = frozenset(t.name for t in manifest.tariffs if t.repeat is it.Repeat.ONCE_ONLY)
         # Groups that a wrong word of 'never ran' does harm to: they may not go just anywhere after it.
-        self.wary = self.once_only | {t.name for t in manifest.tariffs if t.repeat is it.Repeat.REFERENCED
-                                      and t.scope is not it.Scope.ALL}
+        self.wary = self.once_only | {
+            t.name
+            for t in manifest.tariffs
+            if t.repeat is it.Repeat.REFERENCED and t.scope is not it.Scope.ALL
+        }
         self.roll, self.links, self.desk, self.tally = roll, links, desk, tally
 
     async def converse(self, batch: Batch, entry: Entry, end: End, sent: Sending, till: float) -> None:
@@ -83,8 +86,14 @@
             if end.fate is not it.Fate.RETURNED:
                 return
 
-    async def post(self, batch: Batch, entry: Entry, end: End, sent: Sending, till: float,
-                   ) -> http.Reply | None:
+    async def post(
+        self,
+        batch: Batch,
+        entry: Entry,
+        end: End,
+        sent: Sending,
+        till: float,
+    ) -> http.Reply | None:
         """The call that starts it, and its reply if it got one of use."""
         try:
             link = await self.link(entry, batch.lane in self.wary)
@@ -139,8 +148,15 @@
         # day when connections break.
         return it.Fate.ERRORED if sent.heard else it.Fate.ASTRAY
 
-    async def ask(self, path: str, page: int, entry: Entry, end: End, sent: Sending, batch: Batch,
-                  ) -> http.Reply:
+    async def ask(
+        self,
+        path: str,
+        page: int,
+        entry: Entry,
+        end: End,
+        sent: Sending,
+        batch: Batch,
+    ) -> http.Reply:
         """One question about a batch that is out, on new connections until it is answered.
 
         A poll or a page belongs to no connection, and a result lies at its engine until it is dropped, so
@@ -237,8 +253,9 @@
     async def give_up(self, batch: Batch, entry: Entry, sent: Sending) -> None:
         """The DELETE, until the engine has it, or no longer holds the batch anyway: it is dead, or has not
         been asked for it in so long. What a client has left waits behind what others wait for."""
-        await self.delete(entry, way(batch, sent.number)[:-1], sent.asked + DROPPED_AFTER,
-                          lambda: not batch.answered)
+        await self.delete(
+            entry, way(batch, sent.number)[:-1], sent.asked + DROPPED_AFTER, lambda: not batch.answered
+        )
 
     async def run_out(self, sent: Sending) -> None:
         """An engine ends what it has not been asked for in so long; a question may lie there as long as news
--- a/thistlelever/carrier/intake.py
+++ b/thistlelever/carrier/intake.py
@@ -48,8 +48,15 @@
         # Risk: a loop that falls behind has read this late and will answer late; no client waits longer.
         left = min(asked.wait - 2 * self.pulse.behind(), self.stop_at - now)
         taken = it.BatchTaken(
-            number, group, self.consignors.get(asked.consignor, 0), key(table[1]) if tariff.in_order else 0,
-            left, asked.work, asked.memory, float(table[0]), asked.repeat,
+            number,
+            group,
+            self.consignors.get(asked.consignor, 0),
+            key(table[1]) if tariff.in_order else 0,
+            left,
+            asked.work,
+            asked.memory,
+            float(table[0]),
+            asked.repeat,
         )
         return Batch(number, asked, taken, tariff.name, now + left)
 
--- a/thistlelever/carrier/members.py
+++ b/thistlelever/carrier/members.py
@@ -17,8 +17,9 @@
 class Members:
     """One judge on the loop's clock. `on_view` is told whenever what others may act on has changed."""
 
-    def __init__(self, judge: Judge, peers: Peers, tally: Tally, log: Log,
-                 on_view: Callable[[View], None]) -> None:
+    def __init__(
+        self, judge: Judge, peers: Peers, tally: Tally, log: Log, on_view: Callable[[View], None]
+    ) -> None:
         self.judge, self.peers, self.tally, self.log, self.on_view = judge, peers, tally, log, on_view
         self.timer: asyncio.TimerHandle | None = None
         self.told: View | None = None
@@ -64,7 +65,12 @@
             self.tally.add(f"membership: {change.path}" if mine else f"members: {state}")
             # A kind of line for each state: the log bounds lines by kind, and doubts must not crowd out
             # deaths.
-            self.log("membership" if mine else f"member {state}", member=change.name, by=change.by,
-                     was=change.was.name.lower() if change.was is not None else "", path=change.path,
-                     late=round(change.late, 3))
+            self.log(
+                "membership" if mine else f"member {state}",
+                member=change.name,
+                by=change.by,
+                was=change.was.name.lower() if change.was is not None else "",
+                path=change.path,
+                late=round(change.late, 3),
+            )
         self.judge.changes.clear()
--- a/thistlelever/carrier/recollection.py
+++ b/thistlelever/carrier/recollection.py
@@ -12,8 +12,9 @@
 from thistlelever.store.roll import Roll
 
 
-def goes_on_from(batch: Batch, tariff: it.Tariff, roll: Roll, name: Name, engine: it.EngineId,
-                 ran_for: float) -> bool:
+def goes_on_from(
+    batch: Batch, tariff: it.Tariff, roll: Roll, name: Name, engine: it.EngineId, ran_for: float
+) -> bool:
     """What was begun there becomes the batch's first dispatch: whether it can go on from it. Where its
     engine is out of sight only what may run again, or whose repeats all engines drop still, is begun
     anew."""
@@ -30,9 +31,14 @@
     they are dropped. `remember` is told a mark, its engine, name and window, or None where it surely never
     ran; `find` gives engine, name and how long ago, or None."""
 
-    def __init__(self, manifest: it.Manifest, roll: Roll, tally: Tally,
-                 remember: Callable[[bytes, tuple[it.EngineId, Name, float] | None], None],
-                 find: Callable[[bytes], tuple[it.EngineId, Name, float] | None]) -> None:
+    def __init__(
+        self,
+        manifest: it.Manifest,
+        roll: Roll,
+        tally: Tally,
+        remember: Callable[[bytes, tuple[it.EngineId, Name, float] | None], None],
+        find: Callable[[bytes], tuple[it.EngineId, Name, float] | None],
+    ) -> None:
         self.tariffs = {t.name: t for t in manifest.tariffs}
         self.roll, self.tally, self.remember, self.find = roll, tally, remember, find
 
