--- a/thistlelever/carrier/wards.py
+++ b/thistlelever/carrier/wards.py
@@ -53,8 +53,9 @@
         name, wards, ward = self.batch.name(number), self.wards, self.ward
         if wards.lost(ward):
             return False
-        if not wards.judge.goes_out(clock.now(), ward, engine.decode("latin-1"), bytes.fromhex(name.txn),
-                                    name.number):
+        if not wards.judge.goes_out(
+            clock.now(), ward, engine.decode("latin-1"), bytes.fromhex(name.txn), name.number
+        ):
             if wards.judge.sends:
                 wards.soon()
             return True
@@ -92,8 +93,11 @@
 
     def came_back(self, end: End) -> None:
         """That dispatch has ended."""
-        run = Run.NEVER_RAN if end.fate in NEVER_RAN else (
-            Run.RETURNED if end.fate is it.Fate.RETURNED else Run.UNKNOWN)
+        run = (
+            Run.NEVER_RAN
+            if end.fate in NEVER_RAN
+            else (Run.RETURNED if end.fate is it.Fate.RETURNED else Run.UNKNOWN)
+        )
         self.wards.judge.came_back(clock.now(), self.ward, run)
 
     def close(self) -> None:
@@ -108,8 +112,16 @@
 class Wards:
     """One judge on the loop's clock."""
 
-    def __init__(self, judge: Judge, peers: Peers, manifest: it.Manifest, roll: Roll,
-                 speech: Callable[[Entry], Speech], tally: Tally, log: Log) -> None:
+    def __init__(
+        self,
+        judge: Judge,
+        peers: Peers,
+        manifest: it.Manifest,
+        roll: Roll,
+        speech: Callable[[Entry], Speech],
+        tally: Tally,
+        log: Log,
+    ) -> None:
         self.judge, self.peers, self.roll, self.speech = judge, peers, roll, speech
         self.tally, self.log = tally, log
         self.tariffs = {t.name: (g, t) for g, t in enumerate(manifest.tariffs)}
@@ -164,14 +176,16 @@
                 return end
             await asyncio.sleep(LOOK_AGAIN * (1 + self.judge.chance() / 2))
 
-    def goes_on(self, batch: Batch, ward: Ward, told: Told,
-                tariff: it.Tariff) -> it.PushBack | it.Error | None:
+    def goes_on(
+        self, batch: Batch, ward: Ward, told: Told, tariff: it.Tariff
+    ) -> it.PushBack | it.Error | None:
         """What a claim's answer means for the batch, where no other front has it."""
         once_only = tariff.repeat is it.Repeat.ONCE_ONLY
         demands = self.judge.groups[ward.group].demands
         # Where what can't be protected goes out all the same, that nothing is known says nothing.
         unknown = told.say in (Say.UNSURE, Say.ALONE) or (
-            told.say is Say.FRESH and told.value is None and not demands)
+            told.say is Say.FRESH and told.value is None and not demands
+        )
         self.tally.add(f"takeover: {told.say.value}")
         if may_have_run(told.value):
             # Without a majority too: what is known to have begun is not begun anew.
@@ -192,8 +206,9 @@
 
     def not_known(self, batch: Batch, told: Told, why: str) -> it.Error:
         self.tally.add("takeover: told that it is not known")
-        self.log("work not known", batch=batch.asked.txn, mark=batch.asked.reference, say=told.say.value,
-                 why=why)
+        self.log(
+            "work not known", batch=batch.asked.txn, mark=batch.asked.reference, say=told.say.value, why=why
+        )
         return it.Error(batch.number)
 
     def adopts(self, batch: Batch, value: Value, tariff: it.Tariff) -> bool:
@@ -204,8 +219,14 @@
         good = goes_on_from(batch, tariff, self.roll, *begun)
         if 0 in batch.under:
             self.tally.add("takeover: adopted")
-            self.log("work adopted", batch=batch.asked.txn, began_as=value.txn.hex(), engine=value.engine,
-                     state=value.state.name.lower(), ran_s=value.ran_ms / 1e3)
+            self.log(
+                "work adopted",
+                batch=batch.asked.txn,
+                began_as=value.txn.hex(),
+                engine=value.engine,
+                state=value.state.name.lower(),
+                ran_s=value.ran_ms / 1e3,
+            )
         return good
 
     async def read(self, batch: Batch, value: Value) -> End | None:
@@ -246,8 +267,14 @@
     def waits_ms(self) -> dict[str, float]:
         """What batches' paths waited for their places lately."""
         taken = sorted(self.waited)
-        return {name: round(taken[int(len(taken) * share)] * 1e3, 3)
-                for name, share in (("p50", 0.5), ("p99", 0.99))} if taken else {}
+        return (
+            {
+                name: round(taken[int(len(taken) * share)] * 1e3, 3)
+                for name, share in (("p50", 0.5), ("p99", 0.99))
+            }
+            if taken
+            else {}
+        )
 
     def open(self) -> None:
         self.turn()
@@ -302,7 +329,8 @@
             urgent = send.word.nonce or send.word.verb not in (wire.Verb.PUT, wire.Verb.DROP)
             words.setdefault(send.address, []).append(send.word)
             self.leaves_at[send.address] = min(
-                self.leaves_at.get(send.address, now + LAST_WORD), now if urgent else now + LAST_WORD)
+                self.leaves_at.get(send.address, now + LAST_WORD), now if urgent else now + LAST_WORD
+            )
         judge.done, judge.notes, judge.orders, judge.sends = [], [], [], []
         for address in [a for a, at in self.leaves_at.items() if at <= now]:
             del self.leaves_at[address]
@@ -353,9 +381,16 @@
 def groups(manifest: it.Manifest, demand: tuple[str, ...] | None) -> tuple[Group, ...]:
     """The service groups as the judgement knows them; where nothing is said once-only ones demand
     protection."""
+
     def one(t: it.Tariff) -> Group:
         demands = t.repeat is it.Repeat.ONCE_ONLY if demand is None else t.name in demand
-        return Group(t.name, t.utility, t.repeat is it.Repeat.REPEATABLE, t.repeat is it.Repeat.REFERENCED,
-                     t.time_limit, demands)
+        return Group(
+            t.name,
+            t.utility,
+            t.repeat is it.Repeat.REPEATABLE,
+            t.repeat is it.Repeat.REFERENCED,
+            t.time_limit,
+            demands,
+        )
 
     return tuple(one(tariff) for tariff in manifest.tariffs)
--- a/thistlelever/demo.py
+++ b/thistlelever/demo.py
@@ -33,9 +33,15 @@
             from thistlelever.standins.flight_engine import Engine as FlightEngine
 
             self.engines |= {"f-cala": FlightEngine(self.stir), "f-duna": FlightEngine(self.stir)}
-            operator = Operator(flight=Flight(
-                listen="127.0.0.1:0", engines=("f-cala", "f-duna"), group="lookup", tenant="acme",
-                tables=(Table("customs_17", "declarations"),)))
+            operator = Operator(
+                flight=Flight(
+                    listen="127.0.0.1:0",
+                    engines=("f-cala", "f-duna"),
+                    group="lookup",
+                    tenant="acme",
+                    tables=(Table("customs_17", "declarations"),),
+                )
+            )
         for engine in self.engines.values():
             engine.text = RESULT
             await engine.start()
@@ -93,8 +99,12 @@
 
 async def one_batch(host: str, port: int, say) -> bool:
     """Submit a batch as a client would, show the line that did it and what came back."""
-    params = {"id": "00000000000000a1", "wait": 3000, "tenant": "acme",
-              "bytes": b64encode(STATEMENT.encode()).decode()}
+    params = {
+        "id": "00000000000000a1",
+        "wait": 3000,
+        "tenant": "acme",
+        "bytes": b64encode(STATEMENT.encode()).decode(),
+    }
     line = json.dumps({"jsonrpc": "2.0", "id": 1, "method": "lookup", "params": params})
     reader, writer = await asyncio.open_connection(host, port, limit=2**20)
     writer.write(line.encode() + b"\n")
--- a/thistlelever/flight/answers.py
+++ b/thistlelever/flight/answers.py
@@ -14,9 +14,12 @@
 Metadata = tuple[tuple[str, str | bytes], ...]
 # What becomes of a ticket that makes no batch run.
 TICKETS = {
-    Verdict.USED: StatusCode.ALREADY_EXISTS, Verdict.CALLED_OFF: StatusCode.CANCELLED,
-    Verdict.EXPIRED: StatusCode.NOT_FOUND, Verdict.FOREIGN: StatusCode.FAILED_PRECONDITION,
-    Verdict.EARLIER: StatusCode.FAILED_PRECONDITION, Verdict.FULL: StatusCode.RESOURCE_EXHAUSTED,
+    Verdict.USED: StatusCode.ALREADY_EXISTS,
+    Verdict.CALLED_OFF: StatusCode.CANCELLED,
+    Verdict.EXPIRED: StatusCode.NOT_FOUND,
+    Verdict.FOREIGN: StatusCode.FAILED_PRECONDITION,
+    Verdict.EARLIER: StatusCode.FAILED_PRECONDITION,
+    Verdict.FULL: StatusCode.RESOURCE_EXHAUSTED,
 }
 # What a client hears of a result that broke off on its way.
 BROKEN_OFF = {
@@ -50,9 +53,14 @@
     info = Any()
     info.Pack(RetryInfo(retry_delay=Duration(seconds=int(after), nanos=int(after % 1 * 1e9))))
     status = Status(code=code.value[0], message="pushed back", details=[info])
-    return Refusal(code, "pushed back", (
-        ("grpc-retry-pushback-ms", str(round(after * 1e3))),
-        ("grpc-status-details-bin", status.SerializeToString())))
+    return Refusal(
+        code,
+        "pushed back",
+        (
+            ("grpc-retry-pushback-ms", str(round(after * 1e3))),
+            ("grpc-status-details-bin", status.SerializeToString()),
+        ),
+    )
 
 
 def errored(past_limit: bool) -> Refusal:
--- a/thistlelever/flight/door.py
+++ b/thistlelever/flight/door.py
@@ -51,18 +51,29 @@
 # Streams one connection may have open; connections that say nothing end.
 STREAMS_A_CONNECTION = 32
 SERVER = (
-    ("grpc.so_reuseport", 0), ("grpc.max_receive_message_length", LONGEST_MESSAGE),
-    ("grpc.max_concurrent_streams", STREAMS_A_CONNECTION), ("grpc.max_metadata_size", 8_192),
-    ("grpc.absolute_max_metadata_size", 16_384), ("grpc.server_handshake_timeout_ms", 3_000),
-    ("grpc.max_connection_idle_ms", 300_000), ("grpc.http2.bdp_probe", 0),
-    ("grpc.http2.lookahead_bytes", 65_536), ("grpc.keepalive_time_ms", 20_000),
-    ("grpc.keepalive_timeout_ms", 5_000), ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", LONGEST_MESSAGE),
+    ("grpc.max_concurrent_streams", STREAMS_A_CONNECTION),
+    ("grpc.max_metadata_size", 8_192),
+    ("grpc.absolute_max_metadata_size", 16_384),
+    ("grpc.server_handshake_timeout_ms", 3_000),
+    ("grpc.max_connection_idle_ms", 300_000),
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.http2.lookahead_bytes", 65_536),
+    ("grpc.keepalive_time_ms", 20_000),
+    ("grpc.keepalive_timeout_ms", 5_000),
+    ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
     ("grpc.http2.write_buffer_size", 65_536),
 )
 COOKIE = "arrow_flight_session_id"
 # Headers beside those for group and tenant, by the field that they fill; and session options likewise.
 HEADERS = {
-    "wait": "x-wait-ms", "cost": "x-cost-ms", "need_mb": "x-need-mb", "once": "x-once", "retry": "x-retry"}
+    "wait": "x-wait-ms",
+    "cost": "x-cost-ms",
+    "need_mb": "x-need-mb",
+    "once": "x-once",
+    "retry": "x-retry",
+}
 OPTIONS = {"wait": "wait_ms", "cost": "cost_ms", "need_mb": "need_mb", "retry": "retry"}
 FIGURES = ("wait", "cost", "need_mb")
 ACTIONS = {
@@ -74,8 +85,11 @@
     "GetSessionOptions": "says what is set",
     "CloseSession": "forgets the session",
 }
-UNARY, STREAM, DUPLEX = (grpc.unary_unary_rpc_method_handler, grpc.unary_stream_rpc_method_handler,
-                         grpc.stream_stream_rpc_method_handler)
+UNARY, STREAM, DUPLEX = (
+    grpc.unary_unary_rpc_method_handler,
+    grpc.unary_stream_rpc_method_handler,
+    grpc.stream_stream_rpc_method_handler,
+)
 CALLED_OFF = "called off"
 
 
@@ -89,8 +103,9 @@
 class Door(grpc.GenericRpcHandler):
     """Serves on one port. Each call is one task, from its request to its status."""
 
-    def __init__(self, terms: Flight, name: str, intake: Intake, courses: Courses, tally: Tally,
-                 log: Log) -> None:
+    def __init__(
+        self, terms: Flight, name: str, intake: Intake, courses: Courses, tally: Tally, log: Log
+    ) -> None:
         self.terms, self.intake, self.courses = terms, intake, courses
         self.tally, self.log = tally, log
         self.seal = Seal(name)
@@ -114,9 +129,12 @@
             "Handshake": DUPLEX(self.guarded(self.refused("Handshake"))),
         }
         self.actions: dict[str, Callable[[bytes, aio.ServicerContext], Awaitable[bytes | None]]] = {
-            "CreatePreparedStatement": self.create_prepared, "ClosePreparedStatement": self.close_prepared,
-            "CancelFlightInfo": self.cancel_flight_info, "CancelQuery": self.cancel_query,
-            "SetSessionOptions": self.set_options, "GetSessionOptions": self.get_options,
+            "CreatePreparedStatement": self.create_prepared,
+            "ClosePreparedStatement": self.close_prepared,
+            "CancelFlightInfo": self.cancel_flight_info,
+            "CancelQuery": self.cancel_query,
+            "SetSessionOptions": self.set_options,
+            "GetSessionOptions": self.get_options,
             "CloseSession": self.close_session,
         }
 
@@ -142,6 +160,7 @@
 
     def guarded(self, serve: Callable) -> Callable:
         """A call's whole course: whatever goes wrong in it ends it with a status that says what."""
+
         async def whole(request, context: aio.ServicerContext):
             self.tally.add("flight calls")
             try:
@@ -195,8 +214,12 @@
             handle, _ = self.ticket(self.statement(asked, query=True), context)
             ticket = wrapped(sql.TicketStatementQuery(statement_handle=handle))
         return pb.FlightInfo(
-            schema=form, flight_descriptor=descriptor, total_records=records, total_bytes=-1,
-            endpoint=[pb.FlightEndpoint(ticket=pb.Ticket(ticket=ticket))])
+            schema=form,
+            flight_descriptor=descriptor,
+            total_records=records,
+            total_bytes=-1,
+            endpoint=[pb.FlightEndpoint(ticket=pb.Ticket(ticket=ticket))],
+        )
 
     def ticket(self, statement: bytes, context: aio.ServicerContext) -> tuple[bytes, Order]:
         """A ticket for the statement on the call's terms. What would be refused when it is redeemed is
@@ -273,7 +296,8 @@
                 raise Refusal(StatusCode.DEADLINE_EXCEEDED, "no time left")
             wait = min(wait, (remaining - LAST_BYTES) * 1e3)
         batch = self.intake.batch(
-            order.group, order.fields | {"id": order.number, "wait": wait}, order.statement)
+            order.group, order.fields | {"id": order.number, "wait": wait}, order.statement
+        )
         batch.columns = True
         return batch
 
--- a/thistlelever/flight/seal.py
+++ b/thistlelever/flight/seal.py
@@ -40,7 +40,8 @@
     def __init__(self, front: str) -> None:
         self.front, self.life = front, os.urandom(8).hex()
         self.signer = Signer(
-            os.urandom(32), salt=b"ticket", key_derivation="hmac", digest_method=hashlib.sha256)
+            os.urandom(32), salt=b"ticket", key_derivation="hmac", digest_method=hashlib.sha256
+        )
 
     def close(self, expires: float, group: str, fields: dict, statement: bytes) -> tuple[bytes, Order]:
         order = Order(self.front, self.life, os.urandom(8).hex(), expires, group, fields, statement)
--- a/thistlelever/ground/interface.py
+++ b/thistlelever/ground/interface.py
@@ -270,8 +270,18 @@
 
 
 Event = (
-    BatchTaken | DispatchEnded | ResponseStarted | ProgressNote | ClientLeft | FrontStops
-    | FrontsCounted | Recalled | TimerDue | ProbeEnded | ListTold | PeerNote
+    BatchTaken
+    | DispatchEnded
+    | ResponseStarted
+    | ProgressNote
+    | ClientLeft
+    | FrontStops
+    | FrontsCounted
+    | Recalled
+    | TimerDue
+    | ProbeEnded
+    | ListTold
+    | PeerNote
 )
 
 
--- a/thistlelever/ground/manifest.py
+++ b/thistlelever/ground/manifest.py
@@ -7,11 +7,15 @@
 from thistlelever.ground import interface as it
 
 REPEATS = {
-    "repeatable": it.Repeat.REPEATABLE, "by_key": it.Repeat.REFERENCED, "once": it.Repeat.ONCE_ONLY,
+    "repeatable": it.Repeat.REPEATABLE,
+    "by_key": it.Repeat.REFERENCED,
+    "once": it.Repeat.ONCE_ONLY,
 }
 SHORTAGES = {"queue": it.Shortage.LINE, "trim": it.Shortage.SHRINK, "swap": it.Shortage.PAGE}
 REPORTS = {
-    "piggyback": it.Reports.WITH_ANSWERS, "pull": it.Reports.WHEN_PROBED, "silent": it.Reports.NEVER,
+    "piggyback": it.Reports.WITH_ANSWERS,
+    "pull": it.Reports.WHEN_PROBED,
+    "silent": it.Reports.NEVER,
 }
 
 
@@ -135,9 +139,12 @@
         fall_window=conf.seconds("Invariants.Fall"),
         key_rest=conf.seconds("Invariants.KeyRest") if "Invariants.KeyRest" in conf.pairs else 0.0,
         allowance=it.Allowance(
-            conf.number("Invariants.ExtraFloor"), conf.number("Invariants.ResendRatio"),
+            conf.number("Invariants.ExtraFloor"),
+            conf.number("Invariants.ResendRatio"),
             conf.seconds("Invariants.LookBack"),
-        ) if rationed else None,
+        )
+        if rationed
+        else None,
     )
 
 
--- a/thistlelever/ground/operator.py
+++ b/thistlelever/ground/operator.py
@@ -20,15 +20,32 @@
 Part = Annotated[float, Meta(ge=0, le=1)]
 Seconds = Annotated[float, Meta(gt=0, le=86_400)]
 # What each section imports beside the core: the extra of the same name installs it.
-EXTRAS = {"flight": ("grpc", "google.rpc", "pyarrow", "itsdangerous"), "takeover": ("xxhash",),
-          "state": ("apsw",)}
+EXTRAS = {
+    "flight": ("grpc", "google.rpc", "pyarrow", "itsdangerous"),
+    "takeover": ("xxhash",),
+    "state": ("apsw",),
+}
 
 
 # What takes effect at a reload; the rest waits for a restart.
 AT_ONCE = frozenset(
-    [f"flight.{key}" for key in ("kinds", "engines", "group", "tenant", "wait_ms", "group_header",
-                                 "tenant_header", "ticket_s", "catalog", "tables")]
-    + [f"budgets.{key}" for key in ("brokers", "other", "threads_a_core", "depth", "waste")])
+    [
+        f"flight.{key}"
+        for key in (
+            "kinds",
+            "engines",
+            "group",
+            "tenant",
+            "wait_ms",
+            "group_header",
+            "tenant_header",
+            "ticket_s",
+            "catalog",
+            "tables",
+        )
+    ]
+    + [f"budgets.{key}" for key in ("brokers", "other", "threads_a_core", "depth", "waste")]
+)
 
 
 class Table(Struct, frozen=True, forbid_unknown_fields=True):
@@ -169,8 +186,10 @@
     for section, modules in EXTRAS.items():
         missing = [name for name in modules if getattr(operator, section) and not installed(name)]
         if missing:
-            raise Unreadable(f"operator file: {section}: wants the extra {section!r} (pip install "
-                             f"'thistlelever[{section}]'); {missing[0]} is not installed")
+            raise Unreadable(
+                f"operator file: {section}: wants the extra {section!r} (pip install "
+                f"'thistlelever[{section}]'); {missing[0]} is not installed"
+            )
     if operator.flight and not (operator.flight.listen or operator.flight.kinds or operator.flight.engines):
         raise Unreadable("operator file: flight: a listen address, kinds or engines expected; found none")
     if operator.takeover and not operator.membership:
--- a/thistlelever/ground/papers.py
+++ b/thistlelever/ground/papers.py
@@ -16,7 +16,9 @@
 # What applies where the configuration is silent; all of it is about sockets, none about decisions.
 DEFAULT_SOCKETS, DEFAULT_MEMORY_MB, DEFAULT_CORES = 1024, 192.0, 1.0
 STANDINGS = {
-    "Ready": it.Standing.READY, "Terminating": it.Standing.DRAINING, "Gone": it.Standing.GONE,
+    "Ready": it.Standing.READY,
+    "Terminating": it.Standing.DRAINING,
+    "Gone": it.Standing.GONE,
 }
 
 
--- a/thistlelever/ground/submission.py
+++ b/thistlelever/ground/submission.py
@@ -43,8 +43,14 @@
         raise Unfit("once", "32 hex digits expected")
     work = given.figure("cost")
     return Submission(
-        txn, wait / 1e3, given.string("tenant", ""), fields.get("retry") not in (None, 0, "0", "", False),
-        reference, work / 1e3 if work else None, given.figure("need_mb") or 0.0, statement,
+        txn,
+        wait / 1e3,
+        given.string("tenant", ""),
+        fields.get("retry") not in (None, 0, "0", "", False),
+        reference,
+        work / 1e3 if work else None,
+        given.figure("need_mb") or 0.0,
+        statement,
     )
 
 
--- a/thistlelever/ledger/file.py
+++ b/thistlelever/ledger/file.py
@@ -21,9 +21,16 @@
 # So many records of each kind are kept, some 150 bytes each.
 MOST = {"listed": 10_000, "learnt": 10_000, "mark": 200_000, "rest": 100_000, "window": 1}
 WORDS = {
-    apsw.FullError: "full", apsw.IOError: "io", apsw.ReadOnlyError: "read-only", apsw.CantOpenError: "gone",
-    apsw.CorruptError: "damaged", apsw.NotADBError: "foreign", apsw.BusyError: "held by another process",
-    apsw.LockedError: "held by another process", apsw.PermissionsError: "read-only"}
+    apsw.FullError: "full",
+    apsw.IOError: "io",
+    apsw.ReadOnlyError: "read-only",
+    apsw.CantOpenError: "gone",
+    apsw.CorruptError: "damaged",
+    apsw.NotADBError: "foreign",
+    apsw.BusyError: "held by another process",
+    apsw.LockedError: "held by another process",
+    apsw.PermissionsError: "read-only",
+}
 
 
 class Failing(Exception):
@@ -46,8 +53,9 @@
     """Open for one owner until it is closed or its process dies. Not for several threads at once."""
 
     def __init__(self, path: str, vfs: str | None = None, read_only: bool = False) -> None:
-        flags = apsw.SQLITE_OPEN_READONLY if read_only else (
-            apsw.SQLITE_OPEN_READWRITE | apsw.SQLITE_OPEN_CREATE)
+        flags = (
+            apsw.SQLITE_OPEN_READONLY if read_only else (apsw.SQLITE_OPEN_READWRITE | apsw.SQLITE_OPEN_CREATE)
+        )
         self.path, self.read_only = path, read_only
         try:
             self.base = apsw.Connection(path, flags=flags, vfs=vfs)
@@ -85,14 +93,18 @@
             with base:
                 base.pragma("application_id", OURS)
                 base.pragma("user_version", LAYOUT)
-                base.execute("create table if not exists records (kind text, key blob, data blob, "
-                             "primary key (kind, key)) without rowid")
+                base.execute(
+                    "create table if not exists records (kind text, key blob, data blob, "
+                    "primary key (kind, key)) without rowid"
+                )
         # The lock is taken by the first write, and kept.
         with base:
             base.execute("delete from records where kind = ''")
 
-    def read(self, damaged: list[tuple[str, bytes, str]] | None = None,
-             ) -> Iterator[tuple[str, bytes, Struct]]:
+    def read(
+        self,
+        damaged: list[tuple[str, bytes, str]] | None = None,
+    ) -> Iterator[tuple[str, bytes, Struct]]:
         """All records that can be read; the others into `damaged`, with why."""
         try:
             for kind, key, data in self.base.execute("select kind, key, data from records"):
--- a/thistlelever/ledger/keeper.py
+++ b/thistlelever/ledger/keeper.py
@@ -26,8 +26,12 @@
 class Keeper:
     """`put` and `drop` from the loop's thread alone; the other thread takes what has changed, whole."""
 
-    def __init__(self, open_file: Callable[[], File], every: float = EVERY,
-                 on_change: Callable[[str], None] = lambda failing: None) -> None:
+    def __init__(
+        self,
+        open_file: Callable[[], File],
+        every: float = EVERY,
+        on_change: Callable[[str], None] = lambda failing: None,
+    ) -> None:
         self.open_file, self.every, self.on_change = open_file, every, on_change
         # What the file has, or will have: by kind the records by key; and what of it is not written yet.
         self.records: dict[str, dict[bytes, Struct]] = {kind: {} for kind in records.KINDS}
@@ -117,8 +121,9 @@
                 # Whatever is there now, memory is what holds.
                 changes = self.whole() | changes
             if changes:
-                self.file.write((kind, key, record and records.pack(record))
-                                for (kind, key), record in changes.items())
+                self.file.write(
+                    (kind, key, record and records.pack(record)) for (kind, key), record in changes.items()
+                )
                 self.file.compact()
         except Failing as why:
             self.give_back(changes, str(why))
@@ -135,8 +140,9 @@
         that changes under it is taken again."""
         while True:
             try:
-                return {(kind, key): record for kind, kept in self.records.items()
-                        for key, record in kept.items()}
+                return {
+                    (kind, key): record for kind, kept in self.records.items() for key, record in kept.items()
+                }
             except RuntimeError:
                 continue
 
--- a/thistlelever/ledger/records.py
+++ b/thistlelever/ledger/records.py
@@ -87,8 +87,13 @@
     boot: str
 
 
-KINDS: dict[str, type[Struct]] = {"listed": Listed, "learnt": Learnt, "mark": Mark, "rest": Rest,
-                                  "window": Window}
+KINDS: dict[str, type[Struct]] = {
+    "listed": Listed,
+    "learnt": Learnt,
+    "mark": Mark,
+    "rest": Rest,
+    "window": Window,
+}
 
 
 def from_one(kind: str, fields: list) -> list:
@@ -110,7 +115,7 @@
     if len(data) < HEAD.size:
         raise Damaged("shorter than a record's head")
     schema, check = HEAD.unpack_from(data)
-    body = data[HEAD.size:]
+    body = data[HEAD.size :]
     if check != crc32(body):
         raise Damaged("its checksum is another")
     if schema > SCHEMA:
--- a/thistlelever/lifecycle/budgets.py
+++ b/thistlelever/lifecycle/budgets.py
@@ -17,10 +17,13 @@
 
 def plan(section: Budgets) -> Plan:
     """The tree that a section describes; `Unreadable` with the path of what can't be kept."""
+
     def branch(node, below: str | None = None, further: str | None = None) -> Branch:
         inner = getattr(node, below) if below else {}
-        return Branch(Share(node.guarantee, node.ceiling, node.burst, node.weight),
-                      {name: branch(child, further) for name, child in inner.items()})
+        return Branch(
+            Share(node.guarantee, node.ceiling, node.burst, node.weight),
+            {name: branch(child, further) for name, child in inner.items()},
+        )
 
     try:
         brokers = {name: branch(node, "teams", "groups") for name, node in section.brokers.items()}
@@ -35,8 +38,16 @@
     def __init__(self, parts: Parts, section: Budgets) -> None:
         self.parts, papers = parts, parts.papers
         self.gate = parts.courses.gate = Gate(
-            papers.manifest, plan(section), self.terms(section), section.threads_a_core, papers.seed,
-            parts.batches, parts.roll, parts.tally, parts.log)
+            papers.manifest,
+            plan(section),
+            self.terms(section),
+            section.threads_a_core,
+            papers.seed,
+            parts.batches,
+            parts.roll,
+            parts.tally,
+            parts.log,
+        )
 
     def terms(self, section: Budgets) -> Terms:
         manifest = self.parts.papers.manifest
--- a/thistlelever/lifecycle/flight.py
+++ b/thistlelever/lifecycle/flight.py
@@ -21,8 +21,15 @@
     def __init__(self, parts: Parts, terms: Flight) -> None:
         papers, self.terms = parts.papers, terms
         between = max(terms.held_bytes_all // terms.streams, LEAST_BETWEEN)
-        self.engines = FlightEngines(papers.manifest, parts.roll, parts.desk, parts.tally,
-                                     terms.held_bytes, between, Purse(terms.held_bytes_all))
+        self.engines = FlightEngines(
+            papers.manifest,
+            parts.roll,
+            parts.desk,
+            parts.tally,
+            terms.held_bytes,
+            between,
+            Purse(terms.held_bytes_all),
+        )
         self.kinds = papers.kinds
         self.door = Door(terms, papers.name, parts.intake, parts.courses, parts.tally, parts.log)
 
--- a/thistlelever/lifecycle/membership.py
+++ b/thistlelever/lifecycle/membership.py
@@ -78,8 +78,9 @@
         while True:
             await asyncio.sleep(LOOK)
             answered = counts["End"] + counts["PushBack"] + counts["Error"]
-            serves = self.fitness.told(clock.now(), not self.left, counts["taken"], answered, counts["End"],
-                                       len(batches.by_number))
+            serves = self.fitness.told(
+                clock.now(), not self.left, counts["taken"], answered, counts["End"], len(batches.by_number)
+            )
             self.members.judge.fitness(clock.now(), serves)
 
     def stopping(self) -> None:
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -49,16 +49,22 @@
 RENEWED = ("directory", "serial", "known", "seed", "peers")
 # The keys of the file that hold what goes by another name here.
 KEYS = {name: f"limits.{name}" for name in ("sockets", "memory_mb", "cores")} | dict.fromkeys(
-    ("zones", "kinds", "idle", "answer_slack", "manifest"), "settings")
+    ("zones", "kinds", "idle", "answer_slack", "manifest"), "settings"
+)
 HOUSEKEEPING, COUNTS_EVERY = 0.5, 6.0
 
 
 class Office:
     """The parts of one front, put together."""
 
-    def __init__(self, papers: Papers, log: Log, read_again: Callable[[], Papers] = load,
-                 operator: Operator | None = None,
-                 operator_again: Callable[[], Operator] | None = None) -> None:
+    def __init__(
+        self,
+        papers: Papers,
+        log: Log,
+        read_again: Callable[[], Papers] = load,
+        operator: Operator | None = None,
+        operator_again: Callable[[], Operator] | None = None,
+    ) -> None:
         self.papers, self.log, self.read_again = papers, log, read_again
         # The operator file, where there is one: what is switched on beyond the platform's own front.
         self.operator, self.operator_again = operator, operator_again
@@ -79,8 +85,9 @@
         self.pulse = Pulse()
         self.intake = Intake(manifest, self.pulse, self.batches)
         self.reception = Reception(self.intake, self.courses, self.tally, log, limits)
-        self.inquiry = Inquiry(self.roll, self.forget, self.desk, self.tally, papers.zones, papers.kinds,
-                               papers.seed)
+        self.inquiry = Inquiry(
+            self.roll, self.forget, self.desk, self.tally, papers.zones, papers.kinds, papers.seed
+        )
         self.desk.on_probe = self.dispatcher.probe
         self.desk.on_ask_list = lambda: self.inquiry.ask(by_order=True)
         # What the operator file switches on beside that, in the order in which it is opened.
@@ -96,8 +103,18 @@
         """Each section that is there, put together; the others are not even imported."""
         from thistlelever.lifecycle.parts import Parts
 
-        parts = Parts(self.papers, self.log, self.tally, self.batches, self.roll, self.desk, self.intake,
-                      self.courses, self.dispatcher, self.inquiry)
+        parts = Parts(
+            self.papers,
+            self.log,
+            self.tally,
+            self.batches,
+            self.roll,
+            self.desk,
+            self.intake,
+            self.courses,
+            self.dispatcher,
+            self.inquiry,
+        )
         sides: list[Side] = []
         if operator.flight:
             from thistlelever.lifecycle.flight import FlightSide
@@ -158,8 +175,14 @@
         self.reception.ready = lambda: not self.stop.is_set()
         works = self.inquiry.run(), self.pulse.run(), self.housekeeping(), self.renewing()
         self.tasks = [loop.create_task(work) for work in works]
-        self.log("ready", listen=raw.getsockname(), engines=len(self.roll.entries), serial=self.roll.serial,
-                 links=self.links.most, **further)
+        self.log(
+            "ready",
+            listen=raw.getsockname(),
+            engines=len(self.roll.entries),
+            serial=self.roll.serial,
+            links=self.links.most,
+            **further,
+        )
 
     def questions(self) -> dict[str, Callable[..., dict]]:
         """What the administration may be asked, by the parts that are on."""
@@ -220,8 +243,13 @@
             except OSError as why:
                 self.log("reload refused", why=f"dns: can't be reached: {why}")
                 continue
-            waiting = sorted({KEYS.get(name, name) for name, was in self.papers._asdict().items()
-                              if name not in RENEWED and getattr(new, name) != was})
+            waiting = sorted(
+                {
+                    KEYS.get(name, name)
+                    for name, was in self.papers._asdict().items()
+                    if name not in RENEWED and getattr(new, name) != was
+                }
+            )
             self.papers = self.papers._replace(directory=new.directory, peers=new.peers)
             waiting += self.renewed(operator)
             self.log("reloaded", dns=new.directory, needs_restart=waiting)
@@ -252,14 +280,24 @@
             self.reception.sweep()
             if clock.now() >= due and self.tally.counts != written:
                 written = self.tally.counts.copy()
-                self.log("counts", links=self.links.count, counts=written, turns=self.desk.turns,
-                         deciding=round(self.desk.spent, 3), cpu=round(process_time(), 3),
-                         lag=round(self.pulse.worst, 4))
+                self.log(
+                    "counts",
+                    links=self.links.count,
+                    counts=written,
+                    turns=self.desk.turns,
+                    deciding=round(self.desk.spent, 3),
+                    cpu=round(process_time(), 3),
+                    lag=round(self.pulse.worst, 4),
+                )
                 due, self.pulse.worst = clock.now() + COUNTS_EVERY, 0.0
 
 
-async def serve(papers: Papers, log: Log, operator: Operator | None = None,
-                operator_again: Callable[[], Operator] | None = None) -> int:
+async def serve(
+    papers: Papers,
+    log: Log,
+    operator: Operator | None = None,
+    operator_again: Callable[[], Operator] | None = None,
+) -> int:
     """Serve until SIGTERM and all that was taken is answered."""
     office = Office(papers, log, operator=operator, operator_again=operator_again)
     # What was made at the start lives as long as the front: no collection need look at it again.
--- a/thistlelever/lifecycle/state.py
+++ b/thistlelever/lifecycle/state.py
@@ -82,7 +82,8 @@
         self.serial, self.written_at = parts.roll.serial, 0.0
         self.tasks: list[asyncio.Task] = []
         parts.courses.memory = Recollection(
-            parts.papers.manifest, parts.roll, parts.tally, self.remember, self.find)
+            parts.papers.manifest, parts.roll, parts.tally, self.remember, self.find
+        )
 
     # What a former life knew.
 
@@ -99,7 +100,8 @@
                 entries[entry.engine.id], found[entry.engine.id] = entry, config_age
         for engine, record in stored.items():
             if ages[engine].most < found.get(engine, Age(0.0, float("inf"))).most and (
-                    newest < config_age.most or engine in entries):
+                newest < config_age.most or engine in entries
+            ):
                 entries[engine], found[engine] = listed(record), ages[engine]
         # Two under one address: the one that was heard of last is there.
         place: dict[tuple[str, int], bytes] = {}
@@ -127,7 +129,10 @@
         fresh = [one for one in kept["learnt"].values() if since(one.at).most <= self.section.old_s]
         told = it.Recalled(
             tuple((one.id, one.bound, one.pace, one.started) for one in fresh),
-            tuple((key, left) for key, left in rests if left > 0), took, extra)
+            tuple((key, left) for key, left in rests if left > 0),
+            took,
+            extra,
+        )
         self.parts.desk.tell(told)
 
     def remember(self, mark: bytes, what: tuple[it.EngineId, Name, float] | None) -> None:
@@ -160,6 +165,7 @@
 
     async def asking(self) -> None:
         """One round: all that are to be asked, side by side."""
+
         async def one(engine: bytes) -> None:
             fate, _ = await self.parts.dispatcher.speech(self.entries[engine]).probe(self.entries[engine])
             self.judge.heard(engine, fate is it.Fate.RETURNED)
@@ -221,8 +227,10 @@
 
     def forget(self) -> None:
         """What can matter no more: marks whose repeats nobody drops, keys that have rested."""
-        for kind, over in (("mark", lambda m: since(m.ran).least > 2 * m.window),
-                           ("rest", lambda r: since(r.at).least > r.left)):
+        for kind, over in (
+            ("mark", lambda m: since(m.ran).least > 2 * m.window),
+            ("rest", lambda r: since(r.at).least > r.left),
+        ):
             kept = self.keeper.records[kind]
             for key in list(kept)[:1_000]:
                 if not over(kept[key]):
@@ -252,10 +260,17 @@
     def show(self) -> dict:
         keeper = self.keeper
         return {
-            "path": self.section.path, "failing": keeper.failing, "stuck_s": round(keeper.stuck(), 3),
-            "keeps": keeper.keeps(), "start": self.judge.show(), "writes": keeper.writes,
-            "written": keeper.written, "longest_write_s": round(keeper.longest, 4),
-            "waiting": len(keeper.dirty), "past_bounds": keeper.full, "damaged": len(keeper.damaged),
+            "path": self.section.path,
+            "failing": keeper.failing,
+            "stuck_s": round(keeper.stuck(), 3),
+            "keeps": keeper.keeps(),
+            "start": self.judge.show(),
+            "writes": keeper.writes,
+            "written": keeper.written,
+            "longest_write_s": round(keeper.longest, 4),
+            "waiting": len(keeper.dirty),
+            "past_bounds": keeper.full,
+            "damaged": len(keeper.damaged),
             "bytes": file.size(self.section.path),
             "records": {kind: len(kept) for kind, kept in keeper.records.items()},
         }
@@ -272,11 +287,13 @@
 
 def record(entry: Entry, serial: int, at: Moment) -> Listed:
     e = entry.engine
-    return Listed(e.id, *entry.address, e.zone, e.cell, e.kind, int(e.standing), e.started, e.size,
-                  serial, at)
+    return Listed(
+        e.id, *entry.address, e.zone, e.cell, e.kind, int(e.standing), e.started, e.size, serial, at
+    )
 
 
 def listed(kept: records.Listed) -> Entry:
-    engine = it.Engine(kept.id, kept.zone, kept.cell, kept.kind, it.Standing(kept.standing), kept.started,
-                       kept.size)
+    engine = it.Engine(
+        kept.id, kept.zone, kept.cell, kept.kind, it.Standing(kept.standing), kept.started, kept.size
+    )
     return Entry(engine, (kept.address, kept.port))
--- a/thistlelever/lifecycle/takeover.py
+++ b/thistlelever/lifecycle/takeover.py
@@ -26,11 +26,14 @@
     """`Unreadable` with the key where the section can't be kept."""
     known = {tariff.name for tariff in papers.manifest.tariffs}
     if unknown := sorted(set(section.demand or ()) - known):
-        raise Unreadable(f"operator file: takeover.demand: service groups of the settings expected; found "
-                         f"{unknown[0]!r}")
+        raise Unreadable(
+            f"operator file: takeover.demand: service groups of the settings expected; found {unknown[0]!r}"
+        )
     if len(papers.peers) < 2:
-        raise Unreadable("operator file: takeover: two peers or more in the configuration expected; found "
-                         f"{len(papers.peers)}")
+        raise Unreadable(
+            "operator file: takeover: two peers or more in the configuration expected; found "
+            f"{len(papers.peers)}"
+        )
 
 
 class TakeoverSide:
@@ -40,17 +43,36 @@
         papers = parts.papers
         sound(section, papers)
         self.parts, self.members = parts, membership.members.judge
-        terms = Terms(places=section.places, lease=section.lease_s, renew=section.lease_s * 0.4,
-                      wait=section.wait_s, keep=section.keep_s, most_kept=section.most_kept,
-                      most_taken=section.most_taken)
+        terms = Terms(
+            places=section.places,
+            lease=section.lease_s,
+            renew=section.lease_s * 0.4,
+            wait=section.wait_s,
+            keep=section.keep_s,
+            most_kept=section.most_kept,
+            most_taken=section.most_taken,
+        )
         me = self.members.me
-        self.judge = Judge(terms, me.address, me.life, papers.peers, groups(papers.manifest, section.demand),
-                           papers.seed, clock.now())
+        self.judge = Judge(
+            terms,
+            me.address,
+            me.life,
+            papers.peers,
+            groups(papers.manifest, section.demand),
+            papers.seed,
+            clock.now(),
+        )
         heirs = self.judge.heirs
         heirs.standing, heirs.alive, heirs.alone = self.standing, self.alive, self.alone
         self.wards = parts.courses.wards = Wards(
-            self.judge, membership.peers, papers.manifest, parts.roll,
-            lambda entry: parts.dispatcher.speech(entry), parts.tally, parts.log)
+            self.judge,
+            membership.peers,
+            papers.manifest,
+            parts.roll,
+            lambda entry: parts.dispatcher.speech(entry),
+            parts.tally,
+            parts.log,
+        )
 
     def standing(self, address: Address, life: int) -> Standing:
         """What membership holds a front in that life for. Another life at its address: that one is gone."""
--- a/thistlelever/membership/facts.py
+++ b/thistlelever/membership/facts.py
@@ -78,11 +78,25 @@
 class Member:
     """One other front, as it is believed to be."""
 
-    __slots__ = ("name", "address", "incarnation", "life", "state", "since", "accusers", "until", "heard_at",
-                 "refutals", "last", "seen", "story")
-
-    def __init__(self, name: str, address: Address, incarnation: int, life: int, state: State,
-                 now: float) -> None:
+    __slots__ = (
+        "name",
+        "address",
+        "incarnation",
+        "life",
+        "state",
+        "since",
+        "accusers",
+        "until",
+        "heard_at",
+        "refutals",
+        "last",
+        "seen",
+        "story",
+    )
+
+    def __init__(
+        self, name: str, address: Address, incarnation: int, life: int, state: State, now: float
+    ) -> None:
         self.name, self.address, self.incarnation, self.life = name, address, incarnation, life
         self.state, self.since = state, now
         # Tags of those that suspect it, and until when it has to refute them. Most members never have any of
--- a/thistlelever/membership/judge.py
+++ b/thistlelever/membership/judge.py
@@ -21,11 +21,20 @@
 
 from msgspec import structs
 
-from thistlelever.membership.facts import (
-    STORY, Address, Change, Member, Self, Send, Terms, View, fresh)
+from thistlelever.membership.facts import STORY, Address, Change, Member, Self, Send, Terms, View, fresh
 from thistlelever.membership.rumours import MOST_A_FRAME, Rumours
 from thistlelever.wire.peers import (
-    ROOM, Kind, Message, Rumour, State, address_bytes, address_of, packed, size, tag)
+    ROOM,
+    Kind,
+    Message,
+    Rumour,
+    State,
+    address_bytes,
+    address_of,
+    packed,
+    size,
+    tag,
+)
 
 # How often a rumour is sent: so many times the logarithm of the tier's size.
 TIMES = 3
@@ -65,8 +74,9 @@
 class Judge:
     """The beliefs of one front about its tier."""
 
-    def __init__(self, terms: Terms, me: Self, peers: tuple[Address, ...], fronts: int, seed: int,
-                 now: float) -> None:
+    def __init__(
+        self, terms: Terms, me: Self, peers: tuple[Address, ...], fronts: int, seed: int, now: float
+    ) -> None:
         self.terms, self.me, self.settings_fronts, self.seed = terms, me, fronts, seed
         self.incarnation, self.state, self.tag = me.life, State.ALIVE, tag(me.name)
         self.peers = tuple(a for a in peers if a != me.address)
@@ -156,8 +166,7 @@
             return self.turned_at + SELDOM
         return min(self.round_at, min((p.due for p in self.probes.values()), default=self.round_at))
 
-    def heard(self, now: float, source: Address, message: Message,
-              rumours: tuple[Rumour, ...]) -> list[Send]:
+    def heard(self, now: float, source: Address, message: Message, rumours: tuple[Rumour, ...]) -> list[Send]:
         """A datagram of this tier, in form."""
         self.sends = []
         if self.twin:
@@ -205,12 +214,16 @@
     def fitness(self, now: float, serves: bool) -> None:
         """Whether this front serves whom it takes; its own word, told to all."""
         state = State.ALIVE if serves else State.UNFIT
-        if self.state in (State.ALIVE, State.UNFIT) and state is not self.state and (
-                now - self.fit_at >= SELDOM):
+        if (
+            self.state in (State.ALIVE, State.UNFIT)
+            and state is not self.state
+            and (now - self.fit_at >= SELDOM)
+        ):
             self.state, self.fit_at = state, now
             self.announce(now, self.incarnation + 1)
-            self.note(now, self.me.name, state, None, "itself", "serves nobody" if not serves else "serves",
-                      0.0)
+            self.note(
+                now, self.me.name, state, None, "itself", "serves nobody" if not serves else "serves", 0.0
+            )
 
     def leave(self, now: float) -> list[Send]:
         """SIGTERM: said at once to as many as it takes for all to hear."""
@@ -249,9 +262,13 @@
         # Risk: a share grows by a death that is taken back a moment later.
         late = sum(m.state is State.DEAD and now - m.since < self.terms.sure for m in self.members.values())
         alive = 1 + len(lives)
-        return View(alone, self.settings_fronts if alone else alive + late, alive,
-                    sum(m.state is State.SUSPECTED for m in lives),
-                    sum(m.state is State.UNFIT for m in lives) + (self.state is State.UNFIT))
+        return View(
+            alone,
+            self.settings_fronts if alone else alive + late,
+            alive,
+            sum(m.state is State.SUSPECTED for m in lives),
+            sum(m.state is State.UNFIT for m in lives) + (self.state is State.UNFIT),
+        )
 
     # Rounds.
 
@@ -339,8 +356,13 @@
             self.worse(1)
         if self.alone(now) or self.patience() > 1 and probe.asked and not probe.nacks:
             return
-        self.accuse(now, member, self.tag, self.me.name, f"no answer in {now - probe.at:.3f} s, "
-                    f"nor to {probe.asked} others ({probe.nacks} said so)")
+        self.accuse(
+            now,
+            member,
+            self.tag,
+            self.me.name,
+            f"no answer in {now - probe.at:.3f} s, nor to {probe.asked} others ({probe.nacks} said so)",
+        )
 
     def ask_for(self, now: float, source: Address, message: Message) -> None:
         """Another has no answer from a member: try for it."""
@@ -457,8 +479,9 @@
         if member is None:
             if rumour.state in (State.DEAD, State.LEFT) or len(self.members) >= self.terms.most:
                 return
-            member = self.met(now, rumour.name, address_of(rumour.address), rumour.incarnation, rumour.life,
-                              by, "rumour")
+            member = self.met(
+                now, rumour.name, address_of(rumour.address), rumour.incarnation, rumour.life, by, "rumour"
+            )
             self.rumours.tell(self.word(member))
             if rumour.state is State.ALIVE:
                 return
@@ -497,8 +520,15 @@
             # Who is accused may be slow itself (Lifeguard).
             self.worse(1)
             self.counts["refuted"] += 1
-            self.note(now, self.me.name, rumour.state, None, f"accuser {rumour.accuser:08x}", "refuted",
-                      self.lateness)
+            self.note(
+                now,
+                self.me.name,
+                rumour.state,
+                None,
+                f"accuser {rumour.accuser:08x}",
+                "refuted",
+                self.lateness,
+            )
         elif rumour.life != self.me.life:
             self.counts["words of a former life refuted"] += 1
             address = address_of(rumour.address)
@@ -527,8 +557,9 @@
         member = self.members.get(message.name)
         if member is None:
             if len(self.members) < self.terms.most:
-                member = self.met(now, message.name, source, message.incarnation, message.life,
-                                  message.name, "itself")
+                member = self.met(
+                    now, message.name, source, message.incarnation, message.life, message.name, "itself"
+                )
                 fresh(member, message.count)
                 self.rumours.tell(self.word(member))
         elif message.incarnation > member.incarnation:
@@ -537,8 +568,9 @@
             self.believe(now, member, State.ALIVE, message.name, "itself")
             self.rumours.tell(self.word(member))
 
-    def met(self, now: float, name: str, address: Address, incarnation: int, life: int, by: str,
-            path: str) -> Member:
+    def met(
+        self, now: float, name: str, address: Address, incarnation: int, life: int, by: str, path: str
+    ) -> Member:
         member = self.members[name] = Member(name, address, incarnation, life, State.ALIVE, now)
         self.at[address] = name
         insort(self.ring, (tag(name), name))
@@ -581,8 +613,9 @@
                 self.order.insert(self.below(len(self.order) + 1), member.name)
         self.note(now, member.name, state, was, by, path, late)
 
-    def note(self, now: float, name: str, state: State, was: State | None, by: str, path: str,
-             late: float) -> None:
+    def note(
+        self, now: float, name: str, state: State, was: State | None, by: str, path: str, late: float
+    ) -> None:
         change = Change(now, name, state, was, by, path, late)
         if name in self.members:
             self.members[name].story = (*self.members[name].story, change)[-STORY:]
@@ -608,8 +641,9 @@
     def word(self, member: Member, accuser: int = 0) -> Rumour:
         if member.state is State.SUSPECTED and not accuser:
             accuser = min(member.accusers)
-        return Rumour(member.name, address_bytes(member.address), member.incarnation, member.life,
-                      member.state, accuser)
+        return Rumour(
+            member.name, address_bytes(member.address), member.incarnation, member.life, member.state, accuser
+        )
 
     # Lists.
 
@@ -631,8 +665,9 @@
     def give_list(self, now: float, member: Member, message: Message) -> None:
         """One piece: the records of the living after a name, as many as fit, and where to go on."""
         # One more than fits tells whether there is more.
-        names = nsmallest(MOST_A_FRAME + 1, (
-            n for n in self.members if n > message.place and n != member.name))
+        names = nsmallest(
+            MOST_A_FRAME + 1, (n for n in self.members if n > message.place and n != member.name)
+        )
         room = ROOM - size(self.message(Kind.LIST, message.nonce, "x" * 64))
         pieces, place = [], ""
         if not message.place:
@@ -671,8 +706,7 @@
             self.ping_address(now, away[self.knocks % len(away)])
 
     def forget(self, now: float) -> None:
-        for name in [n for n, m in self.members.items()
-                     if not m.lives and now - m.since > self.terms.forget]:
+        for name in [n for n, m in self.members.items() if not m.lives and now - m.since > self.terms.forget]:
             member = self.members.pop(name)
             if self.at.get(member.address) == name:
                 del self.at[member.address]
@@ -688,14 +722,22 @@
 
     # Sends.
 
-    def send(self, now: float, member: Member, kind: Kind, nonce: int, place: str = "",
-             to: Address | None = None) -> None:
+    def send(
+        self, now: float, member: Member, kind: Kind, nonce: int, place: str = "", to: Address | None = None
+    ) -> None:
         """To a member goes first what is held against it, which it alone can refute."""
         first = self.word(member) if member.state in (State.SUSPECTED, State.DEAD, State.LEFT) else None
         self.send_to(now, to or member.address, kind, nonce, place, first)
 
-    def send_to(self, now: float, address: Address, kind: Kind, nonce: int, place: str = "",
-                first: Rumour | None = None) -> None:
+    def send_to(
+        self,
+        now: float,
+        address: Address,
+        kind: Kind,
+        nonce: int,
+        place: str = "",
+        first: Rumour | None = None,
+    ) -> None:
         self.count += 1
         if self.state is State.LEFT:
             first = first or self.own_word()
@@ -704,8 +746,17 @@
         self.sends.append(Send(address, structs.replace(bare, rumours=rumours)))
 
     def message(self, kind: Kind, nonce: int, place: str = "", rumours: tuple = ()) -> Message:
-        return Message(kind, self.me.name, self.me.life, self.incarnation, self.count, nonce, self.shown(),
-                       place, rumours)
+        return Message(
+            kind,
+            self.me.name,
+            self.me.life,
+            self.incarnation,
+            self.count,
+            nonce,
+            self.shown(),
+            place,
+            rumours,
+        )
 
     def times(self) -> int:
         return TIMES * int(1 + log2(len(self.ring) + 2))
--- a/thistlelever/recovery/judge.py
+++ b/thistlelever/recovery/judge.py
@@ -90,8 +90,12 @@
 
     def show(self) -> dict:
         """Which source, how old, how sure."""
-        return {"stage": self.stage.value, "used": len(self.use), "asked": len(self.ask),
-                "answered": sum(self.answered.values()),
-                "by_grade": {g.name.lower(): len(self.of(g)) for g in Grade},
-                "oldest_s": max((round(a.most, 1) for a in self.ages.values() if a.most < 1e9), default=None),
-                "sure": round(max((trust(self.ages[e], self.terms) for e in self.use), default=0.0), 3)}
+        return {
+            "stage": self.stage.value,
+            "used": len(self.use),
+            "asked": len(self.ask),
+            "answered": sum(self.answered.values()),
+            "by_grade": {g.name.lower(): len(self.of(g)) for g in Grade},
+            "oldest_s": max((round(a.most, 1) for a in self.ages.values() if a.most < 1e9), default=None),
+            "sure": round(max((trust(self.ages[e], self.terms) for e in self.use), default=0.0), 3),
+        }
--- a/thistlelever/standins/directory.py
+++ b/thistlelever/standins/directory.py
@@ -58,7 +58,7 @@
         if not step:
             self.told.setdefault(serial, asyncio.get_running_loop().time())
         if step != "lost":
-            self.transport.sendto(answer[:len(answer) // 2] if step == "cut" else answer, address)
+            self.transport.sendto(answer[: len(answer) // 2] if step == "cut" else answer, address)
         self.asked += 1
         self.stir.set()
 
@@ -67,6 +67,7 @@
     """A directory that lists these engines, by name, and the entries that a front among them knows at its
     start."""
     _, directory = await asyncio.get_running_loop().create_datagram_endpoint(
-        lambda: Directory(stir), local_addr=("127.0.0.1", 0))
+        lambda: Directory(stir), local_addr=("127.0.0.1", 0)
+    )
     directory.entries = {name: (engine.port, False) for name, engine in engines.items()}
     return directory, [(name, f"127.0.0.1:{engine.port}") for name, engine in engines.items()]
--- a/thistlelever/standins/flight_client.py
+++ b/thistlelever/standins/flight_client.py
@@ -30,7 +30,8 @@
 async def unary(channel, method: str, request, metadata=(), timeout=None) -> bytes:
     try:
         return await channel.unary_unary(SERVICE + method)(
-            request.SerializeToString(), metadata=tuple(metadata), timeout=timeout)
+            request.SerializeToString(), metadata=tuple(metadata), timeout=timeout
+        )
     except aio.AioRpcError as why:
         raise Refused(why) from None
 
@@ -40,12 +41,19 @@
     return read(pb.FlightInfo, await unary(channel, "GetFlightInfo", asked, metadata, timeout))
 
 
-async def get(channel, ticket: pb.Ticket, metadata=(), timeout=None, seen: list | None = None,
-              pause: asyncio.Event | None = None) -> pa.Table:
+async def get(
+    channel,
+    ticket: pb.Ticket,
+    metadata=(),
+    timeout=None,
+    seen: list | None = None,
+    pause: asyncio.Event | None = None,
+) -> pa.Table:
     """The table that a ticket brings; `seen` gets the messages as they come, `pause` holds up the reading."""
     messages = seen if seen is not None else []
     call = channel.unary_stream(SERVICE + "DoGet")(
-        ticket.SerializeToString(), metadata=tuple(metadata), timeout=timeout)
+        ticket.SerializeToString(), metadata=tuple(metadata), timeout=timeout
+    )
     try:
         async for raw in call:
             messages.append(raw)
@@ -84,8 +92,11 @@
         raise Refused(why) from None
     except asyncio.InvalidStateError:
         code = await call.code()
-        raise Refused(aio.AioRpcError(code, await call.initial_metadata(), await call.trailing_metadata(),
-                                      await call.details())) from None
+        raise Refused(
+            aio.AioRpcError(
+                code, await call.initial_metadata(), await call.trailing_metadata(), await call.details()
+            )
+        ) from None
 
 
 async def update(channel, statement: str, metadata=(), timeout=None) -> int:
@@ -96,7 +107,8 @@
 async def action(channel, kind: str, body: bytes, metadata=(), timeout=None) -> tuple[bytes, dict]:
     """An action's first result and the call's initial metadata."""
     call = channel.unary_stream(SERVICE + "DoAction")(
-        pb.Action(type=kind, body=body).SerializeToString(), metadata=tuple(metadata), timeout=timeout)
+        pb.Action(type=kind, body=body).SerializeToString(), metadata=tuple(metadata), timeout=timeout
+    )
     found = b""
     try:
         async for raw in call:
@@ -104,5 +116,3 @@
         return found, dict(await call.initial_metadata())
     except aio.AioRpcError as why:
         raise Refused(why) from None
-
-
--- a/thistlelever/standins/flight_engine.py
+++ b/thistlelever/standins/flight_engine.py
@@ -13,10 +13,17 @@
 from thistlelever.wire.flight import flight_pb2 as pb
 from thistlelever.wire.flight import flight_sql_pb2 as sql
 
-CODES = {"full": StatusCode.RESOURCE_EXHAUSTED, "unsent": StatusCode.DEADLINE_EXCEEDED,
-         "error": StatusCode.INVALID_ARGUMENT, "lost": StatusCode.UNAVAILABLE}
-UNARY, STREAM, DUPLEX = (grpc.unary_unary_rpc_method_handler, grpc.unary_stream_rpc_method_handler,
-                         grpc.stream_stream_rpc_method_handler)
+CODES = {
+    "full": StatusCode.RESOURCE_EXHAUSTED,
+    "unsent": StatusCode.DEADLINE_EXCEEDED,
+    "error": StatusCode.INVALID_ARGUMENT,
+    "lost": StatusCode.UNAVAILABLE,
+}
+UNARY, STREAM, DUPLEX = (
+    grpc.unary_unary_rpc_method_handler,
+    grpc.unary_stream_rpc_method_handler,
+    grpc.stream_stream_rpc_method_handler,
+)
 
 
 class Engine(grpc.GenericRpcHandler):
@@ -57,8 +64,12 @@
         await self.server.stop(grace)
 
     def service(self, details):
-        handlers = {"GetFlightInfo": (UNARY, self.get_flight_info), "DoGet": (STREAM, self.do_get),
-                    "DoPut": (DUPLEX, self.do_put), "DoAction": (STREAM, self.do_action)}
+        handlers = {
+            "GetFlightInfo": (UNARY, self.get_flight_info),
+            "DoGet": (STREAM, self.do_get),
+            "DoPut": (DUPLEX, self.do_put),
+            "DoAction": (STREAM, self.do_action),
+        }
         kind, serve = handlers.get(details.method.rpartition("/")[2], (None, None))
         if not kind:
             return None
@@ -126,8 +137,12 @@
         if which in self.runs:
             await asyncio.shield(self.runs[which])
         ticket = pb.Ticket(ticket="/".join(which).encode())
-        return pb.FlightInfo(flight_descriptor=descriptor, endpoint=[pb.FlightEndpoint(ticket=ticket)],
-                             total_records=-1, total_bytes=-1).SerializeToString()
+        return pb.FlightInfo(
+            flight_descriptor=descriptor,
+            endpoint=[pb.FlightEndpoint(ticket=ticket)],
+            total_records=-1,
+            total_bytes=-1,
+        ).SerializeToString()
 
     async def run(self, batch, which, statement):
         if self.works:
@@ -205,8 +220,11 @@
                 self.book.ends(*whose, "given up")
             else:
                 await context.abort(StatusCode.NOT_FOUND, "no such batch")
-            await context.write(pb.Result(body=pb.CancelFlightInfoResult(
-                status=pb.CANCEL_STATUS_CANCELLED).SerializeToString()).SerializeToString())
+            await context.write(
+                pb.Result(
+                    body=pb.CancelFlightInfoResult(status=pb.CANCEL_STATUS_CANCELLED).SerializeToString()
+                ).SerializeToString()
+            )
         elif action.type == "thistlelever.stats":
             gauges = dict(self.trailers).get("x-gauges", "")
             await context.write(pb.Result(body=gauges.encode()).SerializeToString())
--- a/thistlelever/store/bounds.py
+++ b/thistlelever/store/bounds.py
@@ -28,5 +28,9 @@
     sockets -= elsewhere
     sessions = int(sockets * CLIENTS_SHARE)
     room = max(memory_mb - AT_REST, LEAST_ROOM) * 1e6
-    return Bounds(sessions, max(sockets - sessions - OWN_DESCRIPTORS, 1), int(room * UNREAD_SHARE),
-                  int(room * UNFINISHED_SHARE))
+    return Bounds(
+        sessions,
+        max(sockets - sessions - OWN_DESCRIPTORS, 1),
+        int(room * UNREAD_SHARE),
+        int(room * UNFINISHED_SHARE),
+    )
--- a/thistlelever/store/roll.py
+++ b/thistlelever/store/roll.py
@@ -35,8 +35,11 @@
                 self.left.pop(engine, None)
             else:
                 self.left.setdefault(engine, now)
-        changed = [known for known, entry in self.entries.items()
-                   if known not in listed or place(entry) != place(listed[known])]
+        changed = [
+            known
+            for known, entry in self.entries.items()
+            if known not in listed or place(entry) != place(listed[known])
+        ]
         self.entries = listed
         return changed
 
--- a/thistlelever/takeover/catchup.py
+++ b/thistlelever/takeover/catchup.py
@@ -57,18 +57,41 @@
         """A piece of what this front keeps for another: records, and an end that counts them and says from
         where to go on, or that it is all."""
         if word.nonce == 0 or source not in self.lists:
-            keys = [key for key, kept in self.holder.kept.items()
-                    if not kept.lazy and source in self.places.of(key)]
+            keys = [
+                key
+                for key, kept in self.holder.kept.items()
+                if not kept.lazy and source in self.places.of(key)
+            ]
             self.lists[source] = now, keys
         _, keys = self.lists[source]
-        piece = [self.holder.kept[key] for key in keys[word.nonce:word.nonce + A_TIME]
-                 if key in self.holder.kept]
-        told = [Word(Verb.KEPT, word.nonce, kept.key, kept.epoch, kept.owner,
-                     self.holder.aged(now, kept, kept.value), round(kept.left(now) * 1e3), kept.heir)
-                for kept in piece if kept.owner]
+        piece = [
+            self.holder.kept[key] for key in keys[word.nonce : word.nonce + A_TIME] if key in self.holder.kept
+        ]
+        told = [
+            Word(
+                Verb.KEPT,
+                word.nonce,
+                kept.key,
+                kept.epoch,
+                kept.owner,
+                self.holder.aged(now, kept, kept.value),
+                round(kept.left(now) * 1e3),
+                kept.heir,
+            )
+            for kept in piece
+            if kept.owner
+        ]
         after = word.nonce + A_TIME
-        end = Word(Verb.END, word.nonce, ALL, 0 if after >= len(keys) else after, self.me, None, len(told),
-                   young=self.holder.young(now))
+        end = Word(
+            Verb.END,
+            word.nonce,
+            ALL,
+            0 if after >= len(keys) else after,
+            self.me,
+            None,
+            len(told),
+            young=self.holder.young(now),
+        )
         return [*told, end]
 
     def heard(self, now: float, source: Address, word: Word) -> None:
--- a/thistlelever/takeover/heirs.py
+++ b/thistlelever/takeover/heirs.py
@@ -7,7 +7,17 @@
 from typing import NamedTuple
 
 from thistlelever.takeover.facts import (
-    Address, AskOn, CallOff, Enough, Group, Note, Say, Standing, Terms, Told)
+    Address,
+    AskOn,
+    CallOff,
+    Enough,
+    Group,
+    Note,
+    Say,
+    Standing,
+    Terms,
+    Told,
+)
 from thistlelever.takeover.holder import Holder, Kept
 from thistlelever.takeover.places import Places
 from thistlelever.wire.peers import address_of
@@ -41,8 +51,9 @@
     """The heir's side of one front. `standing` says what membership holds a front and life for; while `alone`
     nothing that it says is acted on."""
 
-    def __init__(self, terms: Terms, me: Address, holder: Holder, places: Places,
-                 groups: tuple[Group, ...]) -> None:
+    def __init__(
+        self, terms: Terms, me: Address, holder: Holder, places: Places, groups: tuple[Group, ...]
+    ) -> None:
         self.terms, self.me, self.holder, self.places, self.groups = terms, me, holder, places, groups
         self.standing: Callable[[Address, int], Standing] = lambda address, life: Standing.ALIVE
         self.alone: Callable[[], bool] = lambda: False
@@ -128,8 +139,14 @@
         taken = self.taken[kept.key] = Taken(kept, now, kept.forget_at)
         self.orders.append(AskOn(taken.key, taken.engine, taken.txn, kept.value.number))
         owner = "{}:{}".format(*address_of(kept.behind.address))
-        self.note("asked on for", taken.key, taken.txn, engine=taken.engine, owner=owner,
-                  after=round(now - kept.heard_at, 3))
+        self.note(
+            "asked on for",
+            taken.key,
+            taken.txn,
+            engine=taken.engine,
+            owner=owner,
+            after=round(now - kept.heard_at, 3),
+        )
         return taken
 
     def lets_go(self, key: bytes, txn: bytes) -> None:
@@ -140,16 +157,23 @@
     def look_again(self, now: float, taken: Taken) -> None:
         """Whether what is asked on for still is this front's to ask."""
         kept = self.holder.kept.get(taken.key)
-        if kept is None or now >= taken.till or kept.value is None or kept.value.txn != taken.txn or (
-                kept.value.state is not State.OUT):
+        if (
+            kept is None
+            or now >= taken.till
+            or kept.value is None
+            or kept.value.txn != taken.txn
+            or (kept.value.state is not State.OUT)
+        ):
             self.stop(taken)
             return
         mine = kept.heir and address_of(kept.behind.address) == self.me
         if not mine and kept.behind != taken.owner:
             # Whoever comes for it with a client, the old owner among them, asks itself.
             self.stop(taken)
-        elif not taken.claimed and self.standing(
-                address_of(taken.owner.address), taken.owner.life) is Standing.ALIVE:
+        elif (
+            not taken.claimed
+            and self.standing(address_of(taken.owner.address), taken.owner.life) is Standing.ALIVE
+        ):
             self.stop(taken)
 
     def claimed(self, ward, told: Told) -> None:
--- a/thistlelever/takeover/holder.py
+++ b/thistlelever/takeover/holder.py
@@ -17,8 +17,19 @@
 class Kept:
     """One batch as this place knows it."""
 
-    __slots__ = ("key", "epoch", "owner", "whose", "heir", "released", "lease_till", "value", "valued_at",
-                 "heard_at", "forget_at")
+    __slots__ = (
+        "key",
+        "epoch",
+        "owner",
+        "whose",
+        "heir",
+        "released",
+        "lease_till",
+        "value",
+        "valued_at",
+        "heard_at",
+        "forget_at",
+    )
 
     def __init__(self, key: bytes) -> None:
         self.key, self.epoch = key, 0
@@ -168,16 +179,33 @@
         # What was put need not come back.
         claim = word.verb is Verb.CLAIM
         value = self.aged(now, kept, kept.value) if claim else None
-        return Word(Verb.YES, word.nonce, word.key, kept.epoch, word.owner, value,
-                    word.lease_ms if claim else 0, young=self.young(now))
+        return Word(
+            Verb.YES,
+            word.nonce,
+            word.key,
+            kept.epoch,
+            word.owner,
+            value,
+            word.lease_ms if claim else 0,
+            young=self.young(now),
+        )
 
     def no(self, now: float, word: Word, kept: Kept | None) -> Word:
         """Where nothing can be promised at all, the answer names the asker itself, with nothing behind it."""
         if kept is None:
             return Word(Verb.NO, word.nonce, word.key, 0, word.owner)
         owner = kept.owner or word.owner
-        return Word(Verb.NO, word.nonce, word.key, kept.epoch, owner, self.aged(now, kept, kept.value),
-                    round(kept.left(now) * 1e3), kept.heir, self.young(now))
+        return Word(
+            Verb.NO,
+            word.nonce,
+            word.key,
+            kept.epoch,
+            owner,
+            self.aged(now, kept, kept.value),
+            round(kept.left(now) * 1e3),
+            kept.heir,
+            self.young(now),
+        )
 
     def aged(self, now: float, kept: Kept, value: Value | None) -> Value | None:
         """The value with its times as they are now."""
@@ -185,5 +213,14 @@
             return None
         past = max(round((now - kept.valued_at) * 1e3), 0)
         ran = value.ran_ms + past if value.state is not State.HELD else 0
-        return Value(value.epoch, value.step, value.state, value.group, max(value.left_ms - past, 0),
-                     value.engine, value.txn, ran, value.number)
+        return Value(
+            value.epoch,
+            value.step,
+            value.state,
+            value.group,
+            max(value.left_ms - past, 0),
+            value.engine,
+            value.txn,
+            ran,
+            value.number,
+        )
--- a/thistlelever/takeover/judge.py
+++ b/thistlelever/takeover/judge.py
@@ -21,7 +21,18 @@
 
 from thistlelever.takeover.catchup import CatchUp
 from thistlelever.takeover.facts import (
-    Address, AskOn, CallOff, Enough, Group, Note, Say, Send, Terms, Told, may_have_run)
+    Address,
+    AskOn,
+    CallOff,
+    Enough,
+    Group,
+    Note,
+    Say,
+    Send,
+    Terms,
+    Told,
+    may_have_run,
+)
 from thistlelever.takeover.heirs import Heirs
 from thistlelever.takeover.holder import Holder
 from thistlelever.takeover.places import Places
@@ -44,8 +55,16 @@
 class Judge:
     """Owner, place and heir in one front."""
 
-    def __init__(self, terms: Terms, me: Address, life: int, fronts: tuple[Address, ...],
-                 groups: tuple[Group, ...], seed: int, now: float) -> None:
+    def __init__(
+        self,
+        terms: Terms,
+        me: Address,
+        life: int,
+        fronts: tuple[Address, ...],
+        groups: tuple[Group, ...],
+        seed: int,
+        now: float,
+    ) -> None:
         self.terms, self.me, self.life, self.groups, self.seed = terms, me, life, groups, seed
         self.places = Places((*fronts, me), terms.places, me)
         horizon = MOST_LIMITS * max((g.time_limit for g in groups), default=0.0) + terms.keep
@@ -79,8 +98,9 @@
         # Most are over before anybody is told: where they would be told of is looked up only then.
         return self.ward(txn, txn, group, limit_at, (), False)
 
-    def ward(self, key: bytes, txn: bytes, group: int, limit_at: float, places: tuple[Address, ...],
-             marked: bool) -> Ward:
+    def ward(
+        self, key: bytes, txn: bytes, group: int, limit_at: float, places: tuple[Address, ...], marked: bool
+    ) -> Ward:
         owner = Owner(address_bytes(self.me), self.life, txn)
         ward = self.wards[txn] = Ward(key, owner, group, limit_at, places, marked)
         return ward
@@ -133,8 +153,11 @@
     def hand_over(self, now: float) -> list[Ward]:
         """This front ends: what is out and can be come back for is left to whoever is asked next. Nothing
         more may be done for it here."""
-        given = [w for w in self.wards.values()
-                 if w.marked and not w.bare and w.phase is Phase.OWNED and w.state is State.OUT]
+        given = [
+            w
+            for w in self.wards.values()
+            if w.marked and not w.bare and w.phase is Phase.OWNED and w.state is State.OUT
+        ]
         for ward in given:
             self.ask(now, ward, Verb.PUT, False, lease=False)
             ward.phase = Phase.LOST
@@ -143,8 +166,9 @@
 
     # Questions to the places.
 
-    def ask(self, now: float, ward: Ward, verb: Verb, waited: bool, lease: bool = True,
-            regains: bool = False) -> None:
+    def ask(
+        self, now: float, ward: Ward, verb: Verb, waited: bool, lease: bool = True, regains: bool = False
+    ) -> None:
         """Put a question in place of the one that is out: a later value says all that an earlier one did."""
         before = ward.question
         if before:
@@ -190,8 +214,7 @@
         if source not in ward.places or source in q.yes or source in q.no:
             return
         (q.yes if word.verb is Verb.YES else q.no)[source] = word
-        if len(q.yes) >= ward.need and not (
-                q.verb is Verb.CLAIM and self.waits_for_more(ward, q)):
+        if len(q.yes) >= ward.need and not (q.verb is Verb.CLAIM and self.waits_for_more(ward, q)):
             self.granted(now, ward, q)
         elif len(ward.places) - len(q.no) < ward.need or q.verb is Verb.CLAIM and held(ward, word):
             self.refused(now, ward, q)
@@ -199,8 +222,7 @@
     def waits_for_more(self, ward: Ward, q: Question) -> bool:
         """A majority is here that knows of nothing because it has forgotten: one more may tell."""
         best = latest(q.yes.values())
-        return not may_have_run(best) and known(q) < ward.need and (
-            len(q.yes) + len(q.no) < len(ward.places))
+        return not may_have_run(best) and known(q) < ward.need and (len(q.yes) + len(q.no) < len(ward.places))
 
     def granted(self, now: float, ward: Ward, q: Question) -> None:
         self.end(ward)
--- a/thistlelever/takeover/ward.py
+++ b/thistlelever/takeover/ward.py
@@ -44,8 +44,9 @@
     """One submission that is open at this front: what its places know of it, and until when it is surely this
     front's. `marked`: a client can come back for it."""
 
-    def __init__(self, key: bytes, owner: Owner, group: int, limit_at: float, places: tuple[Address, ...],
-                 marked: bool) -> None:
+    def __init__(
+        self, key: bytes, owner: Owner, group: int, limit_at: float, places: tuple[Address, ...], marked: bool
+    ) -> None:
         self.key, self.owner, self.group, self.limit_at = key, owner, group, limit_at
         self.places, self.marked = places, marked
         self.need = len(places) // 2 + 1 if marked else 1
@@ -64,8 +65,9 @@
         self.step += 1
         left = max(round((self.limit_at - now) * 1e3), 0)
         ran = max(round((now - self.ran_at) * 1e3), 0) if self.state is not State.HELD else 0
-        return Value(self.epoch, self.step, self.state, self.group, left, self.engine, self.txn, ran,
-                     self.number)
+        return Value(
+            self.epoch, self.step, self.state, self.group, left, self.engine, self.txn, ran, self.number
+        )
 
     def found(self, now: float, value: Value) -> None:
         """What another front had begun is this one's from now on."""
--- a/thistlelever/wire/binding.py
+++ b/thistlelever/wire/binding.py
@@ -13,7 +13,8 @@
 from math import isfinite
 
 TOKEN = re.compile(
-    rb"--[^\n]*|/\*.*?(?:\*/|\Z)|'(?:[^']|'')*(?:'|\Z)|\"(?:[^\"]|\"\")*(?:\"|\Z)|(?P<place>\?)", re.DOTALL)
+    rb"--[^\n]*|/\*.*?(?:\*/|\Z)|'(?:[^']|'')*(?:'|\Z)|\"(?:[^\"]|\"\")*(?:\"|\Z)|(?P<place>\?)", re.DOTALL
+)
 # The values of an insert, whose places may be filled once for each row of parameters.
 VALUES = re.compile(rb"\bvalues\s*(\([^()]*\))\s*;?\s*\Z", re.IGNORECASE)
 # A bound statement may be as long as one that a client sends whole.
@@ -49,7 +50,7 @@
     if len(rows) * len(values[1]) > LONGEST:
         raise Unbindable(f"{len(rows)} rows make a statement of more than {LONGEST} bytes")
     tuples = b", ".join(filled(values[1], row) for row in rows)
-    return limited(statement[:values.start(1)] + tuples)
+    return limited(statement[: values.start(1)] + tuples)
 
 
 def limited(statement: bytes) -> bytes:
--- a/thistlelever/wire/dns.py
+++ b/thistlelever/wire/dns.py
@@ -109,7 +109,7 @@
         elif size == 0:
             return ".".join(labels), at + 1 if after is None else after
         else:
-            label = message[at + 1:at + 1 + size]
+            label = message[at + 1 : at + 1 + size]
             length += size + 1
             if len(label) < size or length > LONGEST_NAME:
                 raise Unreadable("a name cut short or too long")
@@ -123,6 +123,6 @@
         size = message[at]
         if at + 1 + size > end:
             raise Unreadable("a text past its record")
-        found.append(message[at + 1:at + 1 + size].decode("utf-8"))
+        found.append(message[at + 1 : at + 1 + size].decode("utf-8"))
         at += 1 + size
     return found
--- a/thistlelever/wire/flight/columns.py
+++ b/thistlelever/wire/flight/columns.py
@@ -22,11 +22,20 @@
 LONGEST_TEXT = 48_000
 FROM_TEXT = {
     "read_options": csv.ReadOptions(use_threads=False, column_names=list(NAMES)),
-    "parse_options": csv.ParseOptions(delimiter="\t", quote_char=False, double_quote=False, escape_char=False,
-                                      newlines_in_values=False, ignore_empty_lines=False),
+    "parse_options": csv.ParseOptions(
+        delimiter="\t",
+        quote_char=False,
+        double_quote=False,
+        escape_char=False,
+        newlines_in_values=False,
+        ignore_empty_lines=False,
+    ),
     "convert_options": csv.ConvertOptions(
-        column_types=dict.fromkeys(NAMES, pa.string()), strings_can_be_null=False,
-        quoted_strings_can_be_null=False, null_values=[]),
+        column_types=dict.fromkeys(NAMES, pa.string()),
+        strings_can_be_null=False,
+        quoted_strings_can_be_null=False,
+        null_values=[],
+    ),
 }
 
 
--- a/thistlelever/wire/http.py
+++ b/thistlelever/wire/http.py
@@ -80,16 +80,16 @@
     if end - body_at < length:
         return None
     inflow.start = body_at + length
-    return Reply(status, fields, view[body_at:body_at + length], keeps)
+    return Reply(status, fields, view[body_at : body_at + length], keeps)
 
 
 def head(data: bytearray, view: memoryview, start: int, stop: int) -> tuple[int, dict, bool]:
     """Status, fields by lower-case name, and whether the connection stays open."""
     line_end = data.find(b"\r\n", start, stop)
     line_end = stop if line_end < 0 else line_end
-    if bytes(view[start:start + 7]) != b"HTTP/1." or bytes(view[start + 8:start + 9]) != b" ":
+    if bytes(view[start : start + 7]) != b"HTTP/1." or bytes(view[start + 8 : start + 9]) != b" ":
         raise Unreadable("no HTTP/1.1 status line")
-    status = figure(view[start + 9:start + 12], 10)
+    status = figure(view[start + 9 : start + 12], 10)
     fields: dict[bytes, memoryview] = {}
     at = line_end + 2
     while at < stop:
@@ -108,7 +108,7 @@
             last -= 1
         fields[name] = view[first:last]
         at = line_end + 2
-    keeps = view[start + 7:start + 8] == b"1" and bytes(fields.get(b"connection", b"")).lower() != b"close"
+    keeps = view[start + 7 : start + 8] == b"1" and bytes(fields.get(b"connection", b"")).lower() != b"close"
     return status, fields, keeps
 
 
@@ -129,9 +129,9 @@
             break
         if inflow.end < at + size + 2:
             return None
-        if bytes(view[at + size:at + size + 2]) != b"\r\n":
+        if bytes(view[at + size : at + size + 2]) != b"\r\n":
             raise Unreadable("a chunk that does not end where it says")
-        parts.append(view[at:at + size])
+        parts.append(view[at : at + size])
         at += size + 2
     # Trailers are passed over up to the empty line that ends them.
     while True:
--- a/thistlelever/wire/inflow.py
+++ b/thistlelever/wire/inflow.py
@@ -42,9 +42,9 @@
             size = len(self.data) if self.start else min(2 * len(self.data), self.longest)
             self.purse.spend(size - len(self.data))
             data = bytearray(size)
-            data[:kept] = memoryview(self.data)[self.start:self.end]
+            data[:kept] = memoryview(self.data)[self.start : self.end]
             self.data, self.start, self.end = data, 0, kept
-        return memoryview(self.data)[self.end:]
+        return memoryview(self.data)[self.end :]
 
     def drop(self) -> None:
         """The buffer goes, and what it had grown by is for others."""
@@ -72,6 +72,6 @@
         at = self.data.find(b"\n", self.start, self.end)
         if at < 0:
             return None
-        line = memoryview(self.data)[self.start:at]
+        line = memoryview(self.data)[self.start : at]
         self.start = at + 1
         return line
--- a/thistlelever/wire/peers.py
+++ b/thistlelever/wire/peers.py
@@ -111,7 +111,7 @@
         raise Unfit("of another version")
     if whose != tier:
         raise Unfit("of another tier")
-    body = data[HEAD.size:]
+    body = data[HEAD.size :]
     if check != crc32(body, crc32(HEAD.pack(version, matter, whose, 0))):
         raise Unfit("damaged")
     return matter, body
@@ -140,7 +140,8 @@
         raise Unfit("out of form") from why
     numbers = (message.life, message.incarnation, message.count, message.nonce, message.digest)
     bad = not sound(message.name, *numbers) or any(
-        not sound(r.name, r.incarnation, r.life, r.accuser) or len(r.address) != 6 for r in rumours)
+        not sound(r.name, r.incarnation, r.life, r.accuser) or len(r.address) != 6 for r in rumours
+    )
     if bad:
         raise Unfit("out of form")
     return message, rumours
--- a/thistlelever/wire/work.py
+++ b/thistlelever/wire/work.py
@@ -127,10 +127,25 @@
 def sound(word: Word) -> bool:
     """Risk: a figure without measure is kept for ever, or can never be outbid."""
     owner, value = word.owner, word.value
-    good = (len(word.key) in (8, 16) and len(owner.address) == 6 and len(owner.txn) == 8
-            and 0 <= owner.life < MOST_COUNT and 0 <= word.nonce < MOST_COUNT
-            and 0 <= word.epoch < MOST_COUNT and 0 <= word.lease_ms <= MOST_MS)
-    return good and (value is None or (
-        0 <= value.epoch < MOST_COUNT and 0 <= value.step < MOST_COUNT and 0 <= value.group < 256
-        and 0 <= value.number < 256 and 0 <= value.left_ms <= MOST_MS and 0 <= value.ran_ms <= MOST_MS
-        and len(value.engine) <= LONGEST_NAME and len(value.txn) in (0, 8)))
+    good = (
+        len(word.key) in (8, 16)
+        and len(owner.address) == 6
+        and len(owner.txn) == 8
+        and 0 <= owner.life < MOST_COUNT
+        and 0 <= word.nonce < MOST_COUNT
+        and 0 <= word.epoch < MOST_COUNT
+        and 0 <= word.lease_ms <= MOST_MS
+    )
+    return good and (
+        value is None
+        or (
+            0 <= value.epoch < MOST_COUNT
+            and 0 <= value.step < MOST_COUNT
+            and 0 <= value.group < 256
+            and 0 <= value.number < 256
+            and 0 <= value.left_ms <= MOST_MS
+            and 0 <= value.ran_ms <= MOST_MS
+            and len(value.engine) <= LONGEST_NAME
+            and len(value.txn) in (0, 8)
+        )
+    )
--- a/thistlelever/wirehost/codec.py
+++ b/thistlelever/wirehost/codec.py
@@ -98,7 +98,7 @@
         end = self.at + size
         if end > len(self.data):
             raise Malformed(f"frame cut short: {size} bytes wanted at {self.at} of {len(self.data)}")
-        piece = self.data[self.at:end]
+        piece = self.data[self.at : end]
         self.at = end
         return piece
 
@@ -144,8 +144,15 @@
     def returned(self) -> Record:
         front, batch, number, engine, fate, took, complete, stats, n = self.take(RETURNED)
         return front, it.DispatchEnded(
-            batch, number, engine, it.Fate(fate), took * MICRO, bool(complete), stats // COST_UNIT * 1e-3,
-            float(stats % COST_UNIT * MEMORY_UNIT_MB), self.take(GAUGES[n]),
+            batch,
+            number,
+            engine,
+            it.Fate(fate),
+            took * MICRO,
+            bool(complete),
+            stats // COST_UNIT * 1e-3,
+            float(stats % COST_UNIT * MEMORY_UNIT_MB),
+            self.take(GAUGES[n]),
         )
 
     def gone(self) -> Record:
@@ -166,8 +173,17 @@
 
 
 READERS = {
-    10: Reader.submit, 20: Reader.directory, 30: Reader.accepted, 40: Reader.interim, 50: Reader.note_from,
-    60: Reader.stop, 70: Reader.roster, 80: Reader.gone, 90: Reader.due, 100: Reader.new, 110: Reader.pinged,
+    10: Reader.submit,
+    20: Reader.directory,
+    30: Reader.accepted,
+    40: Reader.interim,
+    50: Reader.note_from,
+    60: Reader.stop,
+    70: Reader.roster,
+    80: Reader.gone,
+    90: Reader.due,
+    100: Reader.new,
+    110: Reader.pinged,
     120: Reader.returned,
 }
 
