--- /dev/null
+++ b/thistlelever/distribution/records.py
@@ -0,0 +1,54 @@
+"""What is distributed: one record for each engine, and the digest of a set of records."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+from typing import NamedTuple
+
+# A digest is a sum of 128-bit hashes, so that one changed record changes it in constant time, whatever the
+# order in which records come (the incremental multiset hash AdHash, Bellare and Micciancio 1997). It finds
+# faults and lost changes; it is no defence against somebody who forges records.
+DIGEST_BITS = 128
+DIGEST_MASK = (1 << DIGEST_BITS) - 1
+EMPTY_DIGEST = 0
+
+
+class EngineRecord(NamedTuple):
+    """One engine. `started` is in Unix seconds, 0.0 for unknown; `address` is IPv4 `HOST:PORT`.
+
+    `in_subset` is True wherever the whole content is held. A front also holds records of engines that are no
+    longer in its subset while queries of its own are still out there: those have it False.
+    """
+
+    id: str
+    zone: str
+    cell: int
+    kind: str
+    address: str
+    draining: bool
+    started: float
+    weight: float
+    in_subset: bool = True
+
+
+def record_digest(record: EngineRecord) -> int:
+    """The 128-bit hash of one record."""
+    words = (
+        record.id,
+        record.zone,
+        str(record.cell),
+        record.kind,
+        record.address,
+        str(int(record.draining)),
+        record.started.hex(),
+        record.weight.hex(),
+        str(int(record.in_subset)),
+    )
+    data = b"".join(len(word.encode()).to_bytes(2, "big") + word.encode() for word in words)
+    return int.from_bytes(blake2b(data, digest_size=DIGEST_BITS // 8).digest(), "big")
+
+
+def digest_of(records: Iterable[EngineRecord]) -> int:
+    """The digest of a set of records."""
+    return sum(map(record_digest, records)) & DIGEST_MASK
