No connection goes to an address that by now is another engine's

Cause: a poll, page or DELETE of what was out at an engine that has left the list was connected to the address that the engine had (Links.take, connect), though the newest list gives that address to another engine. The call then reached a process that never had the query.

--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -76,6 +76,7 @@
         limits = bounds(papers.sockets, papers.memory_mb, flight.descriptors if flight else 0)
         self.links = Links(limits.links, papers.idle, manifest.connect_limit, self.tally)
         self.links.listed = self.roll.listed
+        self.links.reachable = self.roll.reachable
         over_http = HttpEngines(manifest, self.roll, self.links, self.desk, self.tally)
         self.dispatcher = Dispatcher(manifest, self.roll, lambda entry: over_http, self.desk, self.tally, log)
         self.flight: FlightSide | None = None
--- a/thistlelever/store/links.py
+++ b/thistlelever/store/links.py
@@ -120,6 +120,8 @@
         self.count = 0
         # Risk: a link that comes back after its engine has gone is kept for nobody.
         self.listed: Callable[[EngineId], bool] = lambda engine: True
+        # Whether an entry's address still is its engine's; nothing is sent to one that is another's by now.
+        self.reachable: Callable[[Entry], bool] = lambda entry: True
         # Who waits, urgent ones and polls apart: for which engine, and what wakes them.
         self.waiting: tuple[deque[tuple[EngineId, asyncio.Future]], ...] = (deque(), deque())
 
@@ -129,6 +131,9 @@
         anything."""
         engine = entry.engine.id
         while True:
+            if not self.reachable(entry):
+                self.tally.add("links to an address that is another engine's")
+                raise Refused("the engine has left its address")
             link = None if unused else self.rested(engine)
             if link:
                 return link
--- a/thistlelever/store/roll.py
+++ b/thistlelever/store/roll.py
@@ -16,13 +16,22 @@
         self.serial = 0
         self.entries: dict[it.EngineId, Entry] = {}
         self.left: dict[it.EngineId, float] = {}
+        # Which listed engine has an address now.
+        self.owners: dict[tuple[str, int], it.EngineId] = {}
+        # Engines whose process has surely ended: what is still out there is lost.
+        self.ended: set[it.EngineId] = set()
 
     def replace(self, serial: int, entries: list[Entry], now: float) -> list[it.EngineId] | None:
         """Take a whole list, unless it is no newer than the one held; the engines that are not what they
         were, gone or started anew."""
         if serial < self.serial or serial == self.serial and self.entries:
             return None
+        return self.update(serial, entries, now)
+
+    def update(self, serial: int, entries: list[Entry], now: float) -> list[it.EngineId]:
+        """As `replace`, of a list that is known to be the newest, whatever its serial."""
         self.serial = serial
+        self.owners = {entry.address: entry.engine.id for entry in entries}
         listed = {entry.engine.id: entry for entry in entries}
         for known, entry in self.entries.items():
             if known not in listed and (self.out[known] or entry.engine.standing is not it.Standing.GONE):
@@ -41,6 +50,7 @@
             if known not in listed or place(entry) != place(listed[known])
         ]
         self.entries = listed
+        self.ended &= listed.keys()
         return changed
 
     def begin(self, engine: it.EngineId) -> None:
@@ -54,6 +64,13 @@
     def listed(self, engine: it.EngineId) -> bool:
         return engine in self.entries and self.entries[engine].engine.standing is not it.Standing.GONE
 
+    def reachable(self, entry: Entry) -> bool:
+        """Whether a connection to the entry's address still reaches the entry's engine, as far as is known."""
+        return (
+            entry.engine.id not in self.ended
+            and self.owners.get(entry.address, entry.engine.id) == entry.engine.id
+        )
+
     def told(self) -> tuple[it.Engine, ...]:
         """The list as the decisions are told it: what is gone has no place in it."""
         engines = (entry.engine for entry in self.entries.values())
