--- a/thistlelever/store/roll.py
+++ b/thistlelever/store/roll.py
@@ -65,7 +65,7 @@
         return engine in self.entries and self.entries[engine].engine.standing is not it.Standing.GONE
 
     def reachable(self, entry: Entry) -> bool:
-        """Whether a connection to the entry's address still reaches the entry's engine, as far as is known."""
+        """Whether the address of the entry still is its engine's, as far as is known."""
         return (
             entry.engine.id not in self.ended
             and self.owners.get(entry.address, entry.engine.id) == entry.engine.id
