--- /dev/null
+++ b/thistlelever/cli/common.py
@@ -0,0 +1,117 @@
+"""What several commands share: options, loading of files, questions to a running front, and output."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from importlib.util import find_spec
+from typing import TYPE_CHECKING, NoReturn
+
+import click
+import orjson
+
+from thistlelever.ground import papers
+from thistlelever.ground.manifest import Unreadable
+
+if TYPE_CHECKING:
+    from thistlelever.ground.operator import Operator
+
+# Exit codes: what was asked for does not hold or could not be done; the question itself could not be put.
+EXIT_FAILURE = 1
+EXIT_USAGE = 2
+
+operator_option = click.option(
+    "--operator",
+    "operator",
+    type=click.Path(),
+    envvar="BALANCER_OPERATOR",
+    help="Operator file: what is switched on beyond the platform's own front.",
+)
+json_option = click.option("--json", "as_json", is_flag=True, help="For programs.")
+
+
+def exit_with_error(message: object, code: int = EXIT_USAGE) -> NoReturn:
+    """Print one line on standard error and end the process."""
+    click.echo(f"thistlelever: {message}", err=True)
+    sys.exit(code)
+
+
+def load_config() -> papers.Papers:
+    """The configuration that BALANCER_CONFIG names; exit 2 where it can't be read."""
+    try:
+        return papers.load()
+    except Unreadable as error:
+        exit_with_error(error)
+
+
+def load_operator_file(path: str | None, config: papers.Papers | None = None) -> Operator | None:
+    """The operator file, or None where none is named: then nothing of it is imported.
+
+    Where a configuration is given, what a section needs of it is checked too. Exit 2 on a fault.
+    """
+    if not path:
+        return None
+    try:
+        operator = read_operator_file(path)
+        if config:
+            check_against_config(operator, config)
+        return operator
+    except Unreadable as error:
+        exit_with_error(error)
+
+
+def read_operator_file(path: str) -> Operator:
+    """The operator file, checked as far as it can be without starting anything; raises `Unreadable`."""
+    if find_spec("msgspec") is None:
+        raise Unreadable("operator file: wants the extra 'operator' (pip install 'thistlelever[operator]')")
+    from thistlelever.ground import operator as operator_file
+
+    operator = operator_file.load(path)
+    if operator.budgets:
+        from thistlelever.lifecycle.budgets import plan
+
+        plan(operator.budgets)
+    return operator
+
+
+def check_against_config(operator: Operator, config: papers.Papers) -> None:
+    """Raise `Unreadable` where a section that is on needs what the configuration does not say."""
+    if operator.membership:
+        from thistlelever.lifecycle import membership
+
+        membership.sound(operator.membership, config)
+    if operator.takeover:
+        from thistlelever.lifecycle import takeover
+
+        takeover.sound(operator.takeover, config)
+
+
+def ask_front(operator_path: str | None, question: str, **arguments: object) -> dict:
+    """The answer of a running front over its administration socket; exit 2 where it can't be asked."""
+    from thistlelever.lifecycle import admin
+
+    operator = load_operator_file(operator_path)
+    if operator is None or operator.admin is None:
+        exit_with_error("operator file: admin.socket: missing; it says where to ask")
+    socket_path = operator.admin.socket
+    try:
+        reply = asyncio.run(admin.ask(socket_path, question, **arguments))
+    except (OSError, TimeoutError) as error:
+        exit_with_error(f"admin.socket: {socket_path}: {error}")
+    if "fault" in reply:
+        exit_with_error(reply["fault"])
+    return reply["answer"]
+
+
+def print_json(value: dict) -> None:
+    """Print for programs, indented so that people can read it too."""
+    click.echo(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode())
+
+
+def print_table(columns: tuple[str, ...], records: list[dict]) -> None:
+    """Print the named fields of each record in columns, each as wide as its widest field."""
+    rows = [columns, *(tuple(str(record[name]) for name in columns) for record in records)]
+    widths = [max(len(row[column]) for row in rows) for column in range(len(columns))]
+    for row in rows:
+        padded = (text.ljust(width) for text, width in zip(row, widths, strict=True))
+        click.echo("  ".join(padded).rstrip())
--- /dev/null
+++ b/thistlelever/cli/serve.py
@@ -0,0 +1,36 @@
+"""`thistlelever serve`: run one front until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import sys
+
+import click
+
+from thistlelever.cli.common import (
+    EXIT_FAILURE,
+    exit_with_error,
+    load_config,
+    load_operator_file,
+    operator_option,
+    read_operator_file,
+)
+from thistlelever.ground.log import Libraries, Log
+
+
+@click.command()
+@operator_option
+def serve(operator: str | None) -> None:
+    """Serve as one front; BALANCER_CONFIG names the configuration."""
+    from thistlelever.lifecycle.run import serve as run
+
+    config = load_config()
+    switched_on = load_operator_file(operator, config)
+    log = Log(config.name)
+    logging.basicConfig(handlers=[Libraries(log)], level=logging.WARNING)
+    reread = (lambda: read_operator_file(operator)) if operator else None
+    try:
+        sys.exit(asyncio.run(run(config, log, switched_on, reread)))
+    except OSError as error:
+        exit_with_error(error, EXIT_FAILURE)
