--- a/thistlelever/cli/main.py
+++ b/thistlelever/cli/main.py
@@ -27,7 +27,7 @@
         return sorted(COMMANDS)
 
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
-        """The command of that name; None where there is none, with all of them loaded for click to suggest."""
+        """The command of that name; None where there is none, with all loaded for click to suggest one."""
         if cmd_name in COMMANDS:
             return self.load(cmd_name)
         for name in COMMANDS:
