Distribution: replica, history, publisher, claim and views, with their hard cases

One accepted update at a time, applied whole or not at all; deltas cost by their size. A claim asks a majority twice, for the highest version seen and for a promise, so that no two publishers share a term.

--- /dev/null
+++ b/tests/test_distribution_claims.py
@@ -0,0 +1,141 @@
+"""Several distributors that believe they may publish: claims, promises, restored publishers."""
+
+import pytest
+
+from test_distribution import drained, engine, publisher_of, same_content
+from test_distribution_publishing import refused
+from thistlelever.distribution.claim import Claim, catch_up, majority, promise
+from thistlelever.distribution.history import History
+from thistlelever.distribution.messages import Snapshot
+from thistlelever.distribution.publisher import Publisher, SupersededError
+from thistlelever.distribution.records import EMPTY_DIGEST
+from thistlelever.distribution.replica import Outcome, Replica
+from thistlelever.distribution.versions import NO_VERSION, Version
+
+
+def claim_by(index, replicas, asked):
+    """A claim to its end; the publisher, or None if there is no majority."""
+    claim = Claim(index, len(replicas))
+    for other in asked:
+        claim.heard(other, replicas[other].highest())
+    term = claim.term()
+    for other in asked:
+        if term is not None and promise(replicas[other], term):
+            claim.promised(other, replicas[other].version)
+    if claim.source() is None:
+        return None
+    catch_up(replicas[index], replicas[claim.source()].snapshot())
+    return Publisher(replicas[index], History(100), term)
+
+
+def test_a_claim_waits_for_a_majority():
+    assert [majority(count) for count in (1, 2, 3, 4, 24)] == [1, 2, 2, 3, 13]
+    claim = Claim(2, 5)
+    claim.heard(2, Version(64, 3))
+    claim.heard(2, Version(64, 3))
+    claim.heard(4, Version(131, 1))
+    assert claim.term() is None
+    claim.heard(0, NO_VERSION)
+    assert claim.term() == 3 * 64 + 2
+    claim.heard(1, Version(640, 1))
+    assert claim.term() == 3 * 64 + 2
+
+
+def test_claimants_never_share_a_term():
+    terms = set()
+    for round_ in range(5):
+        for index in range(24):
+            claim = Claim(index, 24)
+            for other in range(13):
+                claim.heard(other, Version(round_ * 64 + other, 7))
+            terms.add(claim.term())
+    assert len(terms) == 5 * 24
+
+
+def test_a_claim_of_one_that_may_have_forgotten_does_not_count_its_own_answer():
+    claim = Claim(0, 3, remembers=False)
+    claim.heard(0, NO_VERSION)
+    claim.heard(1, NO_VERSION)
+    assert claim.term() is None
+    claim.heard(2, Version(64, 5))
+    assert claim.term() == 128
+    of_many = Claim(0, 24, remembers=False)
+    for other in range(12):
+        of_many.heard(other, NO_VERSION)
+    assert of_many.term() is None
+    of_many.heard(12, NO_VERSION)
+    assert of_many.term() == 64
+    alone = Claim(0, 1, remembers=False)
+    alone.heard(0, Version(64, 2))
+    assert alone.term() == 128
+
+
+def test_of_two_that_believe_they_may_publish_the_later_prevails():
+    replicas = [Replica() for _ in range(3)]
+    former = claim_by(0, replicas, [0, 1])
+    first = former.replace_all([engine(number) for number in range(5)], None)
+    replicas[1].receive(first)
+    successor = claim_by(2, replicas, [1, 2])
+    lost = drained(former, 1)
+    assert replicas[1].receive(lost) is Outcome.STALE
+    change = successor.publish([engine(2, weight=2.0)], [], None)
+    assert replicas[1].receive(change) is Outcome.APPLIED
+    former.observe(replicas[1].highest())
+    refused(former, lambda: drained(former, 3), SupersededError)
+    refused(former, former.begin, SupersededError)
+    assert former.replica.receive(change) is Outcome.GAP
+    assert former.replica.receive(replicas[1].snapshot()) is Outcome.APPLIED
+    assert same_content(replicas[0], replicas[2]) and same_content(replicas[1], replicas[2])
+
+
+def test_a_change_that_a_majority_holds_survives_the_claim_of_one_that_lacks_it():
+    replicas = [Replica() for _ in range(3)]
+    former = claim_by(0, replicas, [0, 1, 2])
+    first = former.replace_all([engine(number) for number in range(5)], None)
+    replicas[1].receive(first)
+    replicas[2].receive(first)
+    replicas[1].receive(drained(former, 4))
+    successor = claim_by(2, replicas, [1, 2])
+    assert successor.replica.records["engine-4"].draining
+    assert successor.begin().version.term == successor.term
+
+
+def test_a_publisher_whose_distributor_promised_a_higher_term_publishes_no_more():
+    replicas = [Replica() for _ in range(3)]
+    former = claim_by(0, replicas, [0, 1])
+    former.replace_all([engine(1)], None)
+    assert claim_by(2, replicas, [0, 2]) is not None
+    refused(former, lambda: drained(former, 1), SupersededError)
+
+
+def test_a_promise_holds_against_lower_terms_and_may_be_asked_again():
+    replica = Replica()
+    assert promise(replica, 130) and promise(replica, 130)
+    assert not promise(replica, 129)
+    assert replica.receive(Snapshot(Version(129, 1), EMPTY_DIGEST, ())) is Outcome.STALE
+    replica.receive(Snapshot(Version(130, 1), EMPTY_DIGEST, ()))
+    assert not promise(replica, 130)
+
+
+def test_a_publisher_restored_from_a_backup_claims_a_higher_term():
+    replicas = [Replica() for _ in range(3)]
+    publisher = claim_by(0, replicas, [0, 1])
+    backup = publisher.replica.snapshot()
+    publisher.replace_all([engine(number) for number in range(5)], None)
+    replicas[1].receive(publisher.replica.snapshot())
+    replicas[0] = Replica()
+    replicas[0].receive(backup)
+    claim = Claim(0, 3, remembers=False)
+    for other in (1, 2):
+        claim.heard(other, replicas[other].highest())
+    assert claim.term() > publisher.term
+    with pytest.raises(ValueError, match="a term above"):
+        Publisher(replicas[1], History(10), publisher.term)
+
+
+def test_a_version_of_its_own_term_that_it_never_made_supersedes_a_restored_publisher():
+    restored = publisher_of(5)
+    former = publisher_of(5)
+    drained(former, 1)
+    restored.observe(former.replica.version)
+    refused(restored, lambda: drained(restored, 2), SupersededError)
--- /dev/null
+++ b/thistlelever/distribution/claim.py
@@ -0,0 +1,129 @@
+"""How a distributor becomes the publisher.
+
+A claimant asks the distributors twice. First for the highest version that each has held or promised
+(`Claim.heard`): a majority of answers, its own included, gives the term. Then for a promise of that term
+(`promise`, `Claim.promised`): who gives it accepts nothing of an earlier term any more, and says which
+version it holds. The claimant promises first. With a majority of promises it brings its replica to what
+`Claim.source` holds (`catch_up`) and starts a `Publisher` of the term. A distributor stores its promise (the
+replica's floor) before it answers.
+
+Two claims at once: their terms differ, because each index has its own terms. Both may become publishers for
+a while. A distributor that has promised the higher term refuses what comes of the lower one, and shows the
+higher term with the refusal, whereupon the lower publisher steps down (`Publisher.observe`). A change that a
+majority holds under the lower term is found by `source` of the higher one; a change that fewer hold may be
+lost, and is replaced everywhere by what the higher term publishes. Never do two contents share a version.
+
+A claim that a majority has promised but that went no further leaves the distributors with what they hold
+until the next claim: the former publisher learns from the first refusal that it must claim anew.
+
+A publisher that restarts, also one restored from a backup, claims anew at every start and never goes on with
+a stored term: it can't know what it published after the backup was made. Since a majority promised its former
+term before it published anything in it, the new claim hears of that term and gets a higher one.
+
+Restored state has forgotten promises. Until a distributor has heard from enough others since it started
+(`Claim.term` of a claim with `remembers=False` is not None), it answers no claim and its own answer does not
+count in its own; then it raises its floor to `Claim.highest` (`promise`). That covers one that has forgotten
+at a time, or several if enough others remember; if most are restored at once, nobody can know which terms
+there were, and the operator must have them start with a term that was never used.
+"""
+
+from __future__ import annotations
+
+from thistlelever.distribution.messages import Snapshot
+from thistlelever.distribution.replica import Outcome, Replica
+from thistlelever.distribution.versions import NO_VERSION, Version
+
+# A term is a round and the index of the claimant: round * TERMS_PER_ROUND + index.
+TERMS_PER_ROUND = 64
+
+
+def majority(distributors: int) -> int:
+    """How many of the distributors are more than half of them."""
+    return distributors // 2 + 1
+
+
+def promise(replica: Replica, term: int) -> bool:
+    """A distributor's answer to the claim of a term: True if it promises to accept nothing older. It may be
+    asked again, and answers the same as long as nothing newer came."""
+    first = Version(term, 0)
+    if replica.highest() > first:
+        return False
+    replica.floor = first
+    return True
+
+
+def catch_up(replica: Replica, snapshot: Snapshot) -> Outcome:
+    """Gives a claimant the newest content that a majority told of. That is older than the term which the
+    claimant itself has promised, so that the floor doesn't count here."""
+    floor = replica.floor
+    replica.floor = NO_VERSION
+    try:
+        return replica.receive(snapshot)
+    finally:
+        replica.floor = floor
+
+
+class Claim:
+    """One attempt of the distributor `index` among `distributors` to become the publisher. `remembers` is
+    False for one that may have forgotten promises: its own answer doesn't count then."""
+
+    def __init__(self, index: int, distributors: int, *, remembers: bool = True) -> None:
+        if not 1 <= distributors <= TERMS_PER_ROUND:
+            raise ValueError(f"1 to {TERMS_PER_ROUND} distributors expected, found {distributors}")
+        _check_index(index, distributors)
+        self._index = index
+        self._distributors = distributors
+        self._remembers = remembers
+        self._highest: dict[int, Version] = {}
+        self._promised: dict[int, Version] = {}
+        self._term: int | None = None
+
+    def heard(self, index: int, highest: Version) -> None:
+        """The distributor `index`, which may be the claimant, has seen no version above `highest`
+        (`Replica.highest`)."""
+        _check_index(index, self._distributors)
+        self._highest[index] = max(highest, self._highest.get(index, highest))
+        if self._term is None and self._enough_answers():
+            self._term = self._next_term()
+
+    def term(self) -> int | None:
+        """The term that is claimed; None until a majority has answered. Later answers don't change it: if
+        one shows a higher term, the promise will be refused, and a new claim is needed."""
+        return self._term
+
+    def highest(self) -> Version:
+        """The highest version of all answers."""
+        return max(self._highest.values(), default=NO_VERSION)
+
+    def promised(self, index: int, held: Version) -> None:
+        """The distributor `index` has promised the term and holds this version."""
+        _check_index(index, self._distributors)
+        if self._term is None:
+            raise ValueError("a promise before there is a term")
+        self._promised[index] = held
+
+    def source(self) -> int | None:
+        """Whose content the new publisher starts from; None until a majority has promised the term.
+
+        It is the newest content that a promise told of, the claimant's own where several have that."""
+        if len(self._promised) < majority(self._distributors):
+            return None
+        newest = max(self._promised.values())
+        holders = [index for index, held in self._promised.items() if held == newest]
+        return self._index if self._index in holders else min(holders)
+
+    def _enough_answers(self) -> bool:
+        """Whether the answers include one of every majority that may have promised an earlier term."""
+        if self._remembers or self._distributors == 1:
+            return len(self._highest) >= majority(self._distributors)
+        others_in_majority = majority(self._distributors) - 1
+        others_asked = len(self._highest.keys() - {self._index})
+        return others_asked + others_in_majority > self._distributors - 1
+
+    def _next_term(self) -> int:
+        return (self.highest().term // TERMS_PER_ROUND + 1) * TERMS_PER_ROUND + self._index
+
+
+def _check_index(index: int, distributors: int) -> None:
+    if not 0 <= index < distributors:
+        raise ValueError(f"a distributor of 0 to {distributors - 1} expected, found {index}")
--- /dev/null
+++ b/thistlelever/distribution/history.py
@@ -0,0 +1,97 @@
+"""The last changes of the whole content, from which a receiver that is a little behind gets one delta."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from itertools import islice
+
+from thistlelever.distribution.messages import Delta, Removal
+from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.versions import Version
+
+# A history keeps no more upserts and removals than this, however few its changes are.
+MOST_RECORDS_KEPT = 65_536
+
+
+class History:
+    """The last `most_changes` changes, in order, together of at most `most_records` upserts and removals."""
+
+    def __init__(self, most_changes: int, most_records: int = MOST_RECORDS_KEPT) -> None:
+        if most_changes < 1 or most_records < 1:
+            raise ValueError("a history keeps at least one change of one record")
+        self._most_changes = most_changes
+        self._most_records = most_records
+        self._changes: deque[Delta] = deque()
+        self._records_kept = 0
+        # Changes are numbered as they are appended; that of the oldest one kept is `_first_position`.
+        self._first_position = 0
+        # The position of the change that starts at a version, with that version's digest.
+        self._starts: dict[Version, tuple[int, int]] = {}
+        self._newest: tuple[Version, int] | None = None
+
+    def __len__(self) -> int:
+        return len(self._changes)
+
+    @property
+    def records_kept(self) -> int:
+        """How many upserts and removals are kept."""
+        return self._records_kept
+
+    def append(self, delta: Delta) -> None:
+        """Adds the change that was just applied; `ValueError` where it doesn't follow the newest one."""
+        base = (delta.base, delta.base_digest)
+        if self._newest is not None and base != self._newest:
+            raise ValueError(f"a change from {self._newest[0]} expected, found one from {delta.base}")
+        self._starts[delta.base] = (self._first_position + len(self._changes), delta.base_digest)
+        self._changes.append(delta)
+        self._records_kept += _size(delta)
+        self._newest = (delta.version, delta.digest)
+        while len(self._changes) > self._most_changes or self._records_kept > self._most_records:
+            self._drop_oldest()
+
+    def since(self, version: Version, digest: int) -> Delta | None:
+        """One delta from there to the newest version; empty if that is the newest. None where the version is
+        not kept, or was kept with another digest: the receiver needs a snapshot."""
+        if self._newest is None:
+            return None
+        if (version, digest) == self._newest:
+            return Delta(version, digest, version, digest, (), ())
+        position, kept_digest = self._starts.get(version, (None, None))
+        if position is None or kept_digest != digest:
+            return None
+        return _merged(islice(self._changes, position - self._first_position, None), version, digest)
+
+    def clear(self) -> None:
+        """Forgets everything: a snapshot was taken, and what was kept no longer leads to what is held."""
+        self._changes.clear()
+        self._starts.clear()
+        self._records_kept = 0
+        self._first_position = 0
+        self._newest = None
+
+    def _drop_oldest(self) -> None:
+        oldest = self._changes.popleft()
+        del self._starts[oldest.base]
+        self._first_position += 1
+        self._records_kept -= _size(oldest)
+
+
+def _size(delta: Delta) -> int:
+    return len(delta.upserts) + len(delta.removals)
+
+
+def _merged(changes: Iterable[Delta], base: Version, base_digest: int) -> Delta:
+    """One delta for several that follow each other: the last word on each id counts."""
+    upserts: dict[str, EngineRecord] = {}
+    removals: dict[str, Removal] = {}
+    version, digest = base, base_digest
+    for change in changes:
+        for removal in change.removals:
+            upserts.pop(removal.id, None)
+            removals[removal.id] = removal
+        for record in change.upserts:
+            removals.pop(record.id, None)
+            upserts[record.id] = record
+        version, digest = change.version, change.digest
+    return Delta(base, base_digest, version, digest, tuple(upserts.values()), tuple(removals.values()))
--- /dev/null
+++ b/thistlelever/distribution/publisher.py
@@ -0,0 +1,159 @@
+"""Makes the versions of the whole content: one change after the other, each checked before it is in force."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+
+from thistlelever.distribution.history import History
+from thistlelever.distribution.messages import Delta, Removal
+from thistlelever.distribution.records import DIGEST_MASK, EngineRecord, record_digest
+from thistlelever.distribution.replica import Outcome, Replica
+from thistlelever.distribution.validation import (
+    MOST_RECORDS,
+    MOST_RECORDS_PER_CHANGE,
+    PublishRefusedError,
+    validate,
+    validate_removed_ids,
+)
+from thistlelever.distribution.versions import Version
+
+__all__ = ["PublishRefusedError", "Publisher", "SupersededError", "UnexpectedVersionError", "validate"]
+
+
+class SupersededError(PublishRefusedError):
+    """Another publisher has a higher term."""
+
+
+class UnexpectedVersionError(PublishRefusedError):
+    """The change was made for another version than the present one."""
+
+
+class Publisher:
+    """The publisher of one term. It changes `replica` and appends to `history`; nobody else may meanwhile.
+
+    A refusal (`PublishRefusedError`) leaves everything as it was. Once somebody showed a version that this
+    publisher has not made and that is newer than its own (`observe`), `superseded` holds that version and
+    nothing can be published any more: the role needs a new claim (`claim.Claim`) and a new publisher.
+    """
+
+    def __init__(self, replica: Replica, history: History, term: int) -> None:
+        if replica.highest() > Version(term, 0):
+            raise ValueError(f"a term above that of {replica.highest()} expected, found {term}")
+        self.replica = replica
+        self.history = history
+        self.term = term
+        self.superseded: Version | None = None
+        self._published = replica.version
+        self._ids_by_address = {record.address: record.id for record in replica.records.values()}
+
+    def observe(self, version: Version) -> None:
+        """Notes a version that somebody showed. One that is newer than the newest of this publisher comes
+        from another publisher, or from this one before it was restored from a backup."""
+        if version > max(self._published, Version(self.term, 0)):
+            self.superseded = max(version, self.superseded or version)
+
+    def begin(self) -> Delta:
+        """A version of this term without a change, so that receivers accept nothing of earlier terms even
+        before the first change."""
+        self._check_role(None)
+        return self._commit([], [])
+
+    def publish(
+        self, upserts: Sequence[EngineRecord], removed_ids: Sequence[str], expected: Version | None
+    ) -> Delta | None:
+        """Publishes a change in time by its own size. `expected` is the version that the change was made
+        for; None for whichever is present.
+
+        Upserts equal to what is held and removals of unknown ids are left out, so that a change may be sent
+        again; None if nothing is left, and the version stays.
+        """
+        self._check_role(expected)
+        size = len(upserts) + len(removed_ids)
+        if size > MOST_RECORDS_PER_CHANGE:
+            raise PublishRefusedError(
+                f"upserts, removed_ids: at most {MOST_RECORDS_PER_CHANGE} together expected; found {size}"
+            )
+        validate(upserts, "upserts")
+        upserted_ids = {record.id for record in upserts}
+        validate_removed_ids(removed_ids, upserted_ids)
+        self._check_addresses(upserts, upserted_ids.union(removed_ids))
+        changed = [record for record in upserts if self.replica.records.get(record.id) != record]
+        removed = [removed_id for removed_id in removed_ids if removed_id in self.replica.records]
+        return self._commit_if_any(changed, removed)
+
+    def replace_all(self, records: Sequence[EngineRecord], expected: Version | None) -> Delta | None:
+        """Publishes the smallest change that leaves exactly these records; None if nothing differs.
+
+        An empty list is refused: it is far more often a fault of its source than meant. Whoever means it
+        removes by id.
+        """
+        self._check_role(expected)
+        if not records:
+            raise PublishRefusedError("engines: at least one record expected; found none")
+        validate(records)
+        kept_ids = {record.id for record in records}
+        held = self.replica.records
+        changed = [record for record in records if held.get(record.id) != record]
+        removed = [held_id for held_id in held if held_id not in kept_ids]
+        return self._commit_if_any(changed, removed)
+
+    def _check_role(self, expected: Version | None) -> None:
+        self.observe(self.replica.highest())
+        if self.superseded is not None:
+            raise SupersededError(
+                f"term: the newest expected; found {self.term}, older than {self.superseded}"
+            )
+        if expected is not None and expected != self.replica.version:
+            raise UnexpectedVersionError(f"expected: {self.replica.version} expected; found {expected}")
+
+    def _check_addresses(self, upserts: Sequence[EngineRecord], changed_ids: set[str]) -> None:
+        """No upsert may have the address of an engine that keeps its own; addresses may be exchanged."""
+        for position, record in enumerate(upserts):
+            owner = self._ids_by_address.get(record.address)
+            if owner is not None and owner not in changed_ids:
+                raise PublishRefusedError(
+                    f"upserts[{position}].address: an address of no other engine expected; "
+                    f"found {record.address!r}, that of {owner!r}"
+                )
+
+    def _commit_if_any(self, upserts: list[EngineRecord], removed_ids: list[str]) -> Delta | None:
+        if not upserts and not removed_ids:
+            return None
+        added = sum(record.id not in self.replica.records for record in upserts)
+        size = len(self.replica.records) + added - len(removed_ids)
+        if size > MOST_RECORDS:
+            raise PublishRefusedError(f"engines: at most {MOST_RECORDS} records expected; found {size}")
+        return self._commit(upserts, removed_ids)
+
+    def _commit(self, upserts: list[EngineRecord], removed_ids: list[str]) -> Delta:
+        delta = self._delta(upserts, removed_ids)
+        replaced = self._held(delta)
+        outcome = self.replica.receive(delta)
+        if outcome is not Outcome.APPLIED:
+            raise RuntimeError(f"a publisher's own delta {delta.version} was {outcome.value}")
+        self.history.append(delta)
+        self._published = delta.version
+        for record in replaced:
+            del self._ids_by_address[record.address]
+        for record in upserts:
+            self._ids_by_address[record.address] = record.id
+        return delta
+
+    def _delta(self, upserts: list[EngineRecord], removed_ids: list[str]) -> Delta:
+        replica = self.replica
+        removals = tuple(Removal(removed_id, gone=True) for removed_id in removed_ids)
+        version = Version(self.term, replica.version.number + 1)
+        unfinished = Delta(replica.version, replica.digest, version, 0, tuple(upserts), removals)
+        before = _sum_of_digests(self._held(unfinished))
+        after = _sum_of_digests(upserts)
+        return unfinished._replace(digest=(replica.digest - before + after) & DIGEST_MASK)
+
+    def _held(self, delta: Delta) -> list[EngineRecord]:
+        """The records of the present version that this delta replaces or removes."""
+        ids = [record.id for record in delta.upserts] + [removal.id for removal in delta.removals]
+        held = self.replica.records
+        return [held[engine_id] for engine_id in ids if engine_id in held]
+
+
+def _sum_of_digests(records: Iterable[EngineRecord]) -> int:
+    return sum(map(record_digest, records))
--- /dev/null
+++ b/thistlelever/distribution/replica.py
@@ -0,0 +1,129 @@
+"""The content of one version at one receiver, and which updates it accepts."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+from thistlelever.distribution.messages import Delta, Snapshot, Update
+from thistlelever.distribution.records import (
+    DIGEST_MASK,
+    EMPTY_DIGEST,
+    EngineRecord,
+    digest_of,
+    record_digest,
+)
+from thistlelever.distribution.versions import NO_VERSION, Version
+
+
+class Outcome(Enum):
+    """What became of an update. Anything but `APPLIED` left the replica as it was."""
+
+    # The update is in force.
+    APPLIED = "applied"
+    # The replica holds this already, for example because the update came twice.
+    UNCHANGED = "unchanged"
+    # Older than what is held, or than the floor: the sender is behind. Ask another one.
+    STALE = "stale"
+    # A delta against something else than what is held: ask anew, naming what is held.
+    GAP = "gap"
+    # The content would not have the digest that the sender announced: ask for a snapshot.
+    DAMAGED = "damaged"
+    # Two contents under one version. Only the next newer version ends this; tell the operator.
+    CONFLICT = "conflict"
+
+
+class Replica:
+    """The records of one version. An update is applied as a whole or not at all.
+
+    With `strict` the replica holds the whole content, of which there is one for each version: another content
+    under the version that is held is a `CONFLICT`. Without it the replica holds what one front is told. That
+    may differ at one version (the front retains other engines, or the subset is computed on other terms), so
+    that a snapshot of the version held is applied, and a delta too if its base is exactly what is held.
+
+    Nothing older than `floor` is accepted. A front that restarts sets it to the last version that it had; a
+    distributor raises it when it promises a term (`claim.promise`).
+    """
+
+    def __init__(self, *, strict: bool = True, floor: Version = NO_VERSION) -> None:
+        self.strict = strict
+        self.floor = floor
+        self.version = NO_VERSION
+        self.digest = EMPTY_DIGEST
+        self.records: dict[str, EngineRecord] = {}
+
+    def receive(self, update: Update) -> Outcome:
+        """Applies the update if it is newer and fits. A delta costs time by its own size, not by the size of
+        the content."""
+        if update.version < self.highest():
+            return Outcome.STALE
+        if isinstance(update, Snapshot):
+            return self._receive_snapshot(update)
+        return self._receive_delta(update)
+
+    def highest(self) -> Version:
+        """The version below which nothing is accepted."""
+        return max(self.version, self.floor)
+
+    def snapshot(self) -> Snapshot:
+        """All that is held, as an update for others."""
+        return Snapshot(self.version, self.digest, tuple(self.records.values()))
+
+    def _receive_snapshot(self, snapshot: Snapshot) -> Outcome:
+        same_version = snapshot.version == self.version
+        if same_version and snapshot.digest == self.digest:
+            return Outcome.UNCHANGED
+        records = {record.id: record for record in snapshot.records}
+        if len(records) != len(snapshot.records):
+            return Outcome.DAMAGED
+        if digest_of(snapshot.records) != snapshot.digest:
+            return Outcome.DAMAGED
+        if same_version and self.strict:
+            return Outcome.CONFLICT
+        self.records = records
+        self.version = snapshot.version
+        self.digest = snapshot.digest
+        return Outcome.APPLIED
+
+    def _receive_delta(self, delta: Delta) -> Outcome:
+        same_version = delta.version == self.version
+        if same_version and delta.digest == self.digest and not self._may_still_tell(delta):
+            return Outcome.UNCHANGED
+        if same_version and self.strict:
+            return Outcome.CONFLICT
+        if not self._holds_base(delta):
+            return Outcome.GAP
+        if _names_an_id_twice(delta) or self._digest_after(delta) != delta.digest:
+            return Outcome.DAMAGED
+        for removal in delta.removals:
+            self.records.pop(removal.id, None)
+        for record in delta.upserts:
+            self.records[record.id] = record
+        self.version = delta.version
+        self.digest = delta.digest
+        return Outcome.APPLIED
+
+    def _holds_base(self, delta: Delta) -> bool:
+        return delta.base == self.version and delta.base_digest == self.digest
+
+    def _may_still_tell(self, delta: Delta) -> bool:
+        """A delta that ends at what is held may still tell a front that an engine is gone that it no longer
+        holds a record of."""
+        return not self.strict and self._holds_base(delta) and bool(delta.upserts or delta.removals)
+
+    def _digest_after(self, delta: Delta) -> int:
+        digest = self.digest
+        for removal in delta.removals:
+            digest -= self._held_digest(removal.id)
+        for record in delta.upserts:
+            digest += record_digest(record) - self._held_digest(record.id)
+        return digest & DIGEST_MASK
+
+    def _held_digest(self, engine_id: str) -> int:
+        held = self.records.get(engine_id)
+        return EMPTY_DIGEST if held is None else record_digest(held)
+
+
+def _names_an_id_twice(delta: Delta) -> bool:
+    ids = {record.id for record in delta.upserts}
+    ids.update(removal.id for removal in delta.removals)
+    return len(ids) != len(delta.upserts) + len(delta.removals)
