--- /dev/null
+++ b/rigs/capacity_slopes.py
@@ -0,0 +1,325 @@
+"""Slopes of what one process can measure by itself: the engine list by DNS, the decisions that are told of
+it, and membership. Each is a series over at least four sizes with a least-squares fit.
+
+`python -m rigs.capacity` runs these beside the ones that need a front in a process of its own.
+"""
+
+from __future__ import annotations
+
+import socket
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from math import log2, sqrt
+from statistics import fmean, median
+from time import process_time
+
+from rigs.membership_model import measure as play_membership
+from thistlelever.admission.decide import Front
+from thistlelever.carrier.directory import NAME, Inquiry
+from thistlelever.ground import interface as it
+from thistlelever.ground import papers
+from thistlelever.ground.tally import Tally
+from thistlelever.membership.facts import Self, Terms
+from thistlelever.membership.judge import Judge
+from thistlelever.standins.directory import dns_answer
+from thistlelever.standins.papers import SETTINGS, configuration
+from thistlelever.store.roll import Roll
+from thistlelever.wire import dns
+
+# A constant is taken where its residual is this small, or where no other form halves it.
+GOOD_FIT, BETTER = 0.05, 0.5
+ZONES = tuple(f"region-{zone % 9}-{zone // 9}" for zone in range(23))
+# IPv4's longest packet without its own header and UDP's.
+LONGEST_DATAGRAM = 65_507
+MOST_TRIED = 2_000
+MEGABYTE = 1e6
+
+FORMS: dict[str, Callable[[float], float]] = {
+    "constant": lambda size: 0.0,
+    "logarithmic": lambda size: log2(size),
+    "linear": lambda size: size,
+    "n log n": lambda size: size * log2(size),
+}
+
+
+@dataclass(frozen=True)
+class Fit:
+    """`intercept + slope * FORMS[form](size)`; the residual is the root mean square of what the fit misses
+    the values by, as a share of their mean."""
+
+    form: str
+    intercept: float
+    slope: float
+    residual: float
+
+    def at(self, size: float) -> float:
+        return self.intercept + self.slope * FORMS[self.form](size)
+
+
+def fit_form(form: str, sizes: Sequence[float], values: Sequence[float]) -> Fit:
+    """The least-squares fit of one form."""
+    terms = [FORMS[form](size) for size in sizes]
+    mean_term, mean_value = fmean(terms), fmean(values)
+    spread = sum((term - mean_term) ** 2 for term in terms)
+    pairs = zip(terms, values, strict=True)
+    slope = (
+        sum((term - mean_term) * (value - mean_value) for term, value in pairs) / spread if spread else 0.0
+    )
+    intercept = mean_value - slope * mean_term
+    missed = [value - intercept - slope * term for term, value in zip(terms, values, strict=True)]
+    scale = abs(mean_value) or 1.0
+    return Fit(form, intercept, slope, sqrt(fmean(miss * miss for miss in missed)) / scale)
+
+
+def fit(sizes: Sequence[float], values: Sequence[float]) -> Fit:
+    """A constant where that fits, or the form that fits best."""
+    constant, *growing = (fit_form(form, sizes, values) for form in FORMS)
+    best = min(growing, key=lambda found: found.residual)
+    if constant.residual <= GOOD_FIT or best.residual > BETTER * constant.residual:
+        return constant
+    return best
+
+
+@dataclass(frozen=True)
+class Slope:
+    """One figure over sizes. `target` is the size that is coming, in the same unit as `sizes`."""
+
+    name: str
+    unit: str
+    sizes: tuple[float, ...]
+    values: tuple[float, ...]
+    target: float
+
+    @property
+    def fit(self) -> Fit:
+        return fit(self.sizes, self.values)
+
+    @property
+    def extrapolated(self) -> bool:
+        return self.target > max(self.sizes)
+
+
+@dataclass(frozen=True)
+class Sizes:
+    """What is played: quick in CI, full for the page."""
+
+    datagram_engines: tuple[int, ...] = (30, 100, 300, 400)
+    engines: tuple[int, ...] = (30, 100, 200, 400)
+    members: tuple[int, ...] = (10, 20, 40, 80)
+    members_held: tuple[int, ...] = (30, 100, 300, 1_000)
+    membership_seconds: float = 2.0
+    connections: tuple[int, ...] = (200, 400, 600, 800)
+    rates: tuple[int, ...] = (25, 50, 75, 100)
+    front_seconds: float = 0.8
+
+
+FULL = Sizes(
+    engines=(30, 300, 3_000, 22_000),
+    members=(30, 100, 300, 1_000),
+    members_held=(30, 300, 1_000, 3_200),
+    membership_seconds=10.0,
+    connections=(250, 500, 1_000, 2_000),
+    rates=(50, 100, 200, 300),
+    front_seconds=8.0,
+)
+TARGET_FRONTS, TARGET_ENGINES = 3_200, 22_000
+
+
+def listed_engines(count: int) -> dict[str, tuple[int, bool, str]]:
+    """Engines for a stand-in directory, over all zones."""
+    return {f"engine-{place:05d}": (9_000, False, ZONES[place % len(ZONES)]) for place in range(count)}
+
+
+def settings() -> dict:
+    return SETTINGS | {"FailureDomains": list(ZONES)}
+
+
+def decisions() -> Front:
+    return Front(papers.read(configuration(settings=settings()), {}).manifest, 1)
+
+
+def cpu_of(work: Callable[[], object]) -> float:
+    """Seconds of this process's CPU time."""
+    begun = process_time()
+    work()
+    return process_time() - begun
+
+
+def engine_records(count: int, version: int) -> it.ListTold:
+    zones = len(ZONES)
+    engines = tuple(
+        it.Engine(b"engine-%05d" % place, place % zones, 2, 0, it.Standing.READY, 0.0, 4.0)
+        for place in range(count)
+    )
+    return it.ListTold(it.ListKind.WHOLE, version, engines)
+
+
+class AnswerTimer:
+    """In place of the event loop's handle: no answer is late here."""
+
+    def cancel(self) -> None:
+        pass
+
+
+class DecisionDesk:
+    """Tells the decisions at once, as the event loop's desk does within the same turn."""
+
+    def __init__(self) -> None:
+        self.front, self.now = decisions(), 1.0
+
+    def log(self, event: str, **facts: object) -> None:
+        pass
+
+    def tell(self, event: it.ListTold) -> None:
+        self.now += 1.0
+        self.front.handle(self.now, [event])
+
+
+class DirectoryClient:
+    """The front's own directory client with its engine list and decisions, without sockets."""
+
+    def __init__(self) -> None:
+        zones = {"zones": ZONES, "kinds": ("std",), "seed": 1}
+        self.inquiry = Inquiry(Roll(), lambda engine: None, DecisionDesk(), Tally(), **zones)
+
+    def take(self, answer: bytes) -> None:
+        number = int.from_bytes(answer[:2], "big")
+        self.inquiry.awaited[number] = AnswerTimer()
+        self.inquiry.answered(answer)
+
+
+def times_played(size: int) -> int:
+    return 5 if size <= 300 else 3
+
+
+def answer_cpu(count: int) -> tuple[float, float, float, float]:
+    """CPU seconds: to parse one answer; to take the first, an equal one, and one with one engine changed."""
+    entries = listed_engines(count)
+    first, equal = dns_answer(1, 3, entries), dns_answer(2, 3, entries)
+    after = dns_answer(3, 4, entries | {"engine-00000": (9_000, True, ZONES[0])})
+    parsed, taken, compared, changed = [], [], [], []
+    for _ in range(times_played(count)):
+        client = DirectoryClient()
+        parsed.append(cpu_of(lambda: dns.listing(first, 1, NAME)))
+        taken.append(cpu_of(lambda client=client: client.take(first)))
+        compared.append(cpu_of(lambda client=client: client.take(equal)))
+        changed.append(cpu_of(lambda client=client: client.take(after)))
+    return median(parsed), median(taken), median(compared), median(changed)
+
+
+def list_memory(count: int) -> float:
+    """Megabytes that directory client, engine list and decisions hold for one list."""
+    answer = dns_answer(1, 3, listed_engines(count))
+    client = DirectoryClient()
+    tracemalloc.start()
+    client.take(answer)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held / MEGABYTE
+
+
+def decision_memory(count: int) -> float:
+    """Megabytes that the decisions alone hold for one list."""
+    front, told = decisions(), engine_records(count, 1)
+    tracemalloc.start()
+    front.handle(1.0, [told])
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held / MEGABYTE
+
+
+def decision_cpu(count: int) -> tuple[float, float]:
+    """CPU seconds of one call that tells the decisions of a list: the first, and the same again."""
+    firsts, again = [], []
+    for _ in range(times_played(count)):
+        front, told = decisions(), engine_records(count, 1)
+        firsts.append(cpu_of(lambda front=front, told=told: front.handle(1.0, [told])))
+        told = engine_records(count, 2)
+        again.append(cpu_of(lambda front=front, told=told: front.handle(2.0, [told])))
+    return median(firsts), median(again)
+
+
+def engine_slope(name: str, unit: str, sizes: Sequence[int], values: Sequence[float]) -> Slope:
+    return Slope(name, unit, tuple(sizes), tuple(values), TARGET_ENGINES)
+
+
+def directory_slopes(sizes: Sizes) -> list[Slope]:
+    """The engine list by DNS, from the answer's bytes to the decisions."""
+    counts = sizes.engines
+    answers = [float(len(dns_answer(1, 3, listed_engines(count)))) for count in sizes.datagram_engines]
+    cpu = [answer_cpu(count) for count in counts]
+    parsed, taken, compared, changed = ([1e3 * seconds for seconds in row] for row in zip(*cpu, strict=True))
+    return [
+        engine_slope("dns answer", "B", sizes.datagram_engines, answers),
+        engine_slope("dns answer parsed", "ms", counts, parsed),
+        engine_slope("first answer to the decisions", "ms", counts, taken),
+        engine_slope("equal answer", "ms", counts, compared),
+        engine_slope("answer with one engine changed", "ms", counts, changed),
+        engine_slope("list in the front", "MB", counts, [list_memory(count) for count in counts]),
+    ]
+
+
+def decision_slopes(sizes: Sizes) -> list[Slope]:
+    """The decisions alone, told of a list."""
+    counts = sizes.engines
+    firsts, again = zip(*map(decision_cpu, counts), strict=True)
+    return [
+        engine_slope("decisions told first", "ms", counts, [1e3 * seconds for seconds in firsts]),
+        engine_slope("decisions told again", "ms", counts, [1e3 * seconds for seconds in again]),
+        engine_slope("list in the decisions", "MB", counts, [decision_memory(count) for count in counts]),
+    ]
+
+
+def fits_in_a_datagram(raw: socket.socket, count: int) -> bool:
+    """Whether the kernel takes the answer with so many engines as one datagram."""
+    try:
+        raw.sendto(dns_answer(1, 3, listed_engines(count)), raw.getsockname())
+    except OSError:
+        return False
+    return True
+
+
+def most_in_a_datagram() -> int:
+    """The most engines whose answer a datagram holds, tried on a real socket."""
+    fits, too_many = 1, MOST_TRIED
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as raw:
+        raw.bind(("127.0.0.1", 0))
+        while too_many - fits > 1:
+            middle = (fits + too_many) // 2
+            if fits_in_a_datagram(raw, middle):
+                fits = middle
+            else:
+                too_many = middle
+    return fits
+
+
+def member_memory(count: int) -> float:
+    """Megabytes of one member that knows all others."""
+    judge = Judge(Terms(), Self("front-0", ("127.1.0.0", 7_946), 1), (), count, 1, 1.0)
+    tracemalloc.start()
+    for place in range(1, count):
+        address = (f"127.1.{place // 250}.{place % 250}", 7_946)
+        judge.met(1.0, f"front-{place}", address, 1, 1, "front-0", "list")
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held / MEGABYTE
+
+
+def membership_slopes(sizes: Sizes, seed: int) -> list[Slope]:
+    """An ordinary second of membership under the model's virtual clock, without deaths."""
+    found = []
+    for loss in (0.0, 0.05):
+        runs = [
+            play_membership(Judge, count, loss, sizes.membership_seconds, 0, seed) for count in sizes.members
+        ]
+        label = f"membership, {loss:.0%} loss"
+        for name, unit, key in (
+            ("bytes sent", "B/s", "bytes_a_member_s"),
+            ("sends", "1/s", "sends_a_member_s"),
+            ("CPU", "ms/s", "cpu_ms_a_member_s"),
+        ):
+            values = tuple(float(run[key]) for run in runs)
+            found.append(Slope(f"{label}: {name}", unit, sizes.members, values, TARGET_FRONTS))
+    held = tuple(member_memory(count) for count in sizes.members_held)
+    return [*found, Slope("membership: memory", "MB", sizes.members_held, held, TARGET_FRONTS)]
