Subsetting: the engines that each front holds, and how many fronts hold each

Two arcs of fixed width on hash rings, one of the front's zone, one of all; fronts at multiples of an irrational share of the circle. Nothing uses it yet.

--- /dev/null
+++ b/thistlelever/subsetting/reach.py
@@ -0,0 +1,77 @@
+"""How many fronts can hold an engine."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+
+from thistlelever.subsetting.index import EngineIndex
+from thistlelever.subsetting.ring import CIRCLE, FrontPositions
+from thistlelever.subsetting.terms import ANYTHING, Requirement
+from thistlelever.subsetting.widths import ArcWidths
+
+# How many engines a bound looks back over for a second zone, before it counts every front.
+MOST_BACK = 256
+
+
+class Reach:
+    """Upper bounds of how many fronts hold each engine, at one revision of the index, where all fronts ask
+    for the same requirements."""
+
+    def __init__(
+        self,
+        index: EngineIndex,
+        widths: ArcWidths,
+        requirements: tuple[Requirement, ...],
+        fronts: FrontPositions,
+        home_fronts: FrontPositions,
+    ) -> None:
+        self._index, self._widths = index, widths
+        self._fronts, self._home_fronts = fronts, home_fronts
+        self._requirements = [(requirement, index.matching(requirement)) for requirement in requirements]
+        self._choosers: dict[str, int] = {}
+
+    def holders(self, engine_id: str, whole_cells: bool) -> int:
+        """How many fronts hold an engine at most."""
+        count = self._chosen_by(engine_id)
+        if whole_cells:
+            count += self._chosen_by(self._index.previous_of_cell(engine_id))
+        return count
+
+    def _chosen_by(self, engine_id: str) -> int:
+        """How many fronts at most hold an engine otherwise than as another's partner: those on whose arcs it
+        is, and those that could come to it while they look for further engines."""
+        count = self._choosers.get(engine_id)
+        if count is None:
+            position = self._index.positions[engine_id]
+            zone = self._index.records[engine_id].zone
+            count = self._fronts.count(position, self._width(engine_id, position))
+            count += self._home_fronts.count(position, self._widths.home(zone))
+            self._choosers[engine_id] = count
+        return count
+
+    def _width(self, engine_id: str, position: int) -> int:
+        """How far back a front can be that comes to an engine on the ring of all."""
+        least = self._widths.terms.least
+        width = max(self._widths.widest(), self._index.all.distance_back(position, least))
+        record = self._index.records[engine_id]
+        if record.draining:
+            return width
+        ready = self._index.matching(ANYTHING)
+        width = max(width, ready.distance_back(position, self._widths.ready_least))
+        for requirement, ring in self._requirements:
+            if requirement.matches(record):
+                width = max(width, ring.distance_back(position, least))
+        return max(width, self._distance_past_zone(position))
+
+    def _distance_past_zone(self, position: int) -> int:
+        """How far back there are `least` ready engines outside any one zone."""
+        ready, records = self._index.matching(ANYTHING), self._index.records
+        zones: dict[str, int] = {}
+        most, end = 0, bisect_left(ready.positions, position)
+        for back in range(1, min(len(ready), MOST_BACK)):
+            zone = records[ready.ids[end - back]].zone
+            zones[zone] = zones.get(zone, 0) + 1
+            most = max(most, zones[zone])
+            if back - most >= self._widths.terms.least:
+                return (position - ready.positions[end - back]) % CIRCLE
+        return CIRCLE
--- /dev/null
+++ b/thistlelever/subsetting/subsets.py
@@ -0,0 +1,164 @@
+"""Which engines each front holds, where there are too many for each front to hold all."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from heapq import merge
+from math import isqrt
+from zlib import crc32
+
+from thistlelever.subsetting.index import EngineIndex
+from thistlelever.subsetting.reach import Reach
+from thistlelever.subsetting.ring import CIRCLE, FrontPositions
+from thistlelever.subsetting.terms import ANYTHING, Engine, FrontPlace, Requirement, Subset, SubsetTerms
+from thistlelever.subsetting.widths import ArcWidths
+
+# The golden ratio's and the square root of two's fractions of the circle.
+GOLDEN_STEP = (isqrt(5 * CIRCLE * CIRCLE) - CIRCLE) // 2
+SILVER_STEP = isqrt(2 * CIRCLE * CIRCLE) - CIRCLE
+
+
+class EngineRing:
+    """All engines by their place on a ring, and the subset of each front.
+
+    A front holds the engines on two arcs: one of its own zone's ring, one of the ring of all. An arc has a
+    fixed width and not a fixed number of engines: so each engine is held by the same number of fronts, and
+    a front holds about `terms.engines`. The width follows from how many engines there are, draining ones
+    included. Engines are added to that, nearest first, only where the arcs hold too few ready ones, too few
+    for a requirement, or too few outside one zone.
+
+    A subset depends on nothing but the records, the terms and the front's place. `Subset.fronts` supposes
+    that each front has a rank of its own below `terms.fronts` and that all ask for the same requirements.
+    """
+
+    def __init__(self, terms: SubsetTerms) -> None:
+        self.terms = terms
+        self._index = EngineIndex()
+        self._fronts = FrontPositions(GOLDEN_STEP, terms.fronts)
+        self._home_fronts = FrontPositions(SILVER_STEP, terms.zone_fronts or terms.fronts)
+        # What holds for all subsets at one revision, by what is asked for.
+        self._derived_at = -1
+        self._widths: dict[bool, ArcWidths] = {}
+        self._reaches: dict[tuple[tuple[Requirement, ...], bool], Reach] = {}
+
+    def __len__(self) -> int:
+        return len(self._index.records)
+
+    @property
+    def revision(self) -> int:
+        """A number that rises with each change that can alter a subset; changes of an address, a weight or a
+        start time alter none."""
+        return self._index.revision
+
+    def put(self, record: Engine) -> None:
+        """Take in an engine, or what has changed of it."""
+        self._index.put(record)
+
+    def discard(self, engine_id: str) -> None:
+        """Take out an engine; one that is not there is no fault."""
+        self._index.discard(engine_id)
+
+    def subset(self, front: FrontPlace, requirements: tuple[Requirement, ...], whole_cells: bool) -> Subset:
+        """The engines that a front holds. With `whole_cells` each comes with the next one of its cell."""
+        records = self._index.records
+        if len(records) <= self.terms.engines:
+            return Subset(tuple(sorted(records)), self.terms.fronts)
+        widths = self._widths_now(whole_cells)
+        rank = front.rank if front.rank >= 0 else crc32(front.name.encode())
+        start = self._fronts.position(rank)
+        held = self._arcs(front, rank, start, widths)
+        self._add(held, self.terms.least - len(held), self._index.all.onward(start))
+        self._add_matching(held, ANYTHING, widths.ready_least, start)
+        for requirement in requirements:
+            self._add_matching(held, requirement, self.terms.least, start)
+        self._add_outside_zone(held, start)
+        if whole_cells:
+            held.update(dict.fromkeys([self._index.next_of_cell(engine_id) for engine_id in held]))
+        return Subset(tuple(sorted(held)), self._holders(front, held, requirements, whole_cells))
+
+    def _derive(self) -> None:
+        """Forget what was derived from an earlier revision."""
+        if self._derived_at != self._index.revision:
+            self._derived_at = self._index.revision
+            self._widths.clear()
+            self._reaches.clear()
+
+    def _widths_now(self, whole_cells: bool) -> ArcWidths:
+        self._derive()
+        widths = self._widths.get(whole_cells)
+        if widths is None:
+            widths = self._widths[whole_cells] = ArcWidths(self._index, self.terms, whole_cells)
+        return widths
+
+    def _reach_now(self, requirements: tuple[Requirement, ...], whole_cells: bool) -> Reach:
+        widths = self._widths_now(whole_cells)
+        reach = self._reaches.get((requirements, whole_cells))
+        if reach is None:
+            reach = Reach(self._index, widths, requirements, self._fronts, self._home_fronts)
+            self._reaches[requirements, whole_cells] = reach
+        return reach
+
+    def _arcs(self, front: FrontPlace, rank: int, start: int, widths: ArcWidths) -> dict[str, None]:
+        """The engines on both arcs, as the keys of a dict: it keeps their order."""
+        held = dict.fromkeys(self._index.all.arc(start, widths.everywhere(front.zone)))
+        home = self._index.zones.get(front.zone)
+        if home is not None:
+            home_rank = front.zone_rank if front.zone_rank >= 0 else rank
+            home_start = self._home_fronts.position(home_rank)
+            held.update(dict.fromkeys(home.arc(home_start, widths.home(front.zone))))
+        return held
+
+    def _add(self, held: dict[str, None], missing: int, further: Iterable[tuple[int, str]]) -> None:
+        """Add the first `missing` of some engines that are not held yet."""
+        if missing <= 0:
+            return
+        for _, engine_id in further:
+            if engine_id not in held:
+                held[engine_id] = None
+                missing -= 1
+                if missing <= 0:
+                    return
+
+    def _add_matching(self, held: dict[str, None], requirement: Requirement, least: int, start: int) -> None:
+        """Add ready engines until `least` are held that meet the requirement."""
+        missing = least
+        for engine_id in held:
+            record = self._index.records[engine_id]
+            if not record.draining and requirement.matches(record):
+                missing -= 1
+                if missing <= 0:
+                    return
+        self._add(held, missing, self._index.matching(requirement).onward(start))
+
+    def _add_outside_zone(self, held: dict[str, None], start: int) -> None:
+        """Add ready engines until `least` are held outside the zone that most of the ready ones are in."""
+        records = self._index.records
+        zones = Counter(records[engine_id].zone for engine_id in held if not records[engine_id].draining)
+        if not zones:
+            return
+        main = max(zones, key=lambda zone: (zones[zone], zone))
+        missing = self.terms.least - (zones.total() - zones[main])
+        self._add(held, missing, self._ready_outside(main, start))
+
+    def _ready_outside(self, zone: str, start: int) -> Iterator[tuple[int, str]]:
+        """The ready engines outside a zone from `start` on."""
+        rings = [ring.onward(start) for name, ring in self._index.zones.items() if name != zone]
+        for distance, engine_id in merge(*rings):
+            if not self._index.records[engine_id].draining:
+                yield distance, engine_id
+
+    def _holders(
+        self,
+        front: FrontPlace,
+        held: dict[str, None],
+        requirements: tuple[Requirement, ...],
+        whole_cells: bool,
+    ) -> int:
+        """The most fronts that hold any of these engines."""
+        fronts, zone_fronts = self.terms.fronts, self.terms.zone_fronts
+        unknown_at_home = zone_fronts and not 0 <= front.zone_rank < zone_fronts
+        if not 0 <= front.rank < fronts or unknown_at_home:
+            return fronts
+        reach = self._reach_now(requirements, whole_cells)
+        return min(max(reach.holders(engine_id, whole_cells) for engine_id in held), fronts)
