--- /dev/null
+++ b/tests/distributor_stage.py
@@ -0,0 +1,119 @@
+"""Distributors and subscriptions in one process on loopback, for tests."""
+
+import asyncio
+import json
+import socket
+from contextlib import asynccontextmanager, suppress
+
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from thistlelever.carrier.subscription import Subscription, SubscriptionTerms
+from thistlelever.distributor import config as configuration
+from thistlelever.distributor.service import Distributor
+from thistlelever.subsetting import FrontPlace
+
+HEARTBEAT = 0.3
+PATIENCE = 0.3
+WITHIN = 8.0
+
+
+def free_ports(count):
+    """Ports that were free a moment ago."""
+    sockets = [socket.socket() for _ in range(count)]
+    for raw in sockets:
+        raw.bind(("127.0.0.1", 0))
+    ports = [raw.getsockname()[1] for raw in sockets]
+    for raw in sockets:
+        raw.close()
+    return ports
+
+
+def engine(number, **fields):
+    """An engine as it is published; its address follows from its number."""
+    facts = {"id": f"engine-{number:05}", "zone": f"zone-{number % 3}", "kind": "std"}
+    return facts | {"address": f"10.0.{number // 250}.{number % 250 + 1}:7000"} | fields
+
+
+class Tier:
+    """Some distributors by index, of which any may be started and stopped."""
+
+    def __init__(self, count, **sections):
+        self.ports = free_ports(count)
+        self.sections = {"heartbeat_s": HEARTBEAT, "subset": {"fronts": 12, "engines": 6}} | sections
+        self.running, self.tasks, self.events, self.subscriptions = {}, {}, [], []
+
+    @property
+    def addresses(self):
+        return tuple(("127.0.0.1", port) for port in self.ports)
+
+    async def start(self, index, **sections):
+        """Start one distributor; index 0 publishes unless it is said otherwise."""
+        facts = {
+            "name": f"distributor-{index}",
+            "index": index,
+            "listen": f"127.0.0.1:{self.ports[index]}",
+            "distributors": [f"127.0.0.1:{port}" for port in self.ports],
+            "publisher": index == 0,
+        }
+        config = configuration.read(json.dumps(facts | self.sections | sections).encode())
+        distributor = Distributor(config, lambda event, **told: self.events.append((index, event, told)))
+        await distributor.open()
+        self.running[index] = distributor
+        return distributor
+
+    async def stop(self, index):
+        await self.running.pop(index).close()
+
+    async def call(self, index, method, path, body=None):
+        """One call as an operator makes it: status and answer."""
+        data = None if body is None else json.dumps(body)
+        request = HTTPRequest(f"http://127.0.0.1:{self.ports[index]}{path}", method, body=data)
+        reply = await AsyncHTTPClient().fetch(request, raise_error=False)
+        return reply.code, json.loads(reply.body)
+
+    async def publish(self, index=0, **body):
+        """Publish; the version."""
+        status, answer = await self.call(index, "POST", "/v1/publish", body)
+        assert status in (200, 202), answer
+        return answer["version"]
+
+    async def until(self, holds):
+        """Look again and again until it holds; fail where it does not before long."""
+        async with asyncio.timeout(WITHIN):
+            while not holds():
+                await asyncio.sleep(0.01)
+
+    async def until_version(self, version, *subscriptions):
+        await self.until(lambda: all(str(s.replica.version) == version for s in subscriptions))
+
+    def subscribe(self, name="front-0", rank=0, zone="zone-0", distributors=None, listener=None):
+        """A front's subscription, running."""
+        terms = SubscriptionTerms(distributors or self.addresses, HEARTBEAT, PATIENCE, seed=3)
+        place = FrontPlace(name, zone, rank)
+        subscription = Subscription(terms, place, (), False, listener or (lambda listing: None))
+        task = asyncio.get_running_loop().create_task(subscription.run())
+        self.subscriptions.append((subscription, task))
+        return subscription
+
+    async def close(self):
+        for _, task in self.subscriptions:
+            task.cancel()
+            with suppress(asyncio.CancelledError):
+                await task
+        for index in list(self.running):
+            await self.stop(index)
+
+
+@asynccontextmanager
+async def tier(count, engines=0, **sections):
+    """Distributors that run, with so many engines published."""
+    stage = Tier(count, **sections)
+    try:
+        for index in range(count):
+            await stage.start(index)
+        await stage.until(lambda: stage.running[0].role.publisher)
+        if engines:
+            await stage.publish(engines=[engine(number) for number in range(engines)])
+        yield stage
+    finally:
+        await stage.close()
--- /dev/null
+++ b/tests/test_distributor.py
@@ -0,0 +1,313 @@
+"""Distributors and fronts' subscriptions on real sockets: changes, losses, cuts, restarts, two publishers."""
+
+import asyncio
+
+import pytest
+from distributor_stage import HEARTBEAT, Tier, engine, tier
+
+from thistlelever.distribution.versions import parse
+from thistlelever.distributor.admission import SnapshotAdmission
+from thistlelever.distributor.store import ContentStore, StoreError
+
+
+def play(scenario):
+    """Run a scenario that has a minute to end."""
+    asyncio.run(asyncio.wait_for(scenario, 60))
+
+
+def test_a_front_is_told_its_subset_and_a_change_in_it_at_once():
+    async def scenario():
+        async with tier(2, engines=40) as stage:
+            front = stage.subscribe()
+            await stage.until(lambda: front.replica.records)
+            assert 3 <= len(front.replica.records) <= 20
+            inside = min(front.replica.records)
+            number = int(inside.removeprefix("engine-"))
+            version = await stage.publish(upserts=[engine(number, weight=4.0)])
+            await asyncio.sleep(HEARTBEAT / 2)
+            assert str(front.replica.version) == version
+            assert front.replica.records[inside].weight == 4.0
+            assert front.counts["snapshots"] == 0
+
+    play(scenario())
+
+
+def test_a_change_outside_the_subset_moves_the_version_at_the_next_heartbeat():
+    async def scenario():
+        async with tier(1, engines=40) as stage:
+            front = stage.subscribe()
+            await stage.until(lambda: front.replica.records)
+            outside = next(n for n in range(40) if f"engine-{n:05}" not in front.replica.records)
+            records = dict(front.replica.records)
+            version = await stage.publish(upserts=[engine(outside, weight=4.0)])
+            await stage.until_version(version, front)
+            assert front.replica.records == records
+
+    play(scenario())
+
+
+def test_a_front_goes_on_at_another_distributor_by_a_delta():
+    async def scenario():
+        async with tier(3, engines=40) as stage:
+            front = stage.subscribe()
+            await stage.until(lambda: front.replica.records and front.connected_to)
+            first = stage.addresses.index(front.connected_to)
+            if first == 0:
+                await stage.call(1, "POST", "/v1/promote", {})
+            await stage.stop(first)
+            publisher = 1 if first == 0 else 0
+            number = int(min(front.replica.records).removeprefix("engine-"))
+            version = await stage.publish(publisher, upserts=[engine(number, draining=True)])
+            await stage.until_version(version, front)
+            assert front.replica.records[f"engine-{number:05}"].draining
+            assert front.counts["snapshots"] == 0
+
+    play(scenario())
+
+
+def test_a_distributor_that_is_behind_is_left_and_nothing_goes_back():
+    async def scenario():
+        async with tier(3, engines=12) as stage:
+            front = stage.subscribe()
+            version = await stage.publish(upserts=[engine(1, draining=True)])
+            await stage.until_version(version, front)
+            # One that was restored to an older version, and is cut off from the others.
+            behind = Tier(1)
+            await behind.start(0)
+            await behind.until(lambda: behind.running[0].role.publisher)
+            await behind.publish(engines=[engine(number) for number in range(12)])
+            try:
+                replica = behind.running[0].catalog.replica
+                assert replica.version < front.replica.version
+                front.terms = front.terms._replace(distributors=(*behind.addresses, *stage.addresses))
+                front.failover.order = [0, 1, 2, 3]
+                front.failover.position = -1
+                connected = front.connected_to
+                await stage.stop(stage.addresses.index(connected))
+                await stage.until(lambda: front.counts["refused_stale"] > 0)
+                await stage.until(lambda: front.connected_to in stage.addresses)
+                assert front.replica.version >= parse(version)
+            finally:
+                await behind.close()
+
+    play(scenario())
+
+
+def test_a_promoted_publisher_supersedes_the_former_one():
+    async def scenario():
+        async with tier(3, engines=6) as stage:
+            front = stage.subscribe()
+            status, answer = await stage.call(2, "POST", "/v1/promote", {})
+            assert status == 200 and answer["term"] > 64
+            await stage.until(lambda: stage.running[0].role.publisher is None)
+            status, refused = await stage.call(0, "POST", "/v1/publish", {"removals": ["engine-00001"]})
+            assert status == 409 and "role" in refused["error"]
+            version = await stage.publish(2, removals=["engine-00001"])
+            await stage.until_version(version, front)
+            assert "engine-00001" not in front.replica.records
+            versions = {str(d.catalog.version) for d in stage.running.values()}
+            assert versions == {version}
+
+    play(scenario())
+
+
+def test_a_publisher_without_a_majority_is_not_confirmed_and_gives_way_after_the_cut():
+    async def scenario():
+        async with tier(3, engines=6) as stage:
+            await stage.until(lambda: len({d.catalog.version for d in stage.running.values()}) == 1)
+            old = stage.running[0]
+            # Cut off: nobody follows it, it reaches nobody, and it goes on believing that it publishes.
+            old.server.stop()
+            await old.server.close_all_connections()
+            old.follower.distributors = tuple(("127.0.0.1", 9) for _ in range(3))
+            version = old.role.publish([], ["engine-00002"], None)
+            assert not await old.role.confirmed(version)
+            await stage.call(1, "POST", "/v1/promote", {})
+            newer = await stage.publish(1, removals=["engine-00003"])
+            # Healed.
+            old.follower.distributors = stage.addresses
+            await stage.until(lambda: old.role.publisher is None)
+            await stage.until(lambda: old.catalog.version == parse(newer))
+            assert "engine-00002" in old.catalog.replica.records
+            assert old.catalog.replica.digest == stage.running[1].catalog.replica.digest
+
+    play(scenario())
+
+
+def test_no_publisher_without_a_majority():
+    async def scenario():
+        stage = Tier(3)
+        await stage.start(0)
+        try:
+            await stage.until(lambda: any(event == "claim failed" for _, event, _ in stage.events))
+            assert stage.running[0].role.publisher is None
+            status, answer = await stage.call(0, "POST", "/v1/promote", {})
+            assert status == 409 and "1 of 3" in answer["error"]
+        finally:
+            await stage.close()
+
+    play(scenario())
+
+
+def test_a_front_that_slept_past_all_that_is_kept_is_told_a_delta():
+    async def scenario():
+        async with tier(1, engines=12, history=2) as stage:
+            front = stage.subscribe()
+            await stage.until(lambda: front.replica.records)
+            _, task = stage.subscriptions.pop()
+            task.cancel()
+            for number in range(6):
+                version = await stage.publish(upserts=[engine(number, weight=2.0)])
+            stage.subscriptions.append((front, asyncio.get_running_loop().create_task(front.run())))
+            await stage.until_version(version, front)
+            assert front.counts["snapshots"] == 0 and front.counts["deltas"] >= 2
+
+    play(scenario())
+
+
+def test_a_follower_that_is_behind_by_more_than_is_kept_gets_the_whole_list():
+    async def scenario():
+        async with tier(2, engines=12, history=2) as stage:
+            await stage.stop(1)
+            for number in range(6):
+                version = await stage.publish(upserts=[engine(number, weight=2.0)])
+            follower = await stage.start(1)
+            await stage.until(lambda: follower.catalog.version == parse(version))
+            assert follower.catalog.replica.records == stage.running[0].catalog.replica.records
+
+    play(scenario())
+
+
+@pytest.mark.parametrize(
+    "body, word",
+    [
+        ({"upserts": [{"id": "x"}]}, "zone"),
+        ({"upserts": [engine(1, address="nowhere")]}, "address"),
+        ({"upserts": [engine(40, address=engine(1)["address"])]}, "address"),
+        ({"upserts": [engine(1, weight=-1.0)]}, "weight"),
+        ({"engines": []}, "engines"),
+        ({"removals": ["engine-00001"], "expected": "1.1"}, "expected"),
+        ({"unknown": 1}, "unknown"),
+    ],
+)
+def test_a_change_that_can_not_be_is_refused_by_name_and_the_version_stays(body, word):
+    async def scenario():
+        async with tier(1, engines=6) as stage:
+            replica = stage.running[0].catalog.replica
+            before = replica.version, replica.digest
+            status, answer = await stage.call(0, "POST", "/v1/publish", body)
+            assert status in (400, 409) and word in answer["error"], answer
+            assert (replica.version, replica.digest) == before
+
+    play(scenario())
+
+
+def test_a_change_at_every_step_while_the_one_before_still_spreads():
+    async def scenario():
+        async with tier(3, engines=30) as stage:
+            fronts = [stage.subscribe(f"front-{rank}", rank, f"zone-{rank % 3}") for rank in range(12)]
+            await stage.until(lambda: all(front.replica.records for front in fronts))
+            for number in range(30):
+                version = await stage.publish(upserts=[engine(number, started=float(number + 1))])
+            await stage.until_version(version, *fronts)
+            catalog = stage.running[0].catalog.replica.records
+            for front in fronts:
+                assert front.counts["damaged"] == front.counts["gap"] == front.counts["stale"] == 0
+                assert all(record == catalog[name] for name, record in front.replica.records.items())
+
+    play(scenario())
+
+
+def test_a_mass_start_is_admitted_at_a_bounded_rate_and_all_are_served():
+    async def scenario():
+        async with tier(1, engines=60, snapshots_per_s=10.0, subset={"fronts": 40, "engines": 48}) as stage:
+            fronts = [stage.subscribe(f"front-{rank}", rank) for rank in range(30)]
+            await stage.until(lambda: all(front.replica.records for front in fronts))
+            counts = stage.running[0].counts
+            assert counts["snapshots"] == 30 and counts["snapshots refused"] > 0
+            assert sum(front.counts["busy"] for front in fronts) == counts["snapshots refused"]
+
+    play(scenario())
+
+
+def test_who_is_refused_together_is_not_told_to_return_together():
+    admission = SnapshotAdmission(10.0, seed=1, now=0.0)
+    assert [admission.admit(0.0) for _ in range(10)] == [0.0] * 10
+    waits = [admission.admit(0.0) for _ in range(20)]
+    assert all(wait > 0 for wait in waits) and len(set(waits)) == 20
+    assert max(waits) <= 3.0 and min(waits) < 1.2
+    assert admission.admit(1.0) == 0.0
+
+
+def test_a_distributor_starts_by_what_it_kept(tmp_path):
+    async def scenario():
+        path = str(tmp_path / "content.db")
+        async with tier(1, engines=12, store=path) as stage:
+            version = await stage.publish(removals=["engine-00003"])
+            await stage.stop(0)
+            restarted = await stage.start(0, publisher=False)
+            assert restarted.catalog.version == parse(version)
+            assert len(restarted.catalog.replica.records) == 11
+            # A publisher that starts again never goes on with its former term.
+            await stage.call(0, "POST", "/v1/promote", {})
+            assert restarted.catalog.version.term > parse(version).term
+
+    play(scenario())
+
+
+def test_a_damaged_store_is_refused(tmp_path):
+    async def scenario():
+        path = str(tmp_path / "content.db")
+        async with tier(1, engines=12, store=path) as stage:
+            await stage.stop(0)
+            store = ContentStore(path)
+            store.connection.execute("delete from engines where id = 'engine-00004'")
+            store.close()
+            with pytest.raises(StoreError, match="damaged"):
+                await stage.start(0)
+
+    play(scenario())
+
+
+def test_status_names_version_role_and_fronts():
+    async def scenario():
+        async with tier(2, engines=12) as stage:
+            front = stage.subscribe()
+            version = await stage.publish(upserts=[engine(1, weight=3.0)])
+            await stage.until_version(version, front)
+            await asyncio.sleep(2 * HEARTBEAT)
+            index = stage.addresses.index(front.connected_to)
+            _, report = await stage.call(index, "GET", "/v1/status")
+            assert report["version"] == version and report["fronts"]["front-0"]["version"] == version
+            assert report["lagging"] == [] and report["engines"] == 12
+            _, other = await stage.call(1 - index, "GET", "/v1/status")
+            assert other["digest"] == report["digest"]
+            _, catalog = await stage.call(index, "GET", "/v1/catalog")
+            assert catalog["version"] == version and len(catalog["engines"]) == 12
+
+    play(scenario())
+
+
+def test_a_disk_that_fails_is_reported_and_made_up_for_by_the_whole_list(tmp_path):
+    async def scenario():
+        path = str(tmp_path / "content.db")
+        async with tier(1, engines=12, store=path) as stage:
+            writer = stage.running[0].writer
+            await stage.until(lambda: not writer.waiting)
+            write, writer.store.write = writer.store.write, fail
+            await stage.publish(upserts=[engine(1, weight=2.0)])
+            await stage.until(lambda: writer.failing)
+            assert stage.running[0].status()["store"]["failing"]
+            writer.store.write = write
+            version = await stage.publish(upserts=[engine(2, weight=2.0)])
+            await stage.until(lambda: not writer.failing)
+            await stage.stop(0)
+            kept = ContentStore(path).read()
+            assert str(kept.version) == version and len(kept.records) == 12
+
+    play(scenario())
+
+
+def fail(update):
+    """A disk that takes nothing."""
+    raise StoreError("no space left")
--- a/thistlelever/carrier/directory.py
+++ b/thistlelever/carrier/directory.py
@@ -74,6 +74,13 @@
             self.tally.add("directory asked by a new socket")
             self.ask(by_order=False)
 
+    def accept_from(self, serial: int) -> None:
+        """A former life held that serial. The directory may begin anew: its newest answer is believed."""
+
+    def questions(self) -> dict[str, Callable[..., dict]]:
+        """What the administration may be asked."""
+        return {}
+
     def close(self) -> None:
         """Risk: a timer or a late answer of an address that is left would pass for word of the next."""
         for timer in self.awaited.values():
--- /dev/null
+++ b/thistlelever/carrier/distributor_connection.py
@@ -0,0 +1,102 @@
+"""One connection to a distributor: HTTP/1.1 calls with MessagePack bodies, one at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import TypeVar
+
+from tornado.iostream import IOStream, StreamClosedError
+
+from thistlelever.distribution import codec
+from thistlelever.wire import http
+from thistlelever.wire.inflow import Inflow, TooLong
+
+Address = tuple[str, int]
+Answer = TypeVar("Answer", codec.Reply, codec.VersionReply)
+
+# What the buffer starts with, and the longest answer that is read: 22,000 engines take some 1.6 MB.
+BUFFER_BYTES, LONGEST_ANSWER_BYTES = 4_096, 16_777_216
+# What is read from the socket at once, where much comes.
+READ_CHUNK_BYTES = 65_536
+CONTENT_TYPE = "application/msgpack"
+OK, CONFLICT, UNAVAILABLE = 200, 409, 503
+
+
+class DistributorError(Exception):
+    """The distributor gave no answer of use; the next one is to be asked."""
+
+
+class DistributorBusyError(DistributorError):
+    """It asks to come again after so many seconds."""
+
+    def __init__(self, retry_after: float) -> None:
+        super().__init__(f"busy for {retry_after:g} s")
+        self.retry_after = retry_after
+
+
+class DistributorBehindError(DistributorError):
+    """It holds an older version than the one that was shown to it."""
+
+
+class DistributorConnection:
+    """Calls over one connection, which is closed by the first call that fails."""
+
+    def __init__(self, stream: IOStream, address: Address) -> None:
+        self.stream, self.address = stream, address
+        self.inflow = Inflow(BUFFER_BYTES, LONGEST_ANSWER_BYTES)
+        self.bytes_sent, self.bytes_received = 0, 0
+
+    @classmethod
+    async def open(cls, address: Address, within: float) -> DistributorConnection:
+        """A new connection; `DistributorError` where none comes up in `within` seconds."""
+        stream = IOStream(
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM),
+            max_buffer_size=LONGEST_ANSWER_BYTES,
+            read_chunk_size=READ_CHUNK_BYTES,
+        )
+        try:
+            stream.set_nodelay(True)
+            async with asyncio.timeout(within):
+                await stream.connect(address)
+        except (TimeoutError, StreamClosedError, OSError) as error:
+            stream.close()
+            raise DistributorError(f"{address[0]}:{address[1]}: no connection: {error!r}") from None
+        except BaseException:
+            stream.close()
+            raise
+        return cls(stream, address)
+
+    async def call(self, path: str, request: codec.Request, kind: type[Answer], within: float) -> Answer:
+        """POST a request and read its answer, in `within` seconds."""
+        try:
+            async with asyncio.timeout(within):
+                return codec.decode((await self.exchange(path, request)).body, kind)
+        except TimeoutError:
+            raise DistributorError(f"silent for {within:g} s") from None
+        except (StreamClosedError, TooLong, http.Unreadable, codec.ProtocolError) as error:
+            raise DistributorError(f"{type(error).__name__}: {error}") from None
+
+    async def exchange(self, path: str, request: codec.Request) -> http.Reply:
+        """POST a request and read the HTTP reply; `DistributorError` for any status but 200."""
+        fields = {"Content-Type": CONTENT_TYPE}
+        data = http.call("POST", path, self.address, fields, codec.encode(request))
+        await self.stream.write(data)
+        self.bytes_sent += len(data)
+        reply = http.reply(self.inflow)
+        while reply is None:
+            count = await self.stream.read_into(self.inflow.room(), partial=True)
+            self.inflow.filled(count)
+            self.bytes_received += count
+            reply = http.reply(self.inflow)
+        if reply.status == UNAVAILABLE:
+            raise DistributorBusyError(reply.number(b"retry-after") or 0.0)
+        if reply.status == CONFLICT:
+            raise DistributorBehindError("it holds an older version")
+        if reply.status != OK:
+            raise DistributorError(f"status {reply.status}")
+        return reply
+
+    def close(self) -> None:
+        """Close the connection; a call that is under way fails."""
+        self.stream.close()
--- a/thistlelever/carrier/gate.py
+++ b/thistlelever/carrier/gate.py
@@ -118,7 +118,8 @@
                 for entry in self.roll.entries.values()
                 if entry.engine.standing is it.Standing.READY
             )
-            self.found = cores * self.threads_a_core / self.fronts
+            sharing = min(self.fronts, self.roll.sharing or self.fronts)
+            self.found = cores * self.threads_a_core / sharing
         return self.found
 
     def carry(self, actions) -> None:
--- a/thistlelever/cli/main.py
+++ b/thistlelever/cli/main.py
@@ -16,6 +16,8 @@
     "members": "thistlelever.cli.members:members",
     "inhand": "thistlelever.cli.takeover:inhand",
     "state": "thistlelever.cli.state:state",
+    "engines": "thistlelever.cli.engines:engines",
+    "distributor": "thistlelever.cli.distributor:distributor",
 }
 
 
--- /dev/null
+++ b/thistlelever/distributor/catalog.py
@@ -0,0 +1,89 @@
+"""The whole engine list as one distributor holds it: the newest version, the last changes, and the ring from
+which subsets are taken."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from thistlelever.distribution.history import History
+from thistlelever.distribution.messages import Delta, Snapshot, Update
+from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.replica import Outcome, Replica
+from thistlelever.distribution.versions import Version
+from thistlelever.subsetting import EngineRing, SubsetTerms
+
+
+class Change(NamedTuple):
+    """What an update changed: engines whose records differ, and whether engines came, went or began or
+    ceased to drain, so that subsets may differ."""
+
+    engines: frozenset[str]
+    subsets_differ: bool
+
+
+class Catalog:
+    """`on_change` is called after each update that is in force here."""
+
+    def __init__(self, terms: SubsetTerms, history: int) -> None:
+        self.replica = Replica(strict=True)
+        self.history = History(history)
+        self.ring = EngineRing(terms)
+        self.on_change: list[Callable[[Update, Change], None]] = []
+
+    @property
+    def version(self) -> Version:
+        """The version that is in force."""
+        return self.replica.version
+
+    def records(self, engines: tuple[str, ...]) -> list[EngineRecord]:
+        """The records of these engines, of those that there are."""
+        held = self.replica.records
+        return [held[engine] for engine in engines if engine in held]
+
+    def receive(self, update: Update) -> Outcome:
+        """Take an update from another distributor."""
+        before = self.records_before(update)
+        outcome = self.replica.receive(update)
+        if outcome is Outcome.APPLIED:
+            if isinstance(update, Delta):
+                self.history.append(update)
+            else:
+                self.history.clear()
+            self.applied(update, before)
+        return outcome
+
+    def records_before(self, update: Update) -> dict[str, EngineRecord]:
+        """What is held now of the engines that an update names; of a snapshot, all that is held."""
+        held = self.replica.records
+        if isinstance(update, Snapshot):
+            return held
+        named = [record.id for record in update.upserts] + [removal.id for removal in update.removals]
+        return {engine: held[engine] for engine in named if engine in held}
+
+    def applied(self, update: Update, before: dict[str, EngineRecord]) -> None:
+        """Bring the ring up to date with an update that the replica has applied, and tell who listens."""
+        held = self.replica.records
+        named = (*before, *(record.id for record in upserts_of(update)))
+        engines = frozenset(engine for engine in named if before.get(engine) != held.get(engine))
+        subsets_differ = False
+        for engine in sorted(engines):
+            old, new = before.get(engine), held.get(engine)
+            if new is None:
+                self.ring.discard(engine)
+            else:
+                self.ring.put(new)
+            subsets_differ |= old is None or new is None or ring_facts(old) != ring_facts(new)
+        change = Change(engines, subsets_differ)
+        for listener in self.on_change:
+            listener(update, change)
+
+
+def upserts_of(update: Update) -> tuple[EngineRecord, ...]:
+    """The records that an update brings."""
+    return update.records if isinstance(update, Snapshot) else update.upserts
+
+
+def ring_facts(record: EngineRecord) -> tuple[str, int, str, bool]:
+    """What of a record decides which fronts hold it."""
+    return record.zone, record.cell, record.kind, record.draining
--- /dev/null
+++ b/thistlelever/distributor/config.py
@@ -0,0 +1,74 @@
+"""The configuration of a distributor: one JSON file, read and checked here."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+AddressText = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$", description="IPv4 address and port")]
+Seconds = Annotated[float, Meta(gt=0, le=3_600)]
+
+
+class ConfigError(Exception):
+    """The configuration can't be used; the text names the key."""
+
+
+class SubsetSection(Struct, frozen=True, forbid_unknown_fields=True):
+    """How many engines a front holds, what share of them in its own zone, at least how many of each kind
+    that some query class needs, how many fronts the tier has, and how many its largest zone has: 0 where
+    fronts are not told their rank in their zone."""
+
+    fronts: Annotated[int, Meta(ge=1, le=100_000)]
+    engines: Annotated[int, Meta(ge=1, le=4_096)] = 96
+    home_share: Annotated[float, Meta(ge=0, le=1)] = 0.5
+    least: Annotated[int, Meta(ge=0, le=256)] = 4
+    zone_fronts: Annotated[int, Meta(ge=0, le=100_000)] = 0
+
+
+class DistributorConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """One distributor. `distributors` holds the addresses of all, this one at place `index`; `publisher` is
+    whether it claims the publisher's role when it starts; `store` is the file that keeps its content."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=128)]
+    index: Annotated[int, Meta(ge=0, le=63)]
+    listen: AddressText
+    distributors: Annotated[tuple[AddressText, ...], Meta(min_length=1, max_length=64)]
+    subset: SubsetSection
+    publisher: bool = False
+    store: str | None = None
+    heartbeat_s: Seconds = 2.0
+    # Answers that tell a front its whole subset, a second.
+    snapshots_per_s: Annotated[float, Meta(ge=1, le=10_000)] = 50.0
+    # Changes that are kept so that others can catch up by a delta.
+    history: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
+
+
+def load(path: str) -> DistributorConfig:
+    """The configuration in a file; `ConfigError` with the path of the key at fault."""
+    try:
+        with open(path, "rb") as file:
+            return read(file.read())
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror}") from None
+
+
+def read(data: bytes) -> DistributorConfig:
+    """The configuration that the bytes hold."""
+    try:
+        config = msgspec.json.decode(data, type=DistributorConfig)
+    except msgspec.ValidationError as error:
+        what, _, key = str(error).partition(" - at ")
+        raise ConfigError(f"{key.strip('`').removeprefix('$.') or 'the whole'}: {what}") from None
+    except msgspec.DecodeError as error:
+        raise ConfigError(f"no JSON: {error}") from None
+    if config.index >= len(config.distributors):
+        raise ConfigError(f"index: a place among {len(config.distributors)} distributors expected")
+    return config
+
+
+def address(text: str) -> tuple[str, int]:
+    """`HOST:PORT` as a pair."""
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/thistlelever/distributor/follower.py
@@ -0,0 +1,142 @@
+"""Keeps a distributor at the newest version: follows the publisher, or another distributor while the
+publisher can't be reached."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from thistlelever.carrier.distributor_connection import (
+    Address,
+    DistributorBehindError,
+    DistributorConnection,
+    DistributorError,
+)
+from thistlelever.distribution import codec
+from thistlelever.distribution.claim import TERMS_PER_ROUND
+from thistlelever.distribution.failover import Failover
+from thistlelever.distribution.replica import Outcome
+from thistlelever.distribution.versions import NO_VERSION, Version
+from thistlelever.distributor.catalog import Catalog
+from thistlelever.ground import clock
+from thistlelever.ground.log import Log
+
+FOLLOW_PATH = "/v1/follow"
+CONNECT_WITHIN = 0.5
+# How much longer than the heartbeat an answer may take; a whole content of 22,000 engines is 1.6 MB.
+PATIENCE = 1.0
+
+
+class Follower:
+    """One long poll after the other, until cancelled. While the publisher can't be reached, each poll goes to
+    the next of the others."""
+
+    def __init__(
+        self,
+        catalog: Catalog,
+        index: int,
+        distributors: tuple[Address, ...],
+        heartbeat: float,
+        seed: int,
+        counts: Counter[str],
+        log: Log,
+    ) -> None:
+        self.catalog, self.index, self.distributors = catalog, index, distributors
+        self.heartbeat, self.counts, self.log = heartbeat, counts, log
+        self.failover = Failover(len(distributors), f"distributor-{index}", seed)
+        # The highest version that anybody has shown: its term names the publisher.
+        self.highest_seen = NO_VERSION
+        self.heard_at, self.age_when_heard = -float("inf"), float("inf")
+        # Set while this distributor publishes: it then follows nobody.
+        self.publishing = False
+        self.poll: asyncio.Task[None] | None = None
+        self.following: int | None = None
+
+    def age(self) -> float:
+        """Seconds since the content was known to be the newest."""
+        if self.publishing:
+            return 0.0
+        return clock.now() - self.heard_at + self.age_when_heard
+
+    def observe(self, version: Version) -> None:
+        """Somebody has shown a version. Of a higher term, its publisher is followed at once."""
+        if version > self.highest_seen:
+            newer_term = version.term > self.highest_seen.term
+            self.highest_seen = version
+            if newer_term and self.poll:
+                self.poll.cancel()
+
+    def publisher(self) -> int | None:
+        """The place of the publisher as far as it is known here."""
+        highest = max(self.highest_seen, self.catalog.replica.highest())
+        return highest.term % TERMS_PER_ROUND if highest.term else None
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        while True:
+            if self.publishing:
+                await asyncio.sleep(self.heartbeat)
+                continue
+            self.poll = asyncio.get_running_loop().create_task(self.follow_once())
+            try:
+                await self.poll
+            except asyncio.CancelledError:
+                if not self.poll.cancelled() or asyncio.current_task().cancelling():
+                    self.poll.cancel()
+                    raise
+
+    async def follow_once(self) -> None:
+        """Follow the publisher for as long as it answers, else ask another distributor once."""
+        publisher = self.publisher()
+        if publisher is not None and publisher != self.index and publisher < len(self.distributors):
+            try:
+                await self.follow(publisher, once=False)
+            except DistributorError as error:
+                self.note_failure(publisher, error)
+        other = self.failover.current
+        delay = self.failover.failed()
+        if other not in (self.index, publisher):
+            try:
+                await self.follow(other, once=True)
+                delay = min(delay, self.heartbeat / 2)
+            except DistributorError as error:
+                self.note_failure(other, error)
+        await asyncio.sleep(delay)
+
+    def note_failure(self, other: int, error: DistributorError) -> None:
+        self.counts["follow failures"] += 1
+        self.log("follow failed", distributor=other, why=str(error))
+
+    async def follow(self, other: int, once: bool) -> None:
+        """Poll one distributor, until it fails or, `once`, until it has answered."""
+        connection = await DistributorConnection.open(self.distributors[other], CONNECT_WITHIN)
+        self.following = other
+        try:
+            while not self.publishing:
+                wait = 0.0 if once else self.heartbeat
+                reply = await connection.call(
+                    FOLLOW_PATH, self.request(wait), codec.Reply, self.heartbeat + PATIENCE
+                )
+                self.receive(reply)
+                if once:
+                    return
+        finally:
+            self.following = None
+            connection.close()
+
+    def request(self, wait: float) -> codec.FollowRequest:
+        replica = self.catalog.replica
+        digest = codec.digest_bytes(replica.digest)
+        return codec.FollowRequest(self.index, replica.version, digest, replica.floor, wait)
+
+    def receive(self, reply: codec.Reply) -> None:
+        """Take what another tells; `DistributorBehindError` where it is older than what is held."""
+        if reply.update is not None:
+            update = codec.update_from(reply.update)
+            outcome = self.catalog.receive(update)
+            self.counts[f"followed {outcome.value}"] += 1
+            if outcome in (Outcome.STALE, Outcome.CONFLICT, Outcome.DAMAGED):
+                self.log("update refused", version=str(update.version), outcome=outcome.value)
+                raise DistributorBehindError(f"its update was {outcome.value}")
+        self.failover.succeeded()
+        self.heard_at, self.age_when_heard = clock.now(), reply.age
--- /dev/null
+++ b/thistlelever/distributor/handlers.py
@@ -0,0 +1,261 @@
+"""The distributor's HTTP interface: MessagePack for fronts and distributors, JSON for operators."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+from tornado.web import Application, RequestHandler
+
+from thistlelever.distribution import codec
+from thistlelever.distribution.claim import promise
+from thistlelever.distribution.publisher import PublishRefusedError
+from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.versions import Version, parse
+from thistlelever.distributor.claiming import ANNOUNCE_PATH, HIGHEST_PATH, PROMISE_PATH, ClaimFailedError
+from thistlelever.distributor.follower import FOLLOW_PATH
+from thistlelever.distributor.service import Distributor
+from thistlelever.distributor.sessions import BehindError, BusyError
+from thistlelever.distributor.store import StoreError
+
+WATCH_PATH = "/v1/watch"
+BAD_REQUEST, CONFLICT, UNAVAILABLE = 400, 409, 503
+ACCEPTED = 202
+
+
+class EngineBody(Struct, frozen=True, forbid_unknown_fields=True):
+    """An engine as operators and platforms write it."""
+
+    id: str
+    zone: str
+    kind: str
+    address: str
+    cell: int = 0
+    draining: bool = False
+    started: float = 0.0
+    weight: float = 1.0
+
+    def record(self) -> EngineRecord:
+        return EngineRecord(
+            self.id,
+            self.zone,
+            self.cell,
+            self.kind,
+            self.address,
+            self.draining,
+            float(self.started),
+            float(self.weight),
+        )
+
+
+class PublishBody(Struct, frozen=True, forbid_unknown_fields=True):
+    """A change (`upserts`, `removals`), or a whole list (`engines`). `expected` is the version that it was
+    made for."""
+
+    upserts: tuple[EngineBody, ...] = ()
+    removals: tuple[str, ...] = ()
+    engines: tuple[EngineBody, ...] | None = None
+    expected: Annotated[str, Meta(pattern=r"^[0-9]+\.[0-9]+$")] | None = None
+
+
+class Handler(RequestHandler):
+    """What all calls share."""
+
+    def initialize(self, distributor: Distributor) -> None:
+        self.distributor = distributor
+
+    def answer(self, body: codec.Body) -> None:
+        """Answer with MessagePack."""
+        self.set_header("Content-Type", "application/msgpack")
+        data = codec.encode(body)
+        self.distributor.counts["bytes sent"] += len(data)
+        self.finish(data)
+
+    def refuse(self, status: int, why: str, **facts) -> None:
+        """Answer with an error, as JSON."""
+        self.set_status(status)
+        self.finish({"error": why, **facts})
+
+    def body_as(self, kind: type[codec.Kind]) -> codec.Kind | None:
+        """The request's body; None where it is none, and the call is answered."""
+        try:
+            return codec.decode(self.request.body, kind)
+        except codec.ProtocolError as error:
+            self.distributor.counts["requests out of form"] += 1
+            self.refuse(BAD_REQUEST, str(error))
+            return None
+
+    def log_exception(self, kind, error, trace) -> None:
+        """One line in the distributor's own log."""
+        self.distributor.log("request failed", path=self.request.path, why=repr(error))
+
+
+class WatchHandler(Handler):
+    """A front watches its subset."""
+
+    async def post(self) -> None:
+        request = self.body_as(codec.WatchRequest)
+        if request is None:
+            return
+        distributor = self.distributor
+        distributor.role.observe(request.version)
+        try:
+            update, fronts = await distributor.sessions.watch(request)
+        except BusyError as error:
+            self.set_header("Retry-After", f"{error.retry_after:.3f}")
+            self.refuse(UNAVAILABLE, str(error))
+            return
+        except BehindError as error:
+            self.refuse(CONFLICT, str(error))
+            return
+        body = None if update is None else codec.body_of(update)
+        self.answer(codec.Reply(body, distributor.follower.age(), fronts))
+
+
+class FollowHandler(Handler):
+    """Another distributor follows this one."""
+
+    async def post(self) -> None:
+        request = self.body_as(codec.FollowRequest)
+        if request is None:
+            return
+        distributor, replica = self.distributor, self.distributor.catalog.replica
+        distributor.role.observe(max(request.version, request.floor))
+        distributor.role.holds(request.index, request.version)
+        if request.version > replica.version:
+            self.refuse(CONFLICT, f"{replica.version} is held here")
+            return
+        if request.version == replica.version and request.wait > 0:
+            newer = asyncio.ensure_future(distributor.newer.wait())
+            await asyncio.wait((newer,), timeout=min(request.wait, distributor.config.heartbeat_s))
+            newer.cancel()
+        digest = codec.digest_from(request.digest)
+        update = None
+        if (request.version, digest) != (replica.version, replica.digest):
+            update = distributor.catalog.history.since(request.version, digest) or replica.snapshot()
+        body = None if update is None else codec.body_of(update)
+        self.answer(codec.Reply(body, distributor.follower.age()))
+
+
+class VersionHandler(Handler):
+    """What a claimant or a publisher asks and tells."""
+
+    def versions(self, granted: bool = True) -> codec.VersionReply:
+        replica, follower = self.distributor.catalog.replica, self.distributor.follower
+        highest = max(replica.highest(), follower.highest_seen)
+        return codec.VersionReply(replica.version, highest, granted)
+
+
+class AnnounceHandler(VersionHandler):
+    """The publisher tells that it publishes."""
+
+    def post(self) -> None:
+        request = self.body_as(codec.AnnounceRequest)
+        if request is not None:
+            self.distributor.role.observe(request.version)
+            self.answer(self.versions())
+
+
+class HighestHandler(VersionHandler):
+    """The highest version held or promised here."""
+
+    def post(self) -> None:
+        if self.body_as(codec.HighestRequest) is not None:
+            self.answer(self.versions())
+
+
+class PromiseHandler(VersionHandler):
+    """A promise to accept nothing of an earlier term; on disk, where there is one, before it is given."""
+
+    async def post(self) -> None:
+        request = self.body_as(codec.PromiseRequest)
+        if request is None:
+            return
+        distributor = self.distributor
+        granted = promise(distributor.catalog.replica, request.term)
+        if granted:
+            distributor.role.observe(Version(request.term, 0))
+            if distributor.writer:
+                try:
+                    await distributor.writer.keep_floor(Version(request.term, 0))
+                except StoreError as error:
+                    distributor.log("promise not kept on disk", why=str(error))
+                    granted = False
+        self.answer(self.versions(granted))
+
+
+class PublishHandler(Handler):
+    """A change by an operator or a platform."""
+
+    async def post(self) -> None:
+        role = self.distributor.role
+        try:
+            body = msgspec.json.decode(self.request.body, type=PublishBody)
+            expected = parse(body.expected) if body.expected else None
+            if body.engines is None:
+                records = [engine.record() for engine in body.upserts]
+                version = role.publish(records, body.removals, expected)
+            else:
+                version = role.replace_all([engine.record() for engine in body.engines], expected)
+        except msgspec.DecodeError as error:
+            self.refuse(BAD_REQUEST, f"no change: {error}")
+            return
+        except PublishRefusedError as error:
+            present = self.distributor.catalog.version
+            self.distributor.log("publish refused", why=str(error), version=str(present))
+            self.refuse(CONFLICT, str(error), version=str(present))
+            return
+        confirmed = await role.confirmed(version)
+        if not confirmed:
+            self.set_status(ACCEPTED)
+        self.finish({"version": str(version), "confirmed": confirmed})
+
+
+class PromoteHandler(Handler):
+    """An operator makes this distributor the publisher."""
+
+    async def post(self) -> None:
+        try:
+            term = await self.distributor.role.claim()
+        except ClaimFailedError as error:
+            self.refuse(CONFLICT, str(error))
+            return
+        self.finish({"term": term, "version": str(self.distributor.catalog.version)})
+
+
+class StatusHandler(Handler):
+    """Version, role, fronts and counters."""
+
+    def get(self) -> None:
+        self.finish(self.distributor.status())
+
+
+class CatalogHandler(Handler):
+    """The whole list."""
+
+    def get(self) -> None:
+        replica = self.distributor.catalog.replica
+        engines = [record._asdict() for record in replica.records.values()]
+        for engine in engines:
+            del engine["in_subset"]
+        self.set_header("Content-Type", "application/json")
+        self.finish(msgspec.json.encode({"version": str(replica.version), "engines": engines}))
+
+
+def application(distributor: Distributor) -> Application:
+    """All calls that a distributor answers."""
+    handlers = {
+        WATCH_PATH: WatchHandler,
+        FOLLOW_PATH: FollowHandler,
+        ANNOUNCE_PATH: AnnounceHandler,
+        HIGHEST_PATH: HighestHandler,
+        PROMISE_PATH: PromiseHandler,
+        "/v1/publish": PublishHandler,
+        "/v1/promote": PromoteHandler,
+        "/v1/status": StatusHandler,
+        "/v1/catalog": CatalogHandler,
+    }
+    routes = [(path, handler, {"distributor": distributor}) for path, handler in handlers.items()]
+    return Application(routes, log_function=lambda handler: None)
--- /dev/null
+++ b/thistlelever/distributor/publishing.py
@@ -0,0 +1,128 @@
+"""The publisher's role at one distributor: claimed, used, and given up to whoever holds a higher term."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+from thistlelever.distribution import codec
+from thistlelever.distribution.claim import majority
+from thistlelever.distribution.messages import Delta
+from thistlelever.distribution.publisher import Publisher, PublishRefusedError
+from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.versions import NO_VERSION, Version
+from thistlelever.distributor.catalog import Catalog
+from thistlelever.distributor.claiming import ANNOUNCE_PATH, ClaimFailedError, ask_others, claim_term
+from thistlelever.distributor.follower import Follower
+from thistlelever.ground.log import Log
+
+# How long a publish waits for a majority to hold its version.
+CONFIRM_WITHIN = 2.0
+# Between two attempts to claim the role at a start.
+CLAIM_PAUSE = 1.0
+
+
+class PublisherRole:
+    """`publisher` is set while this distributor has the role."""
+
+    def __init__(self, catalog: Catalog, follower: Follower, log: Log) -> None:
+        self.catalog, self.follower, self.log = catalog, follower, log
+        self.publisher: Publisher | None = None
+        # The newest version that each follower has shown to hold, and who waits for them to move.
+        self.held_by: dict[int, Version] = {}
+        self.moved = asyncio.Event()
+        self.claiming = asyncio.Lock()
+
+    async def claim(self) -> int:
+        """Take the role over: the new term. `ClaimFailedError` where that is not possible."""
+        async with self.claiming:
+            if self.publisher:
+                return self.publisher.term
+            term = await claim_term(self.follower)
+            catalog = self.catalog
+            self.publisher = Publisher(catalog.replica, catalog.history, term)
+            self.follower.publishing = True
+            self.held_by.clear()
+            delta = self.publisher.begin()
+            catalog.applied(delta, {})
+            self.log("publishes", term=term, version=str(catalog.version))
+            return term
+
+    async def claim_at_start(self) -> None:
+        """Claim until a majority answers."""
+        while self.publisher is None:
+            try:
+                await self.claim()
+            except ClaimFailedError as error:
+                self.log("claim failed", why=str(error))
+                await asyncio.sleep(CLAIM_PAUSE)
+
+    def observe(self, version: Version) -> None:
+        """Somebody has shown a version: the role is lost to a higher term."""
+        self.follower.observe(version)
+        if self.publisher is None:
+            return
+        self.publisher.observe(version)
+        if self.publisher.superseded is not None:
+            self.log("superseded", term=self.publisher.term, by=str(self.publisher.superseded))
+            self.publisher, self.follower.publishing = None, False
+
+    def holds(self, index: int, version: Version) -> None:
+        """A follower has shown what it holds."""
+        if version > self.held_by.get(index, NO_VERSION):
+            self.held_by[index] = version
+            self.moved.set()
+
+    def publish(
+        self, upserts: Sequence[EngineRecord], removals: Sequence[str], expected: Version | None
+    ) -> Version:
+        """Put a change in force; `PublishRefusedError` leaves the old version."""
+        publisher = self.required()
+        named = [record.id for record in upserts] + list(removals)
+        held = self.catalog.replica.records
+        before = {engine: held[engine] for engine in named if engine in held}
+        return self.committed(publisher.publish(upserts, removals, expected), before)
+
+    def replace_all(self, records: Sequence[EngineRecord], expected: Version | None) -> Version:
+        """Put a whole list in force, as a change against the present one."""
+        publisher = self.required()
+        before = dict(self.catalog.replica.records)
+        return self.committed(publisher.replace_all(records, expected), before)
+
+    def required(self) -> Publisher:
+        if self.publisher is None:
+            publisher = self.follower.publisher()
+            raise PublishRefusedError(f"role: this distributor does not publish; distributor {publisher} may")
+        return self.publisher
+
+    def committed(self, delta: Delta | None, before: dict[str, EngineRecord]) -> Version:
+        if delta is not None:
+            self.catalog.applied(delta, before)
+        return self.catalog.version
+
+    async def confirmed(self, version: Version) -> bool:
+        """Whether a majority of the distributors, this one included, holds a version before long."""
+        wanted = majority(len(self.follower.distributors)) - 1
+        till = asyncio.get_running_loop().time() + CONFIRM_WITHIN
+        while sum(held >= version for held in self.held_by.values()) < wanted:
+            left = till - asyncio.get_running_loop().time()
+            if left <= 0:
+                return False
+            self.moved.clear()
+            try:
+                await asyncio.wait_for(self.moved.wait(), left)
+            except TimeoutError:
+                return False
+        return True
+
+    async def announce(self) -> None:
+        """While this distributor publishes, tell all others so, until cancelled: who follows another one
+        learns of the newer term."""
+        while True:
+            if self.publisher:
+                follower = self.follower
+                request = codec.AnnounceRequest(follower.index, self.catalog.version)
+                answers = await ask_others(follower.distributors, follower.index, ANNOUNCE_PATH, request)
+                for answer in answers.values():
+                    self.observe(answer.highest)
+            await asyncio.sleep(self.follower.heartbeat)
--- /dev/null
+++ b/thistlelever/distributor/service.py
@@ -0,0 +1,165 @@
+"""One distributor, put together from its parts; its life from start to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections import Counter
+from contextlib import suppress
+
+from tornado.httpserver import HTTPServer
+
+from thistlelever.distribution.versions import NO_VERSION
+from thistlelever.distributor.admission import SnapshotAdmission
+from thistlelever.distributor.catalog import Catalog, Change
+from thistlelever.distributor.config import DistributorConfig, address
+from thistlelever.distributor.content_writer import ContentWriter
+from thistlelever.distributor.follower import Follower
+from thistlelever.distributor.publishing import PublisherRole
+from thistlelever.distributor.sessions import Sessions
+from thistlelever.distributor.store import ContentStore
+from thistlelever.ground import clock
+from thistlelever.ground.log import Log
+from thistlelever.subsetting import SubsetTerms
+
+SWEEP_EVERY = 5.0
+BACKLOG = 1_024
+
+
+class Distributor:
+    """All parts of one distributor."""
+
+    def __init__(self, config: DistributorConfig, log: Log) -> None:
+        self.config, self.log = config, log
+        subset = config.subset
+        terms = SubsetTerms(
+            subset.engines, subset.home_share, subset.least, subset.fronts, subset.zone_fronts
+        )
+        self.counts: Counter[str] = Counter()
+        self.catalog = Catalog(terms, config.history)
+        self.writer: ContentWriter | None = None
+        if config.store:
+            self.restore(config.store)
+        peers = tuple(address(text) for text in config.distributors)
+        self.follower = Follower(
+            self.catalog, config.index, peers, config.heartbeat_s, config.index, self.counts, log
+        )
+        self.role = PublisherRole(self.catalog, self.follower, log)
+        admission = SnapshotAdmission(config.snapshots_per_s, config.index, clock.now())
+        self.sessions = Sessions(self.catalog, admission, self.counts)
+        # Followers whose long poll waits for the next version.
+        self.newer = asyncio.Event()
+        self.catalog.on_change.append(self.note)
+        self.stop = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.server: HTTPServer | None = None
+
+    def restore(self, path: str) -> None:
+        """Begin with what is on disk. `StoreError` where it is damaged: to serve it would be worse."""
+        store = ContentStore(path)
+        kept = store.read()
+        if kept is not None:
+            self.catalog.receive(kept)
+        self.catalog.replica.floor = store.read_floor()
+        self.writer = ContentWriter(store, self.catalog.replica, self.log)
+
+    def note(self, update: object, change: Change) -> None:
+        """The catalog has changed: to disk, and to who follows."""
+        if self.writer:
+            self.writer.put(update)
+        # Who waits now is woken; who comes later waits for the next change.
+        self.newer.set()
+        self.newer = asyncio.Event()
+
+    async def open(self) -> None:
+        """Listen and start to work."""
+        from thistlelever.distributor.handlers import application
+
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.stop.set)
+        host, port = address(self.config.listen)
+        self.server = HTTPServer(application(self), no_keep_alive=False)
+        self.server.listen(port, host, backlog=BACKLOG)
+        works = [self.follower.run(), self.sessions.run(), self.role.announce(), self.sweeping()]
+        if self.writer:
+            works.append(self.writer.run())
+        if self.config.publisher:
+            works.append(self.role.claim_at_start())
+        self.tasks = [loop.create_task(self.watched(work)) for work in works]
+        self.log("ready", listen=self.config.listen, version=str(self.catalog.version))
+
+    async def watched(self, work) -> None:
+        """A part that fails takes the process with it: one that half works is not told apart from a whole
+        one."""
+        try:
+            await work
+        except Exception as error:
+            self.log("failed", why=repr(error))
+            self.stop.set()
+            raise
+
+    async def sweeping(self) -> None:
+        """Forget fronts that have gone."""
+        while True:
+            await asyncio.sleep(SWEEP_EVERY)
+            self.sessions.sweep()
+
+    async def run(self) -> int:
+        """Serve until SIGTERM; the exit code."""
+        await self.open()
+        await self.stop.wait()
+        return await self.close()
+
+    async def close(self) -> int:
+        """Stop; 1 where a part has failed."""
+        self.server.stop()
+        failed = any(task.done() and not task.cancelled() and task.exception() for task in self.tasks)
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        with suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await self.server.close_all_connections()
+        if self.writer:
+            await self.writer.close()
+        self.log("stopped", version=str(self.catalog.version))
+        return int(failed)
+
+    def status(self) -> dict:
+        """What operators ask first."""
+        follower, role = self.follower, self.role
+        replica, now = self.catalog.replica, clock.now()
+        fronts = {
+            name: {
+                "version": str(session.version),
+                "seen_s": round(now - session.seen_at, 3),
+                "engines": len(session.subset.ids),
+            }
+            for name, session in self.sessions.by_front.items()
+        }
+        return {
+            "name": self.config.name,
+            "index": self.config.index,
+            "role": "publisher" if role.publisher else "follower",
+            "version": str(replica.version),
+            "digest": f"{replica.digest:032x}",
+            "floor": str(replica.floor),
+            "engines": len(replica.records),
+            "age_s": round(follower.age(), 3) if replica.version > NO_VERSION else None,
+            "publisher": follower.publisher(),
+            "following": follower.following,
+            "fronts": fronts,
+            "lagging": sorted(name for name, session in fronts.items() if session["seen_s"] > self.lag()),
+            "store": {"path": self.config.store, "failing": self.writer.failing} if self.writer else None,
+            "counts": dict(sorted(self.counts.items())),
+        }
+
+    def lag(self) -> float:
+        """A front that has not asked for two heartbeats lags."""
+        return 2 * self.config.heartbeat_s
+
+
+async def serve(config: DistributorConfig, log: Log) -> int:
+    """Run one distributor until SIGTERM; the exit code."""
+    return await Distributor(config, log).run()
--- /dev/null
+++ b/thistlelever/distributor/sessions.py
@@ -0,0 +1,197 @@
+"""What each connected front was told, and the answers to its watches."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from thistlelever.distribution import codec
+from thistlelever.distribution.messages import Delta, Update
+from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.versions import NO_VERSION, Version
+from thistlelever.distribution.reconnect import difference_from_digests
+from thistlelever.distribution.views import ToldViews, difference, snapshot
+from thistlelever.distributor.admission import SnapshotAdmission
+from thistlelever.distributor.catalog import Catalog, Change
+from thistlelever.ground import clock
+from thistlelever.subsetting import FrontPlace, Requirement, Subset
+
+# An answer with more records than this counts as a whole subset: it has to be admitted.
+MOST_RECORDS_UNADMITTED = 16
+# The longest that a watch is held back, whatever its front asks for.
+LONGEST_WAIT = 30.0
+# A front that has not asked for so long is forgotten.
+FORGET_AFTER = 60.0
+# So many fronts are looked at in one turn of the loop when the list has changed, and changes that come closer
+# together than this are told together.
+FRONTS_A_TURN, COALESCE_S = 16, 0.02
+# How long one that holds nothing yet asks fronts to stay away.
+EMPTY_RETRY_S = 0.5
+
+
+class BusyError(Exception):
+    """The front is to come again after so many seconds."""
+
+    def __init__(self, retry_after: float) -> None:
+        super().__init__(f"come again in {retry_after:.3f} s")
+        self.retry_after = retry_after
+
+
+class BehindError(Exception):
+    """The asker holds a newer version than this distributor."""
+
+    def __init__(self, version: Version) -> None:
+        super().__init__(f"{version} is held here")
+
+
+class Session:
+    """One front: who it is, what it may hold, and what it was told."""
+
+    def __init__(self, request: codec.WatchRequest) -> None:
+        self.place = FrontPlace(request.front, request.zone, request.rank, request.zone_rank)
+        self.whole_cells = request.whole_cells
+        self.requirements = tuple(
+            Requirement(
+                *(None if names is None else frozenset(names) for names in (field.zones, field.kinds))
+            )
+            for field in request.requirements
+        )
+        self.views = ToldViews()
+        self.retained: tuple[str, ...] = ()
+        self.version, self.seen_at = NO_VERSION, clock.now()
+        self.subset, self.revision = Subset((), 0), -1
+        # Done when something that concerns a watch that is held back has changed.
+        self.stir: asyncio.Future[None] | None = None
+
+    def concerns(self, change: Change) -> bool:
+        """Whether a change touches an engine that the front holds."""
+        return not change.engines.isdisjoint(self.subset.ids) or not change.engines.isdisjoint(self.retained)
+
+    def wake(self) -> None:
+        """Let a watch that is held back look again."""
+        if self.stir and not self.stir.done():
+            self.stir.set_result(None)
+
+
+class Sessions:
+    """All fronts that this distributor serves."""
+
+    def __init__(self, catalog: Catalog, admission: SnapshotAdmission, counts: Counter[str]) -> None:
+        self.catalog, self.admission, self.counts = catalog, admission, counts
+        self.by_front: dict[str, Session] = {}
+        self.changes: list[Change] = []
+        self.changed = asyncio.Event()
+        catalog.on_change.append(self.note)
+
+    def note(self, update: Update, change: Change) -> None:
+        """The catalog has changed."""
+        self.changes.append(change)
+        self.changed.set()
+
+    async def watch(self, request: codec.WatchRequest) -> tuple[Update | None, int]:
+        """The answer to a watch, as soon as something that concerns the front differs from what it holds, or
+        when its time is up; and how many fronts may send to any one of its engines."""
+        if request.version > self.catalog.version:
+            raise BehindError(self.catalog.version)
+        if not self.catalog.replica.records:
+            raise BusyError(EMPTY_RETRY_S)
+        session = self.session(request)
+        till = clock.now() + min(request.wait, LONGEST_WAIT)
+        while True:
+            update = self.update(session, request)
+            left = till - clock.now()
+            if is_news(update) or left <= 0:
+                return self.told(session, update, request), session.subset.fronts
+            session.stir = asyncio.get_running_loop().create_future()
+            await asyncio.wait((session.stir,), timeout=left)
+
+    def session(self, request: codec.WatchRequest) -> Session:
+        """The front's session; a new one where it tells what it holds."""
+        session = self.by_front.get(request.front)
+        if session is None or request.held is not None:
+            if session:
+                session.wake()
+            session = self.by_front[request.front] = Session(request)
+        session.retained, session.version = request.retained, request.version
+        session.seen_at = clock.now()
+        return session
+
+    def update(self, session: Session, request: codec.WatchRequest) -> Update:
+        """What the front is to be told now."""
+        catalog, version = self.catalog, self.catalog.version
+        wanted = self.wanted(session)
+        exists = catalog.replica.records.__contains__
+        held = session.views.acknowledged(*held_by(request))
+        if held is not None:
+            return difference(held, version, wanted, exists, session.retained)
+        if request.held is None:
+            return snapshot(version, wanted)
+        digests = {record.id: record.digest for record in request.held}
+        return difference_from_digests(held_by(request), digests, version, wanted, exists, session.retained)
+
+    def wanted(self, session: Session) -> list[EngineRecord]:
+        """The records that the front is to hold: its subset, and what it retains."""
+        ring = self.catalog.ring
+        if session.revision != ring.revision:
+            session.subset = ring.subset(session.place, session.requirements, session.whole_cells)
+            session.revision = ring.revision
+        inside = frozenset(session.subset.ids)
+        outside = tuple(engine for engine in session.retained if engine not in inside)
+        records = self.catalog.records(session.subset.ids)
+        return records + [record._replace(in_subset=False) for record in self.catalog.records(outside)]
+
+    def told(self, session: Session, update: Update, request: codec.WatchRequest) -> Update | None:
+        """Remember what goes out; `BusyError` for a whole subset that is not admitted."""
+        whole = not isinstance(update, Delta) or len(update.upserts) > MOST_RECORDS_UNADMITTED
+        if whole and (retry_after := self.admission.admit(clock.now())):
+            self.counts["snapshots refused"] += 1
+            raise BusyError(retry_after)
+        if not is_news(update) and update.version == request.version:
+            self.counts["heartbeats"] += 1
+            return None
+        self.counts["snapshots" if whole else "deltas"] += 1
+        if whole or session.views.acknowledged(*held_by(request)) is None:
+            session.views = ToldViews()
+            session.views.told(snapshot(update.version, self.wanted(session)))
+        else:
+            session.views.told(update)
+        return update
+
+    async def run(self) -> None:
+        """Wake the watches that a change concerns, a few fronts a turn."""
+        while True:
+            await self.changed.wait()
+            await asyncio.sleep(COALESCE_S)
+            changes, self.changes = self.changes, []
+            self.changed.clear()
+            await self.wake(changes)
+
+    async def wake(self, changes: list[Change]) -> None:
+        engines = frozenset[str]().union(*(change.engines for change in changes))
+        change = Change(engines, any(change.subsets_differ for change in changes))
+        for number, session in enumerate(list(self.by_front.values())):
+            if number % FRONTS_A_TURN == 0:
+                await asyncio.sleep(0)
+            before = session.subset.ids
+            if session.concerns(change):
+                session.wake()
+            elif change.subsets_differ:
+                self.wanted(session)
+                if session.subset.ids != before:
+                    session.wake()
+
+    def sweep(self) -> None:
+        """Forget the fronts that no longer ask."""
+        before = clock.now() - FORGET_AFTER
+        for front in [name for name, session in self.by_front.items() if session.seen_at < before]:
+            del self.by_front[front]
+
+
+def held_by(request: codec.WatchRequest) -> tuple[Version, int]:
+    """Version and digest of what the front holds."""
+    return request.version, codec.digest_from(request.digest)
+
+
+def is_news(update: Update) -> bool:
+    """Whether an update changes any record."""
+    return not isinstance(update, Delta) or bool(update.upserts or update.removals)
--- a/thistlelever/ground/interface.py
+++ b/thistlelever/ground/interface.py
@@ -259,9 +259,13 @@
 
 
 class ListTold(NamedTuple):
+    """`fronts`: how many fronts may send to any one of these engines, where that is fewer than all; 0: all
+    that the settings name."""
+
     kind: ListKind
     version: int
     engines: tuple[Engine, ...]
+    fronts: int = 0
 
 
 class PeerNote(NamedTuple):
--- a/thistlelever/ground/operator.py
+++ b/thistlelever/ground/operator.py
@@ -143,6 +143,17 @@
     within_s: Annotated[float, Meta(ge=0.01, le=10)] = 0.25
 
 
+class Distribution(Struct, frozen=True, forbid_unknown_fields=True):
+    """The engine list from distributors, as much of it as this front needs, in place of DNS discovery.
+    `zone_rank` is this front's place among those of its zone, -1 for unknown."""
+
+    distributors: Annotated[tuple[Address, ...], Meta(min_length=1, max_length=64)]
+    heartbeat_s: Annotated[float, Meta(ge=0.1, le=30)] = 2.0
+    patience_s: Annotated[float, Meta(ge=0.05, le=30)] = 0.5
+    start_within_s: Annotated[float, Meta(ge=0, le=60)] = 2.0
+    zone_rank: Annotated[int, Meta(ge=-1, le=100_000)] = -1
+
+
 class Admin(Struct, frozen=True, forbid_unknown_fields=True):
     """A local socket for questions about a living front, open to its own user alone."""
 
@@ -157,6 +168,7 @@
     membership: Membership | None = None
     takeover: Takeover | None = None
     state: State | None = None
+    distribution: Distribution | None = None
     admin: Admin | None = None
 
 
--- /dev/null
+++ b/thistlelever/lifecycle/distribution.py
@@ -0,0 +1,139 @@
+"""Puts together what the operator's section `distribution` switches on. Imported only where it is there."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import suppress
+from math import isfinite
+
+from thistlelever.carrier.desk import Desk
+from thistlelever.carrier.subscribed_list import SubscribedList
+from thistlelever.carrier.subscription import Subscription, SubscriptionTerms
+from thistlelever.distribution.versions import unpacked
+from thistlelever.ground import interface as it
+from thistlelever.ground.operator import Distribution, address
+from thistlelever.ground.papers import Papers
+from thistlelever.ground.tally import Tally
+from thistlelever.store.roll import Roll
+from thistlelever.subsetting import FrontPlace, Requirement
+
+
+class SubscribedDiscovery:
+    """The engine list from distributors, in place of the DNS inquiry (`carrier.directory.Inquiry`), and
+    spoken to as that is."""
+
+    def __init__(
+        self,
+        papers: Papers,
+        section: Distribution,
+        roll: Roll,
+        forget: Callable[[it.EngineId], None],
+        desk: Desk,
+        tally: Tally,
+    ) -> None:
+        self.roll, self.start_within = roll, section.start_within_s
+        terms = SubscriptionTerms(
+            tuple(address(text) for text in section.distributors),
+            section.heartbeat_s,
+            section.patience_s,
+            papers.seed,
+        )
+        self.subscription = Subscription(
+            terms,
+            place_of(papers, section.zone_rank),
+            requirements_of(papers),
+            drops_repeats_by_cell(papers),
+            self.changed,
+        )
+        self.list = SubscribedList(self.subscription, roll, forget, desk, tally, papers.zones, papers.kinds)
+        self.first = asyncio.Event()
+        self.subscription.listener = self.changed
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def heard_at(self) -> float:
+        """When a distributor last answered, on the front's clock."""
+        return self.subscription.heard_at
+
+    def changed(self, listing) -> None:
+        """Hand a change on."""
+        self.list.changed(listing)
+        self.first.set()
+
+    def accept_from(self, serial: int) -> None:
+        """A former life of this front held that version: nothing older is taken."""
+        self.subscription.replica.floor = unpacked(serial)
+
+    async def open(self, directory: tuple[str, int]) -> None:
+        """Subscribe. A front that knows no engine yet waits a while for its first list; the directory's
+        address is not used."""
+        if self.task:
+            return
+        self.task = asyncio.get_running_loop().create_task(self.subscription.run())
+        if not self.roll.entries:
+            with suppress(TimeoutError):
+                await asyncio.wait_for(self.first.wait(), self.start_within)
+
+    def ask(self, by_order: bool) -> None:
+        """The list is told as it changes; there is nothing to ask for."""
+
+    async def run(self) -> None:
+        """As long as the subscription runs."""
+        await self.task
+
+    def close(self) -> None:
+        """Subscribe no more."""
+        if self.task:
+            self.task.cancel()
+
+    def questions(self) -> dict[str, Callable[..., dict]]:
+        """What the administration may be asked."""
+        return {"engines.show": self.show}
+
+    def show(self) -> dict:
+        """Which version is in force here, how old it may be, and from where it came."""
+        subscription, replica = self.subscription, self.subscription.replica
+        age = subscription.age()
+        connected = subscription.connected_to
+        return {
+            "version": str(replica.version),
+            "digest": f"{replica.digest:032x}",
+            "age_s": round(age, 3) if isfinite(age) else None,
+            "distributor": "{}:{}".format(*connected) if connected else None,
+            "last_error": subscription.last_error,
+            "engines": sum(record.in_subset for record in replica.records.values()),
+            "retained": list(self.list.retained()),
+            "fronts": self.roll.sharing,
+            "counts": dict(sorted(subscription.counts.items())),
+        }
+
+
+def place_of(papers: Papers, zone_rank: int) -> FrontPlace:
+    """Which front this is, for its subset."""
+    zone = papers.manifest.zone
+    name = papers.zones[zone] if zone < len(papers.zones) else ""
+    return FrontPlace(papers.name, name, papers.rank, zone_rank)
+
+
+def requirements_of(papers: Papers) -> tuple[Requirement, ...]:
+    """The zones and kinds that some query class is bound to, each pair once."""
+    found = {}
+    for query_class in papers.manifest.tariffs:
+        zones, kinds = query_class.zones, query_class.kinds
+        if zones is None and kinds is None:
+            continue
+        requirement = Requirement(
+            None if zones is None else frozenset(papers.zones[zone] for zone in zones),
+            None if kinds is None else frozenset(papers.kinds[kind] for kind in kinds),
+        )
+        found[requirement] = None
+    return tuple(found)
+
+
+def drops_repeats_by_cell(papers: Papers) -> bool:
+    """Whether some class may be retried in the cell of its first attempt alone."""
+    return any(
+        query_class.repeat is it.Repeat.REFERENCED and query_class.scope is it.Scope.CELL
+        for query_class in papers.manifest.tariffs
+    )
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -33,6 +33,7 @@
 if TYPE_CHECKING:
     from thistlelever.ground.operator import Operator
     from thistlelever.lifecycle.admin import Administration
+    from thistlelever.lifecycle.distribution import SubscribedDiscovery
     from thistlelever.lifecycle.flight import FlightSide
     from thistlelever.lifecycle.membership import MembershipSide
     from thistlelever.lifecycle.parts import Side
@@ -86,9 +87,7 @@
         self.pulse = Pulse()
         self.intake = Intake(manifest, self.pulse, self.batches)
         self.reception = Reception(self.intake, self.courses, self.tally, log, limits)
-        self.inquiry = Inquiry(
-            self.roll, self.forget, self.desk, self.tally, papers.zones, papers.kinds, papers.seed
-        )
+        self.inquiry = self.discovery(operator)
         self.desk.on_probe = self.dispatcher.probe
         self.desk.on_ask_list = lambda: self.inquiry.ask(by_order=True)
         # What the operator file switches on beside that, in the order in which it is opened.
@@ -100,6 +99,16 @@
         self.stop, self.renew = asyncio.Event(), asyncio.Event()
         self.tasks: list[asyncio.Task] = []
 
+    def discovery(self, operator: Operator | None) -> Inquiry | SubscribedDiscovery:
+        """Where the list of engines comes from: DNS, or distributors where the operator file names them."""
+        papers = self.papers
+        if operator and operator.distribution:
+            from thistlelever.lifecycle.distribution import SubscribedDiscovery
+
+            section = operator.distribution
+            return SubscribedDiscovery(papers, section, self.roll, self.forget, self.desk, self.tally)
+        return Inquiry(self.roll, self.forget, self.desk, self.tally, papers.zones, papers.kinds, papers.seed)
+
     def switched_on(self, operator: Operator) -> list[Side]:
         """Each section that is there, put together; the others are not even imported."""
         from thistlelever.lifecycle.parts import Parts
@@ -127,6 +136,9 @@
 
             self.state = StateSide(parts, operator.state)
             sides.append(self.state)
+            # Risk: a front that starts again takes an older list than it had, of a distributor that is
+            # behind.
+            self.inquiry.accept_from(self.state.highest_serial())
         if operator.budgets:
             from thistlelever.lifecycle.budgets import BudgetsSide
 
@@ -188,8 +200,8 @@
     def questions(self) -> dict[str, Callable[..., dict]]:
         """What the administration may be asked, by the parts that are on."""
         asked: dict[str, Callable[..., dict]] = {"counts": lambda: dict(self.tally.counts)}
-        for side in self.sides:
-            asked |= side.questions()
+        for part in (self.inquiry, *self.sides):
+            asked |= part.questions()
         return asked
 
     async def run(self) -> None:
--- a/thistlelever/lifecycle/state.py
+++ b/thistlelever/lifecycle/state.py
@@ -117,6 +117,10 @@
         chosen = [self.entries[engine] for engine in sorted(self.judge.use)]
         self.parts.roll.serial, self.parts.roll.entries = 0, {entry.engine.id: entry for entry in chosen}
 
+    def highest_serial(self) -> int:
+        """The serial of the newest list that is kept; 0 where none is."""
+        return max((record.serial for record in self.keeper.records["listed"].values()), default=0)
+
     def recall(self) -> None:
         """What the decisions had learnt, told to them again."""
         kept = self.keeper.records
--- a/thistlelever/store/roll.py
+++ b/thistlelever/store/roll.py
@@ -18,6 +18,8 @@
         self.left: dict[it.EngineId, float] = {}
         # Which listed engine has an address now.
         self.owners: dict[tuple[str, int], it.EngineId] = {}
+        # How many fronts may send to any one of these engines, where that is fewer than all; 0: all.
+        self.sharing = 0
         # Engines whose process has surely ended: what is still out there is lost.
         self.ended: set[it.EngineId] = set()
 
