--- /dev/null
+++ b/tests/test_distributor_commands.py
@@ -0,0 +1,84 @@
+"""The commands that run and ask distributors, as an operator uses them, and what they exit with."""
+
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+from distributor_stage import engine, free_ports
+
+EXAMPLE = Path(__file__).parents[1] / "deploy" / "distributor.example.json"
+
+
+def run(*words, source=None):
+    return subprocess.run(
+        [sys.executable, "-m", "thistlelever", "distributor", *words],
+        capture_output=True,
+        text=True,
+        input=source,
+        check=False,
+        timeout=60,
+    )
+
+
+@pytest.fixture
+def distributor(tmp_path):
+    """One distributor process that publishes, by its address."""
+    address = f"127.0.0.1:{free_ports(1)[0]}"
+    config = tmp_path / "distributor.json"
+    facts = {"name": "d", "index": 0, "listen": address, "distributors": [address], "publisher": True}
+    config.write_text(json.dumps(facts | {"subset": {"fronts": 1}, "store": str(tmp_path / "content.db")}))
+    process = subprocess.Popen(
+        [sys.executable, "-m", "thistlelever", "distributor", "serve", "--config", str(config)],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    while json.loads(process.stdout.readline())["event"] != "publishes":
+        pass
+    yield address
+    process.terminate()
+    assert process.wait(20) == 0
+
+
+def test_publish_status_promote_and_dump(distributor):
+    engines = json.dumps([engine(number) for number in range(5)])
+    said = run("publish", "--at", distributor, "-", source=engines)
+    assert said.returncode == 0, said.stderr
+    version = said.stdout.strip()
+    report = json.loads(run("status", "--at", distributor, "--json").stdout)
+    assert report["version"] == version and report["engines"] == 5 and report["role"] == "publisher"
+    shown = run("status", "--at", distributor)
+    assert shown.returncode == 0 and version in shown.stdout
+    dumped = json.loads(run("dump", "--at", distributor).stdout)
+    assert [one["id"] for one in dumped["engines"]] == [engine(number)["id"] for number in range(5)]
+    assert run("promote", "--at", distributor).stdout.startswith("term ")
+
+
+def test_what_is_refused_exits_1_and_names_why(distributor):
+    change = json.dumps({"removals": ["nobody"]})
+    said = run("publish", "--at", distributor, "--expected", "7.7", "-", source=change)
+    assert said.returncode == 1 and "expected" in said.stderr
+
+
+def test_nobody_there_and_no_json_exit_2(tmp_path):
+    address = f"127.0.0.1:{free_ports(1)[0]}"
+    assert run("status", "--at", address).returncode == 2
+    assert run("publish", "--at", address, "-", source="{").returncode == 2
+
+
+@pytest.mark.parametrize(
+    "change, word",
+    [({"index": 9}, "index"), ({"heartbeat_s": 0}, "heartbeat_s"), ({"colour": 1}, "colour"), (None, "JSON")],
+)
+def test_a_configuration_that_can_not_be_used_exits_2_and_names_the_key(tmp_path, change, word):
+    path = tmp_path / "distributor.json"
+    facts = json.loads(EXAMPLE.read_text())
+    path.write_text("{" if change is None else json.dumps(facts | change))
+    said = run("check", "--config", str(path))
+    assert said.returncode == 2 and word in said.stderr, said.stderr
+
+
+def test_the_example_is_sound():
+    said = run("check", "--config", str(EXAMPLE))
+    assert said.returncode == 0 and "claims to publish" in said.stdout
--- a/thistlelever/carrier/subscription.py
+++ b/thistlelever/carrier/subscription.py
@@ -73,6 +73,8 @@
         self.replica = Replica(strict=False, floor=floor)
         self.failover = Failover(len(terms.distributors), place.name, terms.seed)
         self.counts: Counter[str] = Counter()
+        # Told of each connection, and why it ended.
+        self.log: Callable[..., None] = lambda event, **facts: None
         self.connected_to: Address | None = None
         self.connection: DistributorConnection | None = None
         self.last_error = ""
@@ -97,6 +99,7 @@
             self.connection = await DistributorConnection.open(address, CONNECT_WITHIN)
             self.connected_to = address
             self.counts["connections"] += 1
+            self.log("distributor connected", at="{}:{}".format(*address), version=str(self.replica.version))
             await self.watch(self.connection)
             self.failover.start_over()
             return 0.0
@@ -127,6 +130,7 @@
 
     def failed(self, error: DistributorError, retry_after: float = 0.0) -> float:
         self.last_error = str(error)
+        self.log("distributor left", why=self.last_error, version=str(self.replica.version))
         return self.failover.failed(retry_after)
 
     async def watch(self, connection: DistributorConnection) -> None:
--- a/thistlelever/cli/engines.py
+++ b/thistlelever/cli/engines.py
@@ -6,7 +6,16 @@
 
 import click
 
-from thistlelever.cli.common import EXIT_FAILURE, ask_front, json_option, operator_option, print_json
+from thistlelever.cli.common import (
+    EXIT_FAILURE,
+    ask_front,
+    json_option,
+    operator_option,
+    print_json,
+    print_table,
+)
+
+ENGINE_COLUMNS = ("id", "zone", "cell", "kind", "address", "draining", "in_subset")
 
 
 @click.group()
@@ -30,3 +39,15 @@
             f"{len(report['retained'])} retained"
         )
     sys.exit(0 if report["distributor"] else EXIT_FAILURE)
+
+
+@engines.command("list")
+@operator_option
+@json_option
+def list_engines(operator: str | None, as_json: bool) -> None:
+    """Each engine that the front holds."""
+    report = ask_front(operator, "engines.list")
+    if as_json:
+        print_json(report)
+    else:
+        print_table(ENGINE_COLUMNS, report["engines"])
--- a/thistlelever/distributor/service.py
+++ b/thistlelever/distributor/service.py
@@ -6,6 +6,7 @@
 import signal
 from collections import Counter
 from contextlib import suppress
+from time import process_time
 
 from tornado.httpserver import HTTPServer
 
@@ -23,6 +24,8 @@
 from thistlelever.subsetting import SubsetTerms
 
 SWEEP_EVERY = 5.0
+# Counters are written to the log this often, where they have changed.
+COUNTS_EVERY = 60.0
 BACKLOG = 1_024
 
 
@@ -81,7 +84,13 @@
         host, port = address(self.config.listen)
         self.server = HTTPServer(application(self), no_keep_alive=False)
         self.server.listen(port, host, backlog=BACKLOG)
-        works = [self.follower.run(), self.sessions.run(), self.role.announce(), self.sweeping()]
+        works = [
+            self.follower.run(),
+            self.sessions.run(),
+            self.role.announce(),
+            self.sweeping(),
+            self.counting(),
+        ]
         if self.writer:
             works.append(self.writer.run())
         if self.config.publisher:
@@ -105,6 +114,14 @@
             await asyncio.sleep(SWEEP_EVERY)
             self.sessions.sweep()
 
+    async def counting(self) -> None:
+        """Write the counters, with what they add up to."""
+        while True:
+            await asyncio.sleep(COUNTS_EVERY)
+            report = self.status()
+            fronts, lagging = len(report.pop("fronts")), len(report.pop("lagging"))
+            self.log("counts", fronts=fronts, lagging=lagging, cpu=round(process_time(), 3), **report)
+
     async def run(self) -> int:
         """Serve until SIGTERM; the exit code."""
         await self.open()
--- a/thistlelever/lifecycle/distribution.py
+++ b/thistlelever/lifecycle/distribution.py
@@ -48,7 +48,7 @@
         )
         self.list = SubscribedList(self.subscription, roll, forget, desk, tally, papers.zones, papers.kinds)
         self.first = asyncio.Event()
-        self.subscription.listener = self.changed
+        self.subscription.listener, self.subscription.log = self.changed, desk.log
         self.task: asyncio.Task[None] | None = None
 
     @property
@@ -89,7 +89,7 @@
 
     def questions(self) -> dict[str, Callable[..., dict]]:
         """What the administration may be asked."""
-        return {"engines.show": self.show}
+        return {"engines.show": self.show, "engines.list": self.engines}
 
     def show(self) -> dict:
         """Which version is in force here, how old it may be, and from where it came."""
@@ -108,6 +108,11 @@
             "counts": dict(sorted(subscription.counts.items())),
         }
 
+    def engines(self) -> dict:
+        """Each engine that is held, as the decisions are told it."""
+        records = sorted(self.subscription.replica.records.values())
+        return {"version": str(self.subscription.replica.version), "engines": [r._asdict() for r in records]}
+
 
 def place_of(papers: Papers, zone_rank: int) -> FrontPlace:
     """Which front this is, for its subset."""
