Decisions count with the fronts that may reach an engine, where the list tells how many

A front that holds some of the engines and counted with all fronts left each engine to its few fronts with next to nothing. A list without the count changes nothing.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -93,7 +93,7 @@
     def __init__(self, manifest: it.Manifest, seed: int) -> None:
         m, groups = manifest, manifest.tariffs
         self.seed, self.draws, self.now, self.groups = seed, 0, 0.0, groups
-        self.fronts, self.tick, self.home, self.crossing = m.fronts, m.tick, m.zone, 10 * m.cross_price
+        self.tick, self.home, self.crossing = m.tick, m.zone, 10 * m.cross_price
         self.top = max(range(len(groups)), key=lambda g: groups[g].utility)
         top = groups[self.top].utility
         steps = sorted({t.utility for t in groups}, reverse=True)
@@ -108,7 +108,10 @@
         self.usual = [t.goal * t.width / (2 + 2 * t.goal_stretch) for t in groups]
         self.threads = max(m.kind_cores, default=0) * THREADS_A_CORE
         self.fill = self.threads * len(groups) / sum(t.width for t in groups)
-        self.counted(it.FrontsCounted(m.fronts))
+        # How many fronts the settings say, how many live, and how many may send to any engine of the list.
+        self.settled, self.living, self.sharing = m.fronts, max(m.fronts, 1), 0
+        self.cold_budget = m.fall_multiple * BUSY * m.fall_window
+        self.share_out()
         self.flowing, self.turn, self.mean_busy = True, 0.0, 0.0
         self.cost_bias, self.memory_bias = [1.0] * len(groups), [1.25] * len(groups)
         self.pace, self.forget = [1.0] * len(groups), max(t.goal for t in groups)
@@ -120,7 +123,6 @@
         self.longest_return = m.longest_return if m.names_return else 0.0
         self.connect_limit, self.key_rest, self.allowance = m.connect_limit, m.key_rest, m.allowance
         self.cold_share, self.warm_after, self.fall_window = m.cold_share, m.warm_after, m.fall_window
-        self.fall_room = m.fall_multiple * BUSY * m.fall_window / m.fronts / 2
         told = m.report_fields
         self.fields = [told.index(f) if f in told else -1 for f in ("util", "queue", "inflight", "x1", "x0")]
         self.probing = m.probes and m.reports is it.Reports.WHEN_PROBED
@@ -310,11 +312,19 @@
         self.queues = [sorted(queue) for queue in self.queues]
 
     def counted(self, told: it.FrontsCounted) -> None:
-        """How many share the engines. A cold engine's room stays the settings': who is taken for dead may
-        only be cut off from here, and send as before."""
-        self.fronts = max(told.fronts, 1)
+        """How many fronts live. A cold engine's room stays as it is: who is taken for dead may only be cut
+        off from here, and send as before."""
+        self.living = max(told.fronts, 1)
+        self.share_out()
+
+    def share_out(self) -> None:
+        """Of how many fronts this is one at each engine. Risk: where each front holds some of the engines,
+        one of all fronts' shares leaves an engine to the few that hold it with next to nothing; and a cold
+        engine's budget counts all fronts that can reach it, dead or alive."""
+        self.fronts = min(self.living, self.sharing or self.living)
         self.alike = max(self.fronts * self.fill / (self.fronts + self.fill), 1.0)
         self.step = min(self.threads / self.narrow / self.fronts, 1.0)
+        self.fall_room = self.cold_budget / (self.sharing or self.settled) / 2
 
     def recall(self, now: float) -> it.Recalled:
         """What another life is to know; `recalled` puts it back."""
@@ -356,6 +366,9 @@
     def listed_anew(self, told: it.ListTold) -> None:
         if told.kind not in (it.ListKind.FAILED, it.ListKind.CHANGES):
             self.listed = [False] * len(self.listed)
+        if told.kind is not it.ListKind.FAILED and told.fronts != self.sharing:
+            self.sharing = told.fronts
+            self.share_out()
         for e in told.engines:
             if (i := self.index.get(e.id)) is None:
                 i = self.index[e.id] = self.spare.pop() if self.spare else len(self.id)
