--- a/thistlelever/distributor/sessions.py
+++ b/thistlelever/distributor/sessions.py
@@ -25,6 +25,8 @@
 # So many fronts are looked at in one turn of the loop when the list has changed, and changes that come closer
 # together than this are told together.
 FRONTS_A_TURN, COALESCE_S = 16, 0.02
+# The bound on how many fronts share an engine is worked out anew after changes of this share of all engines.
+BOUND_AGE = 0.01
 # How long one that holds nothing yet asks fronts to stay away.
 EMPTY_RETRY_S = 0.5
 
@@ -59,7 +61,7 @@
         self.views = ToldViews()
         self.retained: tuple[str, ...] = ()
         self.version, self.seen_at = NO_VERSION, clock.now()
-        self.subset, self.revision = Subset((), 0), -1
+        self.subset, self.revision, self.bound_revision = Subset((), 0), -1, -1
         # Done when something that concerns a watch that is held back has changed.
         self.stir: asyncio.Future[None] | None = None
 
@@ -131,15 +133,27 @@
 
     def wanted(self, session: Session) -> list[EngineRecord]:
         """The records that the front is to hold: its subset, and what it retains."""
-        ring = self.catalog.ring
-        if session.revision != ring.revision:
-            session.subset = ring.subset(session.place, session.requirements, session.whole_cells)
-            session.revision = ring.revision
+        self.renew_subset(session)
         inside = frozenset(session.subset.ids)
         outside = tuple(engine for engine in session.retained if engine not in inside)
         records = self.catalog.records(session.subset.ids)
         return records + [record._replace(in_subset=False) for record in self.catalog.records(outside)]
 
+    def renew_subset(self, session: Session) -> None:
+        """Bring a front's subset up to date with the ring. How many fronts share its engines is worked out
+        anew only with other engines, or once many have changed: it costs more than the subset, and moves
+        slowly."""
+        ring = self.catalog.ring
+        if session.revision == ring.revision:
+            return
+        asked = session.requirements, session.whole_cells
+        session.revision = ring.revision
+        ids = ring.ids(session.place, *asked)
+        old = ring.revision - session.bound_revision > len(ring) * BOUND_AGE
+        if ids != session.subset.ids or old:
+            session.subset = Subset(ids, ring.most_fronts(session.place, ids, *asked))
+            session.bound_revision = ring.revision
+
     def told(self, session: Session, update: Update, request: codec.WatchRequest) -> Update | None:
         """Remember what goes out; `BusyError` for a whole subset that is not admitted."""
         whole = not isinstance(update, Delta) or len(update.upserts) > MOST_RECORDS_UNADMITTED
--- a/thistlelever/subsetting/subsets.py
+++ b/thistlelever/subsetting/subsets.py
@@ -60,10 +60,17 @@
         self._index.discard(engine_id)
 
     def subset(self, front: FrontPlace, requirements: tuple[Requirement, ...], whole_cells: bool) -> Subset:
+        """The engines that a front holds, and how many fronts hold any one of them at most."""
+        ids = self.ids(front, requirements, whole_cells)
+        return Subset(ids, self.most_fronts(front, ids, requirements, whole_cells))
+
+    def ids(
+        self, front: FrontPlace, requirements: tuple[Requirement, ...], whole_cells: bool
+    ) -> tuple[str, ...]:
         """The engines that a front holds. With `whole_cells` each comes with the next one of its cell."""
         records = self._index.records
         if len(records) <= self.terms.engines:
-            return Subset(tuple(sorted(records)), self.terms.fronts)
+            return tuple(sorted(records))
         widths = self._widths_now(whole_cells)
         rank = front.rank if front.rank >= 0 else crc32(front.name.encode())
         start = self._fronts.position(rank)
@@ -75,7 +82,23 @@
         self._add_outside_zone(held, start)
         if whole_cells:
             held.update(dict.fromkeys([self._index.next_of_cell(engine_id) for engine_id in held]))
-        return Subset(tuple(sorted(held)), self._holders(front, held, requirements, whole_cells))
+        return tuple(sorted(held))
+
+    def most_fronts(
+        self,
+        front: FrontPlace,
+        ids: tuple[str, ...],
+        requirements: tuple[Requirement, ...],
+        whole_cells: bool,
+    ) -> int:
+        """The most fronts that hold any one of the engines that a front holds: an upper bound."""
+        fronts, zone_fronts = self.terms.fronts, self.terms.zone_fronts
+        unknown_at_home = zone_fronts and not 0 <= front.zone_rank < zone_fronts
+        holds_all = len(self._index.records) <= self.terms.engines
+        if holds_all or not 0 <= front.rank < fronts or unknown_at_home:
+            return fronts
+        reach = self._reach_now(requirements, whole_cells)
+        return min(max(reach.holders(engine_id, whole_cells) for engine_id in ids), fronts)
 
     def _derive(self) -> None:
         """Forget what was derived from an earlier revision."""
@@ -147,18 +170,3 @@
         for distance, engine_id in merge(*rings):
             if not self._index.records[engine_id].draining:
                 yield distance, engine_id
-
-    def _holders(
-        self,
-        front: FrontPlace,
-        held: dict[str, None],
-        requirements: tuple[Requirement, ...],
-        whole_cells: bool,
-    ) -> int:
-        """The most fronts that hold any of these engines."""
-        fronts, zone_fronts = self.terms.fronts, self.terms.zone_fronts
-        unknown_at_home = zone_fronts and not 0 <= front.zone_rank < zone_fronts
-        if not 0 <= front.rank < fronts or unknown_at_home:
-            return fronts
-        reach = self._reach_now(requirements, whole_cells)
-        return min(max(reach.holders(engine_id, whole_cells) for engine_id in held), fronts)
