--- a/thistlelever/distribution/claim.py
+++ b/thistlelever/distribution/claim.py
@@ -13,8 +13,10 @@
 majority holds under the lower term is found by `source` of the higher one; a change that fewer hold may be
 lost, and is replaced everywhere by what the higher term publishes. Never do two contents share a version.
 
-A claim that a majority has promised but that went no further leaves the distributors with what they hold
-until the next claim: the former publisher learns from the first refusal that it must claim anew.
+A claim that was promised but went no further leaves those that promised with what they hold until the next
+claim: they refuse the present publisher, which learns of it from the first refusal, steps down, and may claim
+anew (`Claim.learned` tells the new claim what the refusal showed). Every distributor therefore shows
+`Replica.highest` whenever it asks the publisher for something.
 
 A publisher that restarts, also one restored from a backup, claims anew at every start and never goes on with
 a stored term: it can't know what it published after the backup was made. Since a majority promised its former
@@ -74,31 +76,44 @@
         self._index = index
         self._distributors = distributors
         self._remembers = remembers
-        self._highest: dict[int, Version] = {}
+        self._answered: set[int] = set()
         self._promised: dict[int, Version] = {}
-        self._term: int | None = None
+        self._known = NO_VERSION
+        self._fixed_term: int | None = None
 
     def heard(self, index: int, highest: Version) -> None:
         """The distributor `index`, which may be the claimant, has seen no version above `highest`
         (`Replica.highest`)."""
         _check_index(index, self._distributors)
-        self._highest[index] = max(highest, self._highest.get(index, highest))
-        if self._term is None and self._enough_answers():
-            self._term = self._next_term()
+        self._answered.add(index)
+        self.learned(highest)
+
+    def learned(self, version: Version) -> None:
+        """Somebody has seen this version, but answers no question by it: it was shown with a refusal, or to a
+        former claim or publisher of the claimant."""
+        self._known = max(self._known, version)
 
     def term(self) -> int | None:
-        """The term that is claimed; None until a majority has answered. Later answers don't change it: if
-        one shows a higher term, the promise will be refused, and a new claim is needed."""
-        return self._term
+        """The term that is claimed; None until a majority has answered. The first promise fixes it, which is
+        that of the claimant itself, before it asks others."""
+        if self._fixed_term is not None:
+            return self._fixed_term
+        return self._next_term() if self._enough_answers() else None
+
+    def superseded(self) -> bool:
+        """Whether something above the fixed term was seen: this claim is best given up for a new one, since
+        whoever has seen that refuses what is published in this term."""
+        return self._fixed_term is not None and self._known > Version(self._fixed_term, 0)
 
     def highest(self) -> Version:
-        """The highest version of all answers."""
-        return max(self._highest.values(), default=NO_VERSION)
+        """The highest version that was heard of."""
+        return self._known
 
     def promised(self, index: int, held: Version) -> None:
         """The distributor `index` has promised the term and holds this version."""
         _check_index(index, self._distributors)
-        if self._term is None:
+        self._fixed_term = self.term()
+        if self._fixed_term is None:
             raise ValueError("a promise before there is a term")
         self._promised[index] = held
 
@@ -115,13 +130,13 @@
     def _enough_answers(self) -> bool:
         """Whether the answers include one of every majority that may have promised an earlier term."""
         if self._remembers or self._distributors == 1:
-            return len(self._highest) >= majority(self._distributors)
+            return len(self._answered) >= majority(self._distributors)
         others_in_majority = majority(self._distributors) - 1
-        others_asked = len(self._highest.keys() - {self._index})
+        others_asked = len(self._answered - {self._index})
         return others_asked + others_in_majority > self._distributors - 1
 
     def _next_term(self) -> int:
-        return (self.highest().term // TERMS_PER_ROUND + 1) * TERMS_PER_ROUND + self._index
+        return (self._known.term // TERMS_PER_ROUND + 1) * TERMS_PER_ROUND + self._index
 
 
 def _check_index(index: int, distributors: int) -> None:
