--- a/tests/test_subscribed_front.py
+++ b/tests/test_subscribed_front.py
@@ -9,7 +9,7 @@
 from distributor_stage import HEARTBEAT, PATIENCE, tier
 from stage import Stage, brisk
 
-from thistlelever.carrier.subscribed_list import SubscribedList
+from thistlelever.carrier.subscribed_list import KnownNames, SubscribedList
 from thistlelever.carrier.subscription import Listing
 from thistlelever.distribution.messages import Delta, Removal
 from thistlelever.distribution.records import EngineRecord, digest_of
@@ -35,10 +35,9 @@
         self.replica, self.told, self.forgotten = Replica(strict=False), [], []
         self.subscription = SimpleNamespace(replica=self.replica, heard_at=0.0)
         self.roll = Roll()
-        desk = SimpleNamespace(log=lambda event, **facts: None, tell=self.told.append)
-        self.list = SubscribedList(
-            self.subscription, self.roll, self.forgotten.append, desk, Tally(), ("nord", "sud"), ("std",)
-        )
+        desk = SimpleNamespace(log=lambda event, **facts: None, tell=self.told.append, tally=Tally())
+        names = KnownNames(("nord", "sud"), ("std",))
+        self.list = SubscribedList(self.subscription, self.roll, self.forgotten.append, desk, names)
         self.fronts = 4
 
     def holds(self, *records, gone=()):
@@ -108,7 +107,7 @@
     front = Subscribed()
     front.holds(record("a", 1), record("b", 2, zone="elsewhere"), record("c", 3, kind="huge"))
     assert front.standings() == {"a": READY}
-    assert front.list.tally.counts["engines of the list that can't be used"] == 2
+    assert front.list.desk.tally.counts["engines of the list that can't be used"] == 2
 
 
 class SubscribedStage(Stage):
--- a/thistlelever/carrier/distributor_connection.py
+++ b/thistlelever/carrier/distributor_connection.py
@@ -31,6 +31,7 @@
     """It asks to come again after so many seconds."""
 
     def __init__(self, retry_after: float) -> None:
+        """It is busy for `retry_after` seconds."""
         super().__init__(f"busy for {retry_after:g} s")
         self.retry_after = retry_after
 
@@ -43,6 +44,7 @@
     """Calls over one connection, which is closed by the first call that fails."""
 
     def __init__(self, stream: IOStream, address: Address) -> None:
+        """Use `open`."""
         self.stream, self.address = stream, address
         self.inflow = Inflow(BUFFER_BYTES, LONGEST_ANSWER_BYTES)
         self.bytes_sent, self.bytes_received = 0, 0
--- a/thistlelever/carrier/subscribed_list.py
+++ b/thistlelever/carrier/subscribed_list.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 from thistlelever.carrier.desk import Desk
 from thistlelever.carrier.subscription import Listing, Subscription
@@ -11,7 +12,6 @@
 from thistlelever.ground import clock
 from thistlelever.ground import interface as it
 from thistlelever.ground.papers import Entry
-from thistlelever.ground.tally import Tally
 from thistlelever.store.roll import Roll
 
 
@@ -19,6 +19,13 @@
     """A record names a zone or a kind that this front's settings do not have."""
 
 
+class KnownNames(NamedTuple):
+    """The zones and kinds of the settings, each at its place there."""
+
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+
+
 class SubscribedList:
     """Hands each change of the subscription on: to the registry (which connections follow) and to the
     decisions, which are told the subset alone.
@@ -33,14 +40,12 @@
         roll: Roll,
         forget: Callable[[it.EngineId], None],
         desk: Desk,
-        tally: Tally,
-        zones: tuple[str, ...],
-        kinds: tuple[str, ...],
+        names: KnownNames,
     ) -> None:
-        self.subscription, self.roll, self.forget = subscription, roll, forget
-        self.desk, self.tally = desk, tally
-        self.zones = {name: place for place, name in enumerate(zones)}
-        self.kinds = {name: place for place, name in enumerate(kinds)}
+        """`forget` drops the connections to an engine."""
+        self.subscription, self.roll, self.forget, self.desk = subscription, roll, forget, desk
+        self.zones = {name: place for place, name in enumerate(names.zones)}
+        self.kinds = {name: place for place, name in enumerate(names.kinds)}
         # Records that have left the subset, of engines that queries are still out at.
         self.leaving: dict[str, EngineRecord] = {}
         # The registry's entries of what is held, made once for each record.
@@ -61,6 +66,7 @@
         return tuple(sorted(set(outside)))
 
     def out(self, engine: str) -> bool:
+        """Whether queries of this front are out at the engine."""
         return self.roll.out[engine.encode()] > 0
 
     def changed(self, listing: Listing) -> None:
@@ -109,11 +115,12 @@
         try:
             return record, self.made(record)
         except (UnknownNameError, ValueError) as error:
-            self.tally.add("engines of the list that can't be used")
+            self.desk.tally.add("engines of the list that can't be used")
             self.desk.log("engine not usable", engine=record.id, why=str(error))
             return None
 
     def made(self, record: EngineRecord) -> Entry:
+        """The registry's entry of a record; `UnknownNameError` where its zone or kind is not known here."""
         if record.zone not in self.zones or record.kind not in self.kinds:
             raise UnknownNameError(f"zone {record.zone!r} or kind {record.kind!r} is not in the settings")
         host, _, port = record.address.rpartition(":")
--- a/thistlelever/carrier/subscription.py
+++ b/thistlelever/carrier/subscription.py
@@ -20,7 +20,6 @@
 from thistlelever.distribution.messages import Delta
 from thistlelever.distribution.reconnect import short_digest
 from thistlelever.distribution.replica import Outcome, Replica
-from thistlelever.distribution.versions import NO_VERSION, Version
 from thistlelever.ground import clock
 from thistlelever.subsetting import FrontPlace, Requirement
 
@@ -64,13 +63,13 @@
         requirements: tuple[Requirement, ...],
         whole_cells: bool,
         listener: Callable[[Listing], None],
-        floor: Version = NO_VERSION,
     ) -> None:
+        """Nothing is asked before `run`."""
         self.terms, self.place, self.listener = terms, place, listener
         self.requirements = tuple(requirement_field(requirement) for requirement in requirements)
         self.whole_cells = whole_cells
         self.retained: Callable[[], tuple[str, ...]] = tuple
-        self.replica = Replica(strict=False, floor=floor)
+        self.replica = Replica(strict=False)
         self.failover = Failover(len(terms.distributors), place.name, terms.seed)
         self.counts: Counter[str] = Counter()
         # Told of each connection, and why it ended.
@@ -129,6 +128,7 @@
         return (connection.bytes_sent, connection.bytes_received) if connection else (0, 0)
 
     def failed(self, error: DistributorError, retry_after: float = 0.0) -> float:
+        """Note a failure; seconds to wait before the next distributor is tried."""
         self.last_error = str(error)
         self.log("distributor left", why=self.last_error, version=str(self.replica.version))
         return self.failover.failed(retry_after)
@@ -151,6 +151,7 @@
             request = self.request(everything=faults > 0)
 
     def request(self, everything: bool) -> codec.WatchRequest:
+        """The next watch; with `everything` it tells each record that is held."""
         replica = self.replica
         return codec.WatchRequest(
             front=self.place.name,
--- a/thistlelever/distribution/failover.py
+++ b/thistlelever/distribution/failover.py
@@ -16,6 +16,7 @@
     jitter, so that many clients that lost one together do not come together."""
 
     def __init__(self, distributors: int, name: str, seed: int) -> None:
+        """The order of places 0 to `distributors` - 1 for the client of that name."""
         self.name, self.seed = name, seed
         weights = {place: crc32(b"%d %b" % (place, name.encode())) for place in range(distributors)}
         self.order = sorted(weights, key=lambda place: (weights[place], place))
--- a/thistlelever/distributor/admission.py
+++ b/thistlelever/distributor/admission.py
@@ -13,6 +13,7 @@
     part of a second more by chance, so that those who were refused together do not return together."""
 
     def __init__(self, per_second: float, seed: int, now: float) -> None:
+        """`per_second` answers in the long run; `now` in seconds."""
         self.per_second, self.seed = per_second, seed
         self.tokens, self.filled_at = per_second * BURST_S, now
         self.refused_since_empty, self.draws = 0, 0
@@ -30,5 +31,6 @@
         return (self.refused_since_empty + self.chance() * self.per_second) / self.per_second
 
     def chance(self) -> float:
+        """The next number from 0.0 to 1.0."""
         self.draws += 1
         return crc32(b"%d admission %d" % (self.seed, self.draws)) / 2**32
--- a/thistlelever/distributor/catalog.py
+++ b/thistlelever/distributor/catalog.py
@@ -26,6 +26,7 @@
     """`on_change` is called after each update that is in force here."""
 
     def __init__(self, terms: SubsetTerms, history: int) -> None:
+        """An empty list; `history` changes are kept."""
         self.replica = Replica(strict=True)
         self.history = History(history)
         self.ring = EngineRing(terms)
--- a/thistlelever/distributor/content_writer.py
+++ b/thistlelever/distributor/content_writer.py
@@ -22,6 +22,7 @@
     """One thread that writes updates in order."""
 
     def __init__(self, store: ContentStore, replica: Replica, log: Log) -> None:
+        """Nothing is written before `run`."""
         self.store, self.replica, self.log = store, replica, log
         self.executor = ThreadPoolExecutor(1, thread_name_prefix="content-store")
         self.waiting: list[Update] = []
@@ -70,6 +71,7 @@
         return True
 
     def report(self, failing: str) -> None:
+        """Say once that the disk fails, and once that it does no more."""
         if bool(failing) != bool(self.failing):
             self.log("content not kept" if failing else "content kept again", why=failing)
         self.failing = failing
--- a/thistlelever/distributor/follower.py
+++ b/thistlelever/distributor/follower.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections import Counter
+from typing import NamedTuple
 
 from thistlelever.carrier.distributor_connection import (
     Address,
@@ -27,23 +28,24 @@
 PATIENCE = 1.0
 
 
+class Peers(NamedTuple):
+    """All distributors by their addresses, this one at `index`; how long a poll may be held back, in
+    seconds."""
+
+    index: int
+    addresses: tuple[Address, ...]
+    heartbeat: float
+
+
 class Follower:
     """One long poll after the other, until cancelled. While the publisher can't be reached, each poll goes to
     the next of the others."""
 
-    def __init__(
-        self,
-        catalog: Catalog,
-        index: int,
-        distributors: tuple[Address, ...],
-        heartbeat: float,
-        seed: int,
-        counts: Counter[str],
-        log: Log,
-    ) -> None:
-        self.catalog, self.index, self.distributors = catalog, index, distributors
-        self.heartbeat, self.counts, self.log = heartbeat, counts, log
-        self.failover = Failover(len(distributors), f"distributor-{index}", seed)
+    def __init__(self, catalog: Catalog, peers: Peers, counts: Counter[str], log: Log) -> None:
+        """Nobody is asked before `run`."""
+        self.catalog, self.counts, self.log = catalog, counts, log
+        self.index, self.distributors, self.heartbeat = peers
+        self.failover = Failover(len(self.distributors), f"distributor-{self.index}", self.index)
         # The highest version that anybody has shown: its term names the publisher.
         self.highest_seen = NO_VERSION
         self.heard_at, self.age_when_heard = -float("inf"), float("inf")
@@ -104,6 +106,7 @@
         await asyncio.sleep(delay)
 
     def note_failure(self, other: int, error: DistributorError) -> None:
+        """Count and log that another could not be followed."""
         self.counts["follow failures"] += 1
         self.log("follow failed", distributor=other, why=str(error))
 
@@ -125,6 +128,7 @@
             connection.close()
 
     def request(self, wait: float) -> codec.FollowRequest:
+        """The next poll, which may wait `wait` seconds for a newer version."""
         replica = self.catalog.replica
         digest = codec.digest_bytes(replica.digest)
         return codec.FollowRequest(self.index, replica.version, digest, replica.floor, wait)
--- a/thistlelever/distributor/handlers.py
+++ b/thistlelever/distributor/handlers.py
@@ -38,6 +38,7 @@
     weight: float = 1.0
 
     def record(self) -> EngineRecord:
+        """The record that is distributed."""
         return EngineRecord(
             self.id,
             self.zone,
@@ -64,6 +65,7 @@
     """What all calls share."""
 
     def initialize(self, distributor: Distributor) -> None:
+        """Tornado's way to hand a handler its parts."""
         self.distributor = distributor
 
     def answer(self, body: codec.Body) -> None:
@@ -96,6 +98,7 @@
     """A front watches its subset."""
 
     async def post(self) -> None:
+        """Wait for what differs, and tell it."""
         request = self.body_as(codec.WatchRequest)
         if request is None:
             return
@@ -118,6 +121,7 @@
     """Another distributor follows this one."""
 
     async def post(self) -> None:
+        """Wait for a newer version, and tell it."""
         request = self.body_as(codec.FollowRequest)
         if request is None:
             return
@@ -143,6 +147,7 @@
     """What a claimant or a publisher asks and tells."""
 
     def versions(self, granted: bool = True) -> codec.VersionReply:
+        """What is held and what was seen here."""
         replica, follower = self.distributor.catalog.replica, self.distributor.follower
         highest = max(replica.highest(), follower.highest_seen)
         return codec.VersionReply(replica.version, highest, granted)
@@ -152,6 +157,7 @@
     """The publisher tells that it publishes."""
 
     def post(self) -> None:
+        """Note the version; tell what is held."""
         request = self.body_as(codec.AnnounceRequest)
         if request is not None:
             self.distributor.role.observe(request.version)
@@ -162,6 +168,7 @@
     """The highest version held or promised here."""
 
     def post(self) -> None:
+        """Tell what was seen."""
         if self.body_as(codec.HighestRequest) is not None:
             self.answer(self.versions())
 
@@ -170,6 +177,7 @@
     """A promise to accept nothing of an earlier term; on disk, where there is one, before it is given."""
 
     async def post(self) -> None:
+        """Promise, or refuse for a higher term."""
         request = self.body_as(codec.PromiseRequest)
         if request is None:
             return
@@ -190,6 +198,7 @@
     """A change by an operator or a platform."""
 
     async def post(self) -> None:
+        """Publish; 202 where no majority holds the version yet."""
         role = self.distributor.role
         try:
             body = msgspec.json.decode(self.request.body, type=PublishBody)
@@ -217,6 +226,7 @@
     """An operator makes this distributor the publisher."""
 
     async def post(self) -> None:
+        """Claim the role."""
         try:
             term = await self.distributor.role.claim()
         except ClaimFailedError as error:
@@ -229,6 +239,7 @@
     """Version, role, fronts and counters."""
 
     def get(self) -> None:
+        """Tell it as JSON."""
         self.finish(self.distributor.status())
 
 
@@ -236,6 +247,7 @@
     """The whole list."""
 
     def get(self) -> None:
+        """Tell it as JSON."""
         replica = self.distributor.catalog.replica
         engines = [record._asdict() for record in replica.records.values()]
         for engine in engines:
--- a/thistlelever/distributor/publishing.py
+++ b/thistlelever/distributor/publishing.py
@@ -26,6 +26,7 @@
     """`publisher` is set while this distributor has the role."""
 
     def __init__(self, catalog: Catalog, follower: Follower, log: Log) -> None:
+        """Without the role until `claim`."""
         self.catalog, self.follower, self.log = catalog, follower, log
         self.publisher: Publisher | None = None
         # The newest version that each follower has shown to hold, and who waits for them to move.
@@ -90,12 +91,14 @@
         return self.committed(publisher.replace_all(records, expected), before)
 
     def required(self) -> Publisher:
+        """The publisher; `PublishRefusedError` where this distributor is none."""
         if self.publisher is None:
             publisher = self.follower.publisher()
             raise PublishRefusedError(f"role: this distributor does not publish; distributor {publisher} may")
         return self.publisher
 
     def committed(self, delta: Delta | None, before: dict[str, EngineRecord]) -> Version:
+        """Tell who listens of a change that is in force; the version."""
         if delta is not None:
             self.catalog.applied(delta, before)
         return self.catalog.version
--- a/thistlelever/distributor/service.py
+++ b/thistlelever/distributor/service.py
@@ -15,7 +15,7 @@
 from thistlelever.distributor.catalog import Catalog, Change
 from thistlelever.distributor.config import DistributorConfig, address
 from thistlelever.distributor.content_writer import ContentWriter
-from thistlelever.distributor.follower import Follower
+from thistlelever.distributor.follower import Follower, Peers
 from thistlelever.distributor.publishing import PublisherRole
 from thistlelever.distributor.sessions import Sessions
 from thistlelever.distributor.store import ContentStore
@@ -33,6 +33,7 @@
     """All parts of one distributor."""
 
     def __init__(self, config: DistributorConfig, log: Log) -> None:
+        """Put together, with what is on disk; nothing listens before `open`."""
         self.config, self.log = config, log
         subset = config.subset
         terms = SubsetTerms(
@@ -43,10 +44,9 @@
         self.writer: ContentWriter | None = None
         if config.store:
             self.restore(config.store)
-        peers = tuple(address(text) for text in config.distributors)
-        self.follower = Follower(
-            self.catalog, config.index, peers, config.heartbeat_s, config.index, self.counts, log
-        )
+        addresses = tuple(address(text) for text in config.distributors)
+        peers = Peers(config.index, addresses, config.heartbeat_s)
+        self.follower = Follower(self.catalog, peers, self.counts, log)
         self.role = PublisherRole(self.catalog, self.follower, log)
         admission = SnapshotAdmission(config.snapshots_per_s, config.index, clock.now())
         self.sessions = Sessions(self.catalog, admission, self.counts)
--- a/thistlelever/distributor/sessions.py
+++ b/thistlelever/distributor/sessions.py
@@ -35,6 +35,7 @@
     """The front is to come again after so many seconds."""
 
     def __init__(self, retry_after: float) -> None:
+        """Come again after `retry_after` seconds."""
         super().__init__(f"come again in {retry_after:.3f} s")
         self.retry_after = retry_after
 
@@ -43,6 +44,7 @@
     """The asker holds a newer version than this distributor."""
 
     def __init__(self, version: Version) -> None:
+        """This distributor holds `version`."""
         super().__init__(f"{version} is held here")
 
 
@@ -50,6 +52,7 @@
     """One front: who it is, what it may hold, and what it was told."""
 
     def __init__(self, request: codec.WatchRequest) -> None:
+        """A front by its first watch of a connection."""
         self.place = FrontPlace(request.front, request.zone, request.rank, request.zone_rank)
         self.whole_cells = request.whole_cells
         self.requirements = tuple(
@@ -79,6 +82,7 @@
     """All fronts that this distributor serves."""
 
     def __init__(self, catalog: Catalog, admission: SnapshotAdmission, counts: Counter[str]) -> None:
+        """No front yet."""
         self.catalog, self.admission, self.counts = catalog, admission, counts
         self.by_front: dict[str, Session] = {}
         self.changes: list[Change] = []
@@ -181,6 +185,7 @@
             await self.wake(changes)
 
     async def wake(self, changes: list[Change]) -> None:
+        """Wake the watches that these changes concern."""
         engines = frozenset[str]().union(*(change.engines for change in changes))
         change = Change(engines, any(change.subsets_differ for change in changes))
         for number, session in enumerate(list(self.by_front.values())):
--- a/thistlelever/distributor/store.py
+++ b/thistlelever/distributor/store.py
@@ -33,6 +33,7 @@
     """The newest version of the whole content. Its calls block: they belong on a thread of their own."""
 
     def __init__(self, path: str) -> None:
+        """Open or make the file; `StoreError` where that fails."""
         self.path = path
         try:
             self.connection = apsw.Connection(path)
--- a/thistlelever/lifecycle/distribution.py
+++ b/thistlelever/lifecycle/distribution.py
@@ -8,13 +8,12 @@
 from math import isfinite
 
 from thistlelever.carrier.desk import Desk
-from thistlelever.carrier.subscribed_list import SubscribedList
+from thistlelever.carrier.subscribed_list import KnownNames, SubscribedList
 from thistlelever.carrier.subscription import Subscription, SubscriptionTerms
 from thistlelever.distribution.versions import unpacked
 from thistlelever.ground import interface as it
 from thistlelever.ground.operator import Distribution, address
 from thistlelever.ground.papers import Papers
-from thistlelever.ground.tally import Tally
 from thistlelever.store.roll import Roll
 from thistlelever.subsetting import FrontPlace, Requirement
 
@@ -30,8 +29,8 @@
         roll: Roll,
         forget: Callable[[it.EngineId], None],
         desk: Desk,
-        tally: Tally,
     ) -> None:
+        """Nothing is asked before `open`."""
         self.roll, self.start_within = roll, section.start_within_s
         terms = SubscriptionTerms(
             tuple(address(text) for text in section.distributors),
@@ -46,7 +45,8 @@
             drops_repeats_by_cell(papers),
             self.changed,
         )
-        self.list = SubscribedList(self.subscription, roll, forget, desk, tally, papers.zones, papers.kinds)
+        names = KnownNames(papers.zones, papers.kinds)
+        self.list = SubscribedList(self.subscription, roll, forget, desk, names)
         self.first = asyncio.Event()
         self.subscription.listener, self.subscription.log = self.changed, desk.log
         self.task: asyncio.Task[None] | None = None
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -106,7 +106,7 @@
             from thistlelever.lifecycle.distribution import SubscribedDiscovery
 
             section = operator.distribution
-            return SubscribedDiscovery(papers, section, self.roll, self.forget, self.desk, self.tally)
+            return SubscribedDiscovery(papers, section, self.roll, self.forget, self.desk)
         return Inquiry(self.roll, self.forget, self.desk, self.tally, papers.zones, papers.kinds, papers.seed)
 
     def switched_on(self, operator: Operator) -> list[Side]:
