Claims of the publisher's role: promises on disk first, refusals heeded, a term above what fronts hold

A claimant asked for its promise before its own was on disk, and a distributor without a store counted its own answer though it may have forgotten promises; found by reading distribution/claim.py beside the caller.

--- a/tests/distributor_stage.py
+++ b/tests/distributor_stage.py
@@ -37,7 +37,9 @@
 class Tier:
     """Some distributors by index, of which any may be started and stopped."""
 
-    def __init__(self, count, **sections):
+    def __init__(self, count, stores=None, **sections):
+        # Where each distributor keeps its content; None: nowhere.
+        self.stores = stores
         self.ports = free_ports(count)
         self.sections = {"heartbeat_s": HEARTBEAT, "subset": {"fronts": 12, "engines": 6}} | sections
         self.running, self.tasks, self.events, self.subscriptions = {}, {}, [], []
@@ -55,6 +57,8 @@
             "distributors": [f"127.0.0.1:{port}" for port in self.ports],
             "publisher": index == 0,
         }
+        if self.stores:
+            facts["store"] = str(self.stores / f"distributor-{index}.db")
         config = configuration.read(json.dumps(facts | self.sections | sections).encode())
         distributor = Distributor(config, lambda event, **told: self.events.append((index, event, told)))
         await distributor.open()
--- a/tests/test_distributor.py
+++ b/tests/test_distributor.py
@@ -111,9 +111,9 @@
     play(scenario())
 
 
-def test_a_publisher_without_a_majority_is_not_confirmed_and_gives_way_after_the_cut():
+def test_a_publisher_without_a_majority_is_not_confirmed_and_gives_way_after_the_cut(tmp_path):
     async def scenario():
-        async with tier(3, engines=6) as stage:
+        async with tier(3, engines=6, stores=tmp_path) as stage:
             await stage.until(lambda: len({d.catalog.version for d in stage.running.values()}) == 1)
             old = stage.running[0]
             # Cut off: nobody follows it, it reaches nobody, and it goes on believing that it publishes.
@@ -134,6 +134,38 @@
     play(scenario())
 
 
+def test_a_tier_restored_to_an_older_version_goes_on_above_what_fronts_hold():
+    async def scenario():
+        async with tier(1, engines=6) as stage:
+            front = stage.subscribe()
+            await stage.until(lambda: front.replica.records)
+            # All distributors are lost; what comes back is older than what the front holds.
+            held = front.replica.version._replace(term=640)
+            front.replica.version = held
+            await stage.publish(removals=["engine-00001"])
+            await stage.until(lambda: front.counts["refused_stale"] > 0)
+            assert front.replica.version == held and stage.running[0].role.publisher
+            status, answer = await stage.call(0, "POST", "/v1/promote", {"above": str(held)})
+            assert status == 200 and answer["term"] > held.term
+            await stage.until(lambda: front.replica.version > held)
+            assert "engine-00001" not in front.replica.records
+
+    play(scenario())
+
+
+def test_one_that_may_have_forgotten_promises_needs_more_answers(tmp_path):
+    async def scenario():
+        async with tier(3, engines=6) as stage:
+            await stage.stop(0)
+            status, answer = await stage.call(1, "POST", "/v1/promote", {})
+            assert status == 409 and "too few answers" in answer["error"]
+        async with tier(3, engines=6, stores=tmp_path) as stage:
+            await stage.stop(0)
+            assert (await stage.call(1, "POST", "/v1/promote", {}))[0] == 200
+
+    play(scenario())
+
+
 def test_no_publisher_without_a_majority():
     async def scenario():
         stage = Tier(3)
@@ -142,7 +174,7 @@
             await stage.until(lambda: any(event == "claim failed" for _, event, _ in stage.events))
             assert stage.running[0].role.publisher is None
             status, answer = await stage.call(0, "POST", "/v1/promote", {})
-            assert status == 409 and "1 of 3" in answer["error"]
+            assert status == 409 and "1 of 3" in answer["error"], answer
         finally:
             await stage.close()
 
--- a/thistlelever/cli/distributor.py
+++ b/thistlelever/cli/distributor.py
@@ -102,9 +102,12 @@
 
 @distributor.command("promote")
 @at_option
-def promote(at: str) -> None:
+@click.option(
+    "--above", default="0.0", help="A version that fronts hold; the new term is higher than its term."
+)
+def promote(at: str, above: str) -> None:
     """Make that distributor the publisher; the former one steps down as soon as it hears of it."""
-    answer = call(at, "POST", "/v1/promote", {})
+    answer = call(at, "POST", "/v1/promote", {"above": above})
     click.echo(f"term {answer['term']}, version {answer['version']}")
 
 
--- a/thistlelever/distributor/claiming.py
+++ b/thistlelever/distributor/claiming.py
@@ -7,7 +7,10 @@
 from thistlelever.carrier.distributor_connection import Address, DistributorConnection, DistributorError
 from thistlelever.distribution import codec
 from thistlelever.distribution.claim import Claim, promise
+from thistlelever.distribution.versions import Version
+from thistlelever.distributor.content_writer import ContentWriter
 from thistlelever.distributor.follower import Follower
+from thistlelever.distributor.store import StoreError
 
 HIGHEST_PATH, PROMISE_PATH, ANNOUNCE_PATH = "/v1/highest", "/v1/promise", "/v1/announce"
 # How long another distributor may take to connect and to answer a claim, each.
@@ -41,33 +44,51 @@
     return {place: answer for place, answer in zip(others, answers, strict=True) if answer is not None}
 
 
-async def claim_term(follower: Follower) -> int:
-    """Claim the role: returns the term once a majority has promised it and this distributor holds the newest
-    content that the majority holds; `ClaimFailedError` otherwise."""
+async def claim_term(follower: Follower, above: Version, writer: ContentWriter | None) -> int:
+    """Claim the role: returns a term higher than that of `above` once a majority has promised it and this
+    distributor holds the newest content that the majority holds; `ClaimFailedError` otherwise. `writer` keeps
+    its own promise on disk; without one it may have forgotten promises."""
     index, distributors, replica = follower.index, follower.distributors, follower.catalog.replica
-    claim = Claim(index, len(distributors))
-    claim.heard(index, max(replica.highest(), follower.highest_seen))
+    claim = Claim(index, len(distributors), remembers=writer is not None)
+    claim.learned(max(follower.highest_seen, above))
+    claim.heard(index, replica.highest())
     answers = await ask_others(distributors, index, HIGHEST_PATH, codec.HighestRequest(index))
     for place, answer in answers.items():
         claim.heard(place, answer.highest)
     term = claim.term()
     if term is None:
-        raise ClaimFailedError(f"{1 + len(answers)} of {len(distributors)} distributors answer")
+        raise ClaimFailedError(f"too few answers: {1 + len(answers)} of {len(distributors)} distributors")
     if not promise(replica, term):
         raise ClaimFailedError(f"term {term}: a higher one was promised here meanwhile")
+    if writer:
+        try:
+            await writer.keep_floor(Version(term, 0))
+        except StoreError as error:
+            raise ClaimFailedError(f"term {term}: {error}") from None
     claim.promised(index, replica.version)
-    answers = await ask_others(distributors, index, PROMISE_PATH, codec.PromiseRequest(index, term))
-    for place, answer in answers.items():
-        if answer.granted:
-            claim.promised(place, answer.held)
+    await ask_for_promises(follower, claim, term)
     source = claim.source()
     if source is None:
         raise ClaimFailedError(f"term {term}: no majority has promised it")
+    if claim.superseded():
+        raise ClaimFailedError(f"term {term}: {claim.highest()} was seen meanwhile")
     if source != index:
         await take_over_content(follower, source)
     return term
 
 
+async def ask_for_promises(follower: Follower, claim: Claim, term: int) -> None:
+    """Ask all others to promise the term."""
+    request = codec.PromiseRequest(follower.index, term)
+    answers = await ask_others(follower.distributors, follower.index, PROMISE_PATH, request)
+    for place, answer in answers.items():
+        if answer.granted:
+            claim.promised(place, answer.held)
+        else:
+            claim.learned(answer.highest)
+            follower.observe(answer.highest)
+
+
 async def take_over_content(follower: Follower, source: int) -> None:
     """Bring the replica to what the newest holder among those that promised has, which is older than the
     floor that this distributor has promised itself."""
--- a/thistlelever/distributor/handlers.py
+++ b/thistlelever/distributor/handlers.py
@@ -25,6 +25,9 @@
 ACCEPTED = 202
 
 
+VersionText = Annotated[str, Meta(pattern=r"^[0-9]{1,12}\.[0-9]{1,12}$")]
+
+
 class EngineBody(Struct, frozen=True, forbid_unknown_fields=True):
     """An engine as operators and platforms write it."""
 
@@ -58,7 +61,14 @@
     upserts: tuple[EngineBody, ...] = ()
     removals: tuple[str, ...] = ()
     engines: tuple[EngineBody, ...] | None = None
-    expected: Annotated[str, Meta(pattern=r"^[0-9]+\.[0-9]+$")] | None = None
+    expected: VersionText | None = None
+
+
+class PromoteBody(Struct, frozen=True, forbid_unknown_fields=True):
+    """A promotion. The new term is higher than that of `above`, which fronts may hold though all distributors
+    were restored to older versions."""
+
+    above: VersionText = "0.0"
 
 
 class Handler(RequestHandler):
@@ -102,8 +112,9 @@
         request = self.body_as(codec.WatchRequest)
         if request is None:
             return
+        # A front's word makes no publisher step down: it may come from another tier, or hold what all
+        # distributors have lost.
         distributor = self.distributor
-        distributor.role.observe(request.version)
         try:
             update, fronts = await distributor.sessions.watch(request)
         except BusyError as error:
@@ -228,7 +239,11 @@
     async def post(self) -> None:
         """Claim the role."""
         try:
-            term = await self.distributor.role.claim()
+            body = msgspec.json.decode(self.request.body, type=PromoteBody)
+            term = await self.distributor.role.claim(parse(body.above))
+        except msgspec.DecodeError as error:
+            self.refuse(BAD_REQUEST, f"no promotion: {error}")
+            return
         except ClaimFailedError as error:
             self.refuse(CONFLICT, str(error))
             return
--- a/thistlelever/distributor/publishing.py
+++ b/thistlelever/distributor/publishing.py
@@ -13,6 +13,7 @@
 from thistlelever.distribution.versions import NO_VERSION, Version
 from thistlelever.distributor.catalog import Catalog
 from thistlelever.distributor.claiming import ANNOUNCE_PATH, ClaimFailedError, ask_others, claim_term
+from thistlelever.distributor.content_writer import ContentWriter
 from thistlelever.distributor.follower import Follower
 from thistlelever.ground.log import Log
 
@@ -25,21 +26,23 @@
 class PublisherRole:
     """`publisher` is set while this distributor has the role."""
 
-    def __init__(self, catalog: Catalog, follower: Follower, log: Log) -> None:
-        """Without the role until `claim`."""
+    def __init__(self, catalog: Catalog, follower: Follower, log: Log, writer: ContentWriter | None) -> None:
+        """Without the role until `claim`. `writer` keeps promises on disk, where there is one."""
         self.catalog, self.follower, self.log = catalog, follower, log
+        self.writer = writer
         self.publisher: Publisher | None = None
         # The newest version that each follower has shown to hold, and who waits for them to move.
         self.held_by: dict[int, Version] = {}
         self.moved = asyncio.Event()
         self.claiming = asyncio.Lock()
 
-    async def claim(self) -> int:
-        """Take the role over: the new term. `ClaimFailedError` where that is not possible."""
+    async def claim(self, above: Version = NO_VERSION) -> int:
+        """Take the role over: the new term, higher than that of `above`. `ClaimFailedError` where that is not
+        possible."""
         async with self.claiming:
-            if self.publisher:
+            if self.publisher and self.publisher.term > above.term:
                 return self.publisher.term
-            term = await claim_term(self.follower)
+            term = await claim_term(self.follower, above, self.writer)
             catalog = self.catalog
             self.publisher = Publisher(catalog.replica, catalog.history, term)
             self.follower.publishing = True
--- a/thistlelever/distributor/service.py
+++ b/thistlelever/distributor/service.py
@@ -47,7 +47,7 @@
         addresses = tuple(address(text) for text in config.distributors)
         peers = Peers(config.index, addresses, config.heartbeat_s)
         self.follower = Follower(self.catalog, peers, self.counts, log)
-        self.role = PublisherRole(self.catalog, self.follower, log)
+        self.role = PublisherRole(self.catalog, self.follower, log, self.writer)
         admission = SnapshotAdmission(config.snapshots_per_s, config.index, clock.now())
         self.sessions = Sessions(self.catalog, admission, self.counts)
         # Followers whose long poll waits for the next version.
