--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -80,6 +80,11 @@
     assert len(digests | {record_digest(engine(1))}) == len(changes) + 1
 
 
+def test_texts_that_read_alike_when_joined_have_other_digests():
+    pairs = [("ab", "c"), ("a", "bc"), ("", "abc"), ("abc", ""), ("1:a", ""), ("", "1:a")]
+    assert len({record_digest(engine(1, id=first, zone=second)) for first, second in pairs}) == len(pairs)
+
+
 # Deltas that are lost, doubled, out of order, damaged.
 
 
--- a/tests/test_distribution_claims.py
+++ b/tests/test_distribution_claims.py
@@ -151,6 +151,19 @@
         Publisher(replicas[1], History(10), publisher.term)
 
 
+def test_a_restored_publisher_that_counted_its_own_answer_would_take_its_former_term():
+    replicas = [Replica() for _ in range(3)]
+    publisher = claim_by(0, replicas, [0, 1])
+    replicas[0] = Replica()
+    terms = {}
+    for remembers in (True, False):
+        claim = Claim(0, 3, remembers=remembers)
+        for other in (0, 2):
+            claim.heard(other, replicas[other].highest())
+        terms[remembers] = claim.term()
+    assert terms == {True: publisher.term, False: None}
+
+
 def test_a_version_of_its_own_term_that_it_never_made_supersedes_a_restored_publisher():
     restored = publisher_of(5)
     former = publisher_of(5)
--- a/tests/test_distribution_model.py
+++ b/tests/test_distribution_model.py
@@ -5,12 +5,14 @@
 from random import Random
 
 import pytest
+import test_distribution_world as world_module
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from test_distribution import engine
 from test_distribution_world import DISTRIBUTORS, FRONTS, World
+from thistlelever.distribution.claim import TERMS_PER_ROUND, Claim
 from thistlelever.distribution.messages import Snapshot
 from thistlelever.distribution.replica import Outcome, Replica
 from thistlelever.distribution.versions import NO_VERSION
@@ -279,3 +281,28 @@
     with pytest.raises(AssertionError):
         for seed in range(100):
             walk(seed, faulty)
+
+
+def without_own_term(claim):
+    return (claim.highest().term // TERMS_PER_ROUND + 1) * TERMS_PER_ROUND
+
+
+def with_one_promise(claim):
+    return claim._index if claim._promised else None
+
+
+@pytest.mark.parametrize(
+    "target, name, faulty",
+    [
+        (Claim, "_next_term", without_own_term),
+        (Claim, "_enough_answers", lambda claim: bool(claim._answered)),
+        (Claim, "source", with_one_promise),
+        (world_module, "promise", lambda replica, term: True),
+    ],
+    ids=["terms are shared", "no majority is heard", "no majority promises", "promises are not kept"],
+)
+def test_a_claim_with_a_fault_is_found(monkeypatch, target, name, faulty):
+    monkeypatch.setattr(target, name, faulty)
+    with pytest.raises(AssertionError, match="two contents of"):
+        for seed in range(100):
+            walk(seed)
--- a/tests/test_distribution_publishing.py
+++ b/tests/test_distribution_publishing.py
@@ -6,8 +6,10 @@
 
 from test_distribution import NeverIterated, engine, follower_of, publisher_of, state
 from thistlelever.distribution import publisher as publisher_module
+from thistlelever.distribution import validation
 from thistlelever.distribution.messages import Removal
 from thistlelever.distribution.publisher import PublishRefusedError, UnexpectedVersionError, validate
+from thistlelever.distribution.records import EngineRecord
 from thistlelever.distribution.replica import Outcome
 from thistlelever.distribution.validation import MOST_RECORDS, MOST_RECORDS_PER_CHANGE
 
@@ -37,6 +39,12 @@
         ("address", "10.0.0.1:", "HOST:PORT"),
         ("address", "10.0.0.1:0", "HOST:PORT"),
         ("address", "10.0.0.1:65536", "HOST:PORT"),
+        ("address", "10.0.0.1:66000", "HOST:PORT"),
+        ("address", "10.0.0.1:100000", "HOST:PORT"),
+        ("address", "10.0.0.1:80\n", "HOST:PORT"),
+        ("address", "10.0.0.1:٤٢", "HOST:PORT"),
+        ("address", "10.0.0.١:80", "HOST:PORT"),
+        ("address", "10.0.0:80", "HOST:PORT"),
         ("address", "10.0.0.1:" + "9" * 5000, "HOST:PORT"),
         ("address", "10.0.0.1:080", "HOST:PORT"),
         ("address", "10.0.0.1:+80", "HOST:PORT"),
@@ -61,6 +69,15 @@
     assert refused(publisher, lambda: publisher.publish(records[3:], [], None)) == f"upserts[0]{found}"
 
 
+def test_every_field_has_its_rule_in_the_order_of_the_record():
+    assert tuple(rule.field for rule in validation._RULES) == EngineRecord._fields
+
+
+@pytest.mark.parametrize("address", ["0.0.0.0:1", "255.249.199.9:65535", "10.0.0.1:9999", "10.0.0.1:59999"])
+def test_every_address_in_its_one_spelling_passes(address):
+    validate([engine(1, address=address)])
+
+
 def test_a_publish_that_is_too_large_is_refused():
     publisher = publisher_of(5)
     many = [engine(number) for number in range(MOST_RECORDS_PER_CHANGE + 1)]
--- a/thistlelever/distribution/publisher.py
+++ b/thistlelever/distribution/publisher.py
@@ -90,9 +90,9 @@
         self._check_role(expected)
         if not records:
             raise PublishRefusedError("engines: at least one record expected; found none")
+        held = self.replica.records
         validate(records)
         kept_ids = {record.id for record in records}
-        held = self.replica.records
         changed = [record for record in records if held.get(record.id) != record]
         removed = [held_id for held_id in held if held_id not in kept_ids]
         return self._commit_if_any(changed, removed)
--- a/thistlelever/distribution/records.py
+++ b/thistlelever/distribution/records.py
@@ -33,20 +33,16 @@
 
 
 def record_digest(record: EngineRecord) -> int:
-    """The 128-bit hash of one record."""
-    words = (
-        record.id,
-        record.zone,
-        str(record.cell),
-        record.kind,
-        record.address,
-        str(int(record.draining)),
-        record.started.hex(),
-        record.weight.hex(),
-        str(int(record.in_subset)),
+    """The 128-bit hash of one record. Texts go in with their lengths, so that no two records read alike."""
+    text = (
+        f"{len(record.id)}:{record.id}"
+        f"{len(record.zone)}:{record.zone}"
+        f"{len(record.kind)}:{record.kind}"
+        f"{len(record.address)}:{record.address}"
+        f"{record.cell}:{record.draining:d}:{record.in_subset:d}:"
+        f"{record.started.hex()}:{record.weight.hex()}"
     )
-    data = b"".join(len(word.encode()).to_bytes(2, "big") + word.encode() for word in words)
-    return int.from_bytes(blake2b(data, digest_size=DIGEST_BITS // 8).digest(), "big")
+    return int.from_bytes(blake2b(text.encode(), digest_size=DIGEST_BITS // 8).digest(), "big")
 
 
 def digest_of(records: Iterable[EngineRecord]) -> int:
--- a/thistlelever/distribution/validation.py
+++ b/thistlelever/distribution/validation.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Sequence
-from ipaddress import AddressValueError, IPv4Address
+import re
+from collections.abc import Callable, Collection, Sequence
+from typing import NamedTuple, NoReturn
 
 from thistlelever.distribution.records import EngineRecord
 
 MOST_NAME_CHARACTERS = 128
 MOST_RECORDS = 65_536
 MOST_RECORDS_PER_CHANGE = 4_096
-HIGHEST_PORT = 65_535
+
+# `HOST:PORT` in its one spelling: no leading zeros, 0 to 255 four times, 1 to 65535.
+_OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_PORT = r"(?:6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}|[1-9][0-9]{0,3})"
+_ADDRESS = re.compile(rf"{_OCTET}(?:\.{_OCTET}){{3}}:{_PORT}")
 
 
 class PublishRefusedError(Exception):
@@ -26,73 +31,76 @@
     positions_by_id: dict[str, int] = {}
     positions_by_address: dict[str, int] = {}
     for position, record in enumerate(records):
-        where = f"{path}[{position}]"
-        _validate_record(record, where)
+        _validate_record(record, path, position)
         earlier = positions_by_id.setdefault(record.id, position)
         if earlier != position:
-            _refuse(f"{where}.id", f"an id other than that of {path}[{earlier}]", record.id)
+            _refuse(f"{path}[{position}].id", f"an id other than that of {path}[{earlier}]", record.id)
         earlier = positions_by_address.setdefault(record.address, position)
         if earlier != position:
-            _refuse(f"{where}.address", f"an address other than that of {path}[{earlier}]", record.address)
+            expected = f"an address other than that of {path}[{earlier}]"
+            _refuse(f"{path}[{position}].address", expected, record.address)
 
 
 def validate_removed_ids(removed_ids: Sequence[str], upserted_ids: Collection[str]) -> None:
     """Checks that ids to be removed are ids, come once and are not upserted as well."""
     seen: set[str] = set()
     for position, removed_id in enumerate(removed_ids):
-        where = f"removed_ids[{position}]"
-        _validate_name(removed_id, where)
+        path = f"removed_ids[{position}]"
+        if not _is_name(removed_id):
+            _refuse(path, _NAME_EXPECTED, removed_id)
         if removed_id in seen:
-            _refuse(where, "an id that is not named before", removed_id)
+            _refuse(path, "an id that is not named before", removed_id)
         if removed_id in upserted_ids:
-            _refuse(where, "an id that is not upserted as well", removed_id)
+            _refuse(path, "an id that is not upserted as well", removed_id)
         seen.add(removed_id)
 
 
-def _refuse(path: str, expected: str, found: object) -> None:
+def _refuse(path: str, expected: str, found: object) -> NoReturn:
     raise PublishRefusedError(f"{path}: {expected} expected; found {found!r}")
 
 
-def _validate_record(record: EngineRecord, where: str) -> None:
-    _validate_name(record.id, f"{where}.id")
-    _validate_name(record.zone, f"{where}.zone")
-    _validate_name(record.kind, f"{where}.kind")
-    if type(record.cell) is not int or record.cell < 0:
-        _refuse(f"{where}.cell", "an integer of at least 0", record.cell)
-    if not _is_address(record.address):
-        _refuse(f"{where}.address", "HOST:PORT", record.address)
-    if type(record.draining) is not bool:
-        _refuse(f"{where}.draining", "true or false", record.draining)
-    _validate_number(record.started, f"{where}.started")
-    _validate_number(record.weight, f"{where}.weight")
-    if record.in_subset is not True:
-        _refuse(f"{where}.in_subset", "true", record.in_subset)
-
-
-def _validate_name(name: object, where: str) -> None:
-    if not isinstance(name, str) or not 1 <= len(name) <= MOST_NAME_CHARACTERS or not name.isprintable():
-        _refuse(where, f"1 to {MOST_NAME_CHARACTERS} printable characters", name)
-
-
-def _validate_number(number: object, where: str) -> None:
-    # -0.0 is refused: it equals 0.0 and yet has another digest.
-    if type(number) is not float or not math.isfinite(number) or math.copysign(1.0, number) < 0:
-        _refuse(where, "a finite float of at least 0.0", number)
-
-
-def _is_address(address: object) -> bool:
-    """Whether this is `HOST:PORT` in its one canonical spelling."""
-    if not isinstance(address, str):
-        return False
-    host, _, port = address.rpartition(":")
-    try:
-        IPv4Address(host)
-    except AddressValueError:
-        return False
-    if (
-        not (port.isascii() and port.isdecimal())
-        or port.startswith("0")
-        or len(port) > len(str(HIGHEST_PORT))
-    ):
-        return False
-    return int(port) <= HIGHEST_PORT
+def _validate_record(record: EngineRecord, path: str, position: int) -> None:
+    for rule, value in zip(_RULES, record, strict=True):
+        if not rule.holds(value):
+            _refuse(f"{path}[{position}].{rule.field}", rule.expected, value)
+
+
+def _is_name(value: object) -> bool:
+    return isinstance(value, str) and 1 <= len(value) <= MOST_NAME_CHARACTERS and value.isprintable()
+
+
+def _is_cell(value: object) -> bool:
+    return type(value) is int and value >= 0
+
+
+def _is_address(value: object) -> bool:
+    return isinstance(value, str) and _ADDRESS.fullmatch(value) is not None
+
+
+def _is_number(value: object) -> bool:
+    # -0.0 doesn't pass: it equals 0.0 and yet has another digest.
+    return type(value) is float and math.isfinite(value) and math.copysign(1.0, value) > 0
+
+
+class _Rule(NamedTuple):
+    """What must hold of one field."""
+
+    field: str
+    holds: Callable[[object], bool]
+    expected: str
+
+
+_NAME_EXPECTED = f"1 to {MOST_NAME_CHARACTERS} printable characters"
+_NUMBER_EXPECTED = "a finite float of at least 0.0"
+# In the order of the fields of `EngineRecord`.
+_RULES = (
+    _Rule("id", _is_name, _NAME_EXPECTED),
+    _Rule("zone", _is_name, _NAME_EXPECTED),
+    _Rule("cell", _is_cell, "an integer of at least 0"),
+    _Rule("kind", _is_name, _NAME_EXPECTED),
+    _Rule("address", _is_address, "HOST:PORT"),
+    _Rule("draining", lambda value: type(value) is bool, "true or false"),
+    _Rule("started", _is_number, _NUMBER_EXPECTED),
+    _Rule("weight", _is_number, _NUMBER_EXPECTED),
+    _Rule("in_subset", lambda value: value is True, "true"),
+)
