Lines in pieces end whole, late lists are read, a late copy is nobody's answer

- At the end of a front a line that had begun, and a connection that waited at the port, met the close (Reception.finish): taken and answered while the front's own time lasts.
- An answer of the directory later than 250 ms was dropped though its comment said it is read, and a new socket dropped what was on its way to the one before (directory.py: answered, renew).

--- /dev/null
+++ b/tests/test_moments.py
@@ -0,0 +1,383 @@
+"""Moments in which bytes, signals and lists cross, each forced on a whole front with real sockets."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+from contextlib import asynccontextmanager
+
+import pytest
+from stage import LONGEST_WAIT, brisk, staged
+
+from thistlelever.carrier import clients, directory
+from thistlelever.ground import papers
+from thistlelever.ground.papers import Node
+from thistlelever.lifecycle import run
+from thistlelever.standins.http_engine import rows
+from thistlelever.standins.papers import configuration
+
+GOOD_PAGE = b"HTTP/1.1 200 X\r\nChunks: 1\r\nElapsed-Work: 40.2\r\nContent-Length: 6\r\n\r\na\tb\tc\n"
+
+
+@asynccontextmanager
+async def served(script):
+    """A front with this script played so far, one step a line."""
+    lines = [("setup", line.split()) for line in script.strip().splitlines()]
+    with brisk():
+        async with staged(lines) as stage:
+            yield stage
+
+
+async def play(stage, script):
+    for line in script.strip().splitlines():
+        await stage.line(*line.split())
+
+
+def moment(script):
+    """The test gets the stage on which the script was played."""
+
+    def decorated(body):
+        def test(monkeypatch):
+            async def whole():
+                async with served(script) as stage:
+                    await body(stage, monkeypatch)
+
+            asyncio.run(whole())
+
+        test.__name__, test.__doc__ = body.__name__, body.__doc__
+        return test
+
+    return decorated
+
+
+async def pace_answers(stage, count):
+    """The directory has answered so many further queries."""
+    asked = stage.directory.asked
+    await stage.until(lambda: stage.directory.asked >= asked + count)
+
+
+# Reloads and lists.
+
+
+@moment("engine a\nengine b\nfront")
+async def test_a_reload_moves_to_a_directory_that_names_drains(stage, monkeypatch):
+    """The first answers at the new address are lost; what it names is heeded within the time for a drain."""
+    await stage.do_moves()
+    stage.directory.serial = 4
+    stage.directory.entries = {"a": (stage.port("a"), False), "b": (stage.port("b"), True)}
+    await stage.do_directory("lost", "lost")
+    begun = asyncio.get_running_loop().time()
+    await play(stage, "sighup reloaded\nlisted a")
+    assert asyncio.get_running_loop().time() < begun + 1.5
+    await play(
+        stage, "submit 1 pay\nanswer 1 result rows\nsubmit 2 pay\nanswer 2 result rows\ncalls b POST 0"
+    )
+
+
+@pytest.mark.parametrize("minutes", (0, 1))
+def test_a_way_that_falls_silent_late_is_left_in_time(minutes, monkeypatch):
+    """Also after minutes of service, and once more on the way that took its place."""
+
+    async def whole():
+        async with served("engine a\nengine b\nfront") as stage:
+            monkeypatch.setattr(directory, "PACE", 0.005)
+            await pace_answers(stage, 200 * minutes + 1)
+            for serial, listed in ((4, "a"), (5, "b")):
+                await stage.do_deaf_to_asker()
+                stage.directory.serial = serial
+                stage.directory.entries = {listed: (stage.port(listed), False)}
+                begun = asyncio.get_running_loop().time()
+                await stage.do_listed(listed)
+                assert asyncio.get_running_loop().time() < begun + 1.5
+
+    asyncio.run(whole())
+
+
+@moment("engine a\nengine b\nfront")
+async def test_answers_of_the_directory_that_come_late_are_read(stage, monkeypatch):
+    """Each answer comes long after the next query has gone out, and by then by a way that was left."""
+    asker = stage.directory.transport
+
+    class Late:
+        def sendto(self, data, address):
+            asyncio.get_running_loop().call_later(2 * directory.PATIENCE, asker.sendto, data, address)
+
+        def close(self):
+            asker.close()
+
+    stage.directory.transport = Late()
+    stage.directory.serial, stage.directory.entries = 4, {"a": (stage.port("a"), False)}
+    await stage.do_listed("a")
+    # The list that is left is older; it must not come back.
+    stage.directory.serial, stage.directory.entries = 3, {"a": (stage.port("a"), False), "b": (9, False)}
+    await pace_answers(stage, 20)
+    await stage.do_listed("a")
+
+
+def instance(name, lifecycle="Ready"):
+    place = {"instanceId": name, "hostPort": "127.0.0.1:9", "zone": "nord", "machineType": "std"}
+    return place | {"lifecycle": lifecycle}
+
+
+@pytest.mark.parametrize(
+    "events, names",
+    [
+        # A whole list where a change was due: what it leaves out is gone.
+        ([(True, ["a", "b"]), (True, ["c"])], ["c"]),
+        # A change where the whole list was due: it is the list so far.
+        ([(False, ["a"]), (False, ["b"])], ["a", "b"]),
+        # A whole list after changes, and a change after it.
+        ([(True, ["a"]), (False, ["b"]), (True, ["b", "c"]), (False, ["d"])], ["b", "c", "d"]),
+    ],
+)
+def test_a_whole_list_and_a_change_are_each_taken_for_what_they_are(events, names):
+    told = [
+        Node({"hosts": {"reset": whole, "instances": [instance(name) for name in listed]}})
+        for whole, listed in events
+    ]
+    assert [e.engine.id.decode() for e in papers.listed(told, ("nord",), ("std",))] == names
+
+
+def test_a_reload_may_hold_a_whole_list_in_any_event():
+    config = configuration([("a", "127.0.0.1:9")])
+    config["known"]["entries"].append({"pos": 4, "hosts": {"reset": True, "instances": [instance("b")]}})
+    assert [e.engine.id for e in papers.read(config, {}).known] == [b"b"]
+
+
+# The end of a front.
+
+
+def connect(stage, *lines):
+    """A further client whose lines lie in the socket before the front has seen it."""
+    sock = socket.create_connection(stage.writer.get_extra_info("peername"))
+    for line in lines:
+        sock.sendall(line)
+    return sock
+
+
+async def answer_on(sock):
+    """The next line on a connection, as its client reads it; None where it has ended."""
+    reader, writer = await asyncio.open_connection(sock=sock)
+    try:
+        async with asyncio.timeout(LONGEST_WAIT):
+            line = await reader.readline()
+            return json.loads(line) if line else None
+    finally:
+        writer.close()
+
+
+@moment("engine a\nfront")
+async def test_sigterm_right_behind_accepts_with_requests_in_the_sockets(stage, monkeypatch):
+    """More connections than are taken in one turn of the loop, none of them seen before the signal."""
+    socks = [connect(stage, stage.submission(100 + n, "lookup")) for n in range(clients.TAKEN_A_TURN + 8)]
+    os.kill(os.getpid(), signal.SIGTERM)
+    answers = await asyncio.gather(*map(answer_on, socks))
+    assert all(answer and "result" in answer for answer in answers), answers
+    await stage.do_stopped()
+
+
+@moment("engine a\nfront")
+async def test_a_connection_that_waits_at_the_port_when_it_is_closed_is_answered(stage, monkeypatch):
+    """It comes in the very turn of the loop in which the front takes no more."""
+    finish, socks = stage.office.reception.finish, []
+
+    async def crossing(within):
+        socks.append(connect(stage, stage.submission(100, "lookup")))
+        await finish(within)
+
+    monkeypatch.setattr(stage.office.reception, "finish", crossing)
+    await stage.do_sigterm()
+    await stage.look_until(lambda: socks)
+    assert "result" in (await answer_on(socks[0]))
+    await stage.do_stopped()
+
+
+@moment("engine a\nfront")
+async def test_a_request_in_pieces_across_sigterm_is_answered(stage, monkeypatch):
+    """Its last byte comes when all else is answered and nothing new is expected any more."""
+    line = stage.submission(1, "lookup")
+    stage.writer.write(line[:40])
+    await stage.do_sigterm()
+    await asyncio.sleep(run.STILL_COMING + 0.1)
+    stage.writer.write(line[40:])
+    await play(stage, "answer 1 result rows\nhung_up_in_order\nstopped")
+
+
+@moment("engine a\nfront")
+async def test_half_a_line_does_not_hold_up_the_end_for_good(stage, monkeypatch):
+    stage.writer.write(b'{"jsonrpc":"2.0",')
+    begun = asyncio.get_running_loop().time()
+    await play(stage, "sigterm\nhung_up_in_order\nstopped")
+    longest = min(run.LONGEST_LIMIT, 4.0) + run.LAST_ANSWER + run.LAST_BYTES + clients.LINGER
+    assert asyncio.get_running_loop().time() < begun + longest + 0.2
+
+
+@moment("engine a\nfront")
+async def test_a_front_that_is_killed_leaves_no_answer_that_it_does_not_owe(stage, monkeypatch):
+    """What was accepted and not read when the process dies is reset: its client may send it elsewhere."""
+    sock = connect(stage, stage.submission(100, "lookup"))
+    raw = stage.office.reception.raw
+    asyncio.get_running_loop().remove_reader(raw)
+    raw.accept()[0].close()
+    reader, writer = await asyncio.open_connection(sock=sock)
+    with pytest.raises(ConnectionError):
+        await reader.readexactly(1)
+    writer.close()
+    asyncio.get_running_loop().add_reader(raw, stage.office.reception.accept)
+    await play(stage, "calls a POST 0\nsubmit 1 lookup\nanswer 1 result rows")
+
+
+# Connections that rest.
+
+
+@moment("engine a\nfront")
+async def test_a_request_in_pieces_on_a_connection_that_rested(stage, monkeypatch):
+    """Risk: what rested longer than half a line may take is closed over the half line of its next request."""
+    monkeypatch.setattr(clients, "SILENT", 0.3)
+    await play(stage, "submit 1 lookup\nanswer 1 result rows")
+    await asyncio.sleep(0.4)
+    line = stage.submission(2, "lookup")
+    stage.writer.write(line[:40])
+    await asyncio.sleep(0.05)
+    stage.office.reception.sweep()
+    await asyncio.sleep(0.05)
+    stage.writer.write(line[40:])
+    await stage.do_answer(2, "result", "rows")
+
+
+@moment("engine a\nfront")
+async def test_a_rested_connection_with_a_request_on_its_way_makes_no_place(stage, monkeypatch):
+    """Risk: who comes new gets the place of one whose request lies in its socket."""
+    monkeypatch.setattr(clients, "SILENT", 0.1)
+    await play(stage, "submit 1 lookup\nanswer 1 result rows\nplaces 1")
+    await asyncio.sleep(0.2)
+    line = stage.submission(2, "lookup")
+    stage.writer.write(line[:40])
+    await asyncio.sleep(0.02)
+    sock = connect(stage, stage.submission(100, "lookup"))
+    await asyncio.sleep(0.02)
+    stage.writer.write(line[40:])
+    await stage.do_answer(2, "result", "rows")
+    assert "result" in (await answer_on(sock))
+
+
+@moment("engine a\nfront")
+async def test_half_a_line_that_never_ends_is_closed_in_time(stage, monkeypatch):
+    monkeypatch.setattr(clients, "SILENT", 0.2)
+    await play(stage, "submit 1 lookup\nanswer 1 result rows")
+    stage.writer.write(b'{"jsonrpc":"2.0",')
+    await asyncio.sleep(0.3)
+    stage.office.reception.sweep()
+    await stage.do_hung_up_in_order()
+
+
+@moment("settings Limits.Keepalive 100000\nengine a\nfront")
+async def test_an_idle_process_still_answers(stage, monkeypatch):
+    """All its connections to the engine were closed meanwhile, by either side; its client has come back."""
+    await play(stage, "submit 1 pay\nanswer 1 result rows")
+    stage.writer.close()
+    await asyncio.sleep(2 * run.HOUSEKEEPING)
+    await play(stage, "hangs_up a")
+    status = b'{"jsonrpc":"2.0","id":7,"method":"status"}\n'
+    assert (await answer_on(connect(stage, status)))["result"] == {"ready": True}
+    assert "result" in (await answer_on(connect(stage, stage.submission(8, "pay"))))
+    await play(stage, "calls a POST 2\ncalls a GET0 0")
+
+
+# Answers of engines.
+
+
+def endless(head, piece, pause=0.002):
+    """What an engine sends that begins an answer and never ends it."""
+
+    async def send(writer):
+        writer.write(head)
+        while not writer.is_closing():
+            writer.write(piece)
+            await asyncio.sleep(pause)
+
+    return send
+
+
+ENDLESS = {
+    "chunks": endless(
+        b"HTTP/1.1 200 X\r\nChunks: 1\r\nTransfer-Encoding: chunked\r\n\r\n", b"6\r\na\tb\tc\n\r\n"
+    ),
+    "one byte at a time": endless(b"HTTP/1.1 200 X\r\nChunks: 1\r\nContent-Length: 6000\r\n\r\n", b"a"),
+    "head": endless(b"HTTP/1.1 200 X\r\n", b"X-More: 1\r\n"),
+    "interim answers": endless(b"", b"HTTP/1.1 100 X\r\n\r\n"),
+    "all at once": endless(
+        b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n", b"fff\r\n" + b"x" * 40_000, 0
+    ),
+    "trailers": endless(b"HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", b"X-More: 1\r\n"),
+}
+
+
+def sends_once(stage, name, call, send):
+    """The engine answers one such call like that, in place of its good answer, and the next ones as usual."""
+    engine = stage.engines[name]
+    usual, used = engine.act, []
+
+    async def act(writer, made, fields, path, body):
+        if made != call or used:
+            return await usual(writer, made, fields, path, body)
+        used.append(made)
+        if made == "POST":
+            engine.usual(made, (fields["x-txn"], "", fields["x-lane"]), body)
+        await send(writer)
+        return False
+
+    engine.act = act
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+@pytest.mark.parametrize("call", ("POST", "GET0", "GET1"))
+def test_an_answer_that_never_ends_is_asked_for_again(kind, call):
+    async def whole():
+        async with served("engine a\nfront") as stage:
+            if call == "GET0":
+                await stage.do_on("a", "POST", "ran", "202")
+            if call == "GET1":
+                stage.engines["a"].text = "a\tb\tc\n" * 1_200
+            sends_once(stage, "a", call, ENDLESS[kind])
+            await stage.do_submit(1, "pay")
+            await stage.until(lambda: stage.answers)
+            assert "result" in stage.answers[0], stage.answers
+            await play(stage, "calls a POST 1")
+            # The connection on which it goes on is closed.
+            await stage.look_until(lambda: stage.office.links.count == len(stage.engines["a"].writers))
+
+    asyncio.run(whole())
+
+
+@moment("engine a\nfront")
+async def test_pages_without_end_are_no_result(stage, monkeypatch):
+    await play(stage, "on a POST ran 200 Chunks=1000000 body=x\nsubmit 1 pay\nanswer 1 result rows")
+    await play(stage, "calls a POST 1\ncalls a GET1 0")
+
+
+@pytest.mark.parametrize("late", (0.0, 0.003, 0.008, 0.03))
+def test_a_second_answer_that_comes_late_is_nobodys(late):
+    """A copy of an answer comes so much later on its connection, while the next request goes out."""
+
+    async def whole():
+        async with served("engine a\nfront") as stage:
+            copied = []
+
+            async def twice(writer):
+                writer.write(GOOD_PAGE)
+                await asyncio.sleep(late)
+                writer.write(GOOD_PAGE)
+                copied.append(writer)
+                await asyncio.sleep(LONGEST_WAIT)
+
+            stage.engines["a"].text = rows("a_b_c")
+            sends_once(stage, "a", "POST", twice)
+            await play(stage, "submit 1 lookup\nanswer 1 result a_b_c")
+            stage.engines["a"].text = rows("rows")
+            await asyncio.sleep(max(late - 0.015, 0.0))
+            await play(stage, "submit 2 lookup\nanswer 2 result rows")
+            await stage.look_until(lambda: copied)
+
+    asyncio.run(whole())
--- a/thistlelever/carrier/clients.py
+++ b/thistlelever/carrier/clients.py
@@ -27,7 +27,7 @@
 # 32 open requests at 48,000 bytes in base64 each: a client that reads nothing gets no more than that.
 MOST_OPEN, MOST_UNREAD = 32, 32 * 66_000
 # A client is owed a word or a close 3 s after it connects, and closes what idles for 4 s itself.
-SILENT, IDLE = 1.5, 5.0
+SILENT, FIRST_LINE, IDLE = 1.5, 2.4, 5.0
 # Who has said nothing in this time is closed before one that has: it counts as idle for so much longer.
 SILENT_SOON, SILENT_FIRST = 0.1, 1.0
 # At the bound connections wait at the port for a place; past this a close tells them that there is none.
@@ -40,7 +40,7 @@
 LINGER = 0.15
 # After each line out of form the next is read this much later, and after so many in a row none.
 SLOWER, MOST_BAD = 0.01, 16
-# A port that can take no more for now is looked at again after this, as it would say so again at once.
+# A port that can take no more for now is looked at again after this, and so are lines at the front's end.
 REST = 0.005
 
 
@@ -64,15 +64,26 @@
 
     async def finish(self, within: float) -> None:
         """Take no more, and end each connection in order; what is not over in that time is cut."""
+        # Risk: who waits at the port when it is closed is reset, with a first request that is whole.
+        self.accept()
         asyncio.get_running_loop().remove_reader(self.raw)
         self.raw.close()
         if self.waits:
             self.waits.close()
+        await self.last_lines()
         for session in list(self.sessions):
             session.end()
         if self.sessions:
             await asyncio.wait(self.sessions.values(), timeout=within)
 
+    async def last_lines(self) -> None:
+        """Until what has begun to come is taken and answered, while the front's own time lasts. Risk: a
+        request whose last bytes come a moment after all others are answered meets the close."""
+        while clock.now() < self.intake.stop_at and (
+            self.courses.tasks or any(session.hears() for session in self.sessions)
+        ):
+            await asyncio.sleep(REST)
+
     def accept(self) -> None:
         """Take what waits at the port; one turn of the loop must not go to new connections alone."""
         for _ in range(TAKEN_A_TURN):
@@ -125,7 +136,7 @@
             return session.since - SILENT_FIRST * silent
 
         for session in sorted((s for s in self.sessions if not s.open and not s.ending), key=idle_since):
-            if now - session.since > SILENT or not session.unread():
+            if not session.hears():
                 self.tally.add("idle clients closed for others")
                 session.left()
                 return True
@@ -136,7 +147,7 @@
         now = clock.now()
         for session in [s for s in self.sessions if not s.open and not s.ending]:
             waits = session.spoken and session.inflow.start == session.inflow.end
-            if now - session.since > (IDLE if waits else SILENT):
+            if now - session.since > (IDLE if waits else SILENT) and not session.hears():
                 self.tally.add("idle clients closed" if waits else "silent clients closed")
                 session.end()
 
@@ -169,6 +180,8 @@
         self.unwritten, self.ending = 0, False
         # When it connected, or last had a batch open or said something whole.
         self.since, self.spoken = clock.now(), False
+        # When the line began of which no end has come yet.
+        self.line_since = self.since
 
     async def run(self) -> None:
         """Until the connection is closed: by the client, or by this side some time after `end`."""
@@ -203,6 +216,8 @@
             if not self.reading.done():
                 return
             reading, self.reading = self.reading, None
+            if self.inflow.start == self.inflow.end:
+                self.line_since = clock.now()
             self.inflow.filled(reading.result())
             if self.ending:
                 self.inflow.void()
@@ -255,17 +270,25 @@
             with suppress(OSError):
                 self.stream.socket.shutdown(socket.SHUT_WR)
 
+    def hears(self) -> bool:
+        """Whether something has come that no batch was made of yet, and that is not waited for too long.
+        Risk: a connection that rested is closed over half of its next request."""
+        if self.ending or not self.unread():
+            return False
+        till = max(self.since, self.line_since) + SILENT
+        till = till if self.spoken else min(till, self.since + FIRST_LINE)
+        return self.inflow.start == self.inflow.end or clock.now() < till
+
     def unread(self) -> bool:
         """Whether something has come that no batch was made of yet."""
         if self.stream.closed():
             return False
         if self.reading is not None and self.reading.done():
             return True
-        try:
-            waits = bool(self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
-            waits = False
-        return waits or self.inflow.start != self.inflow.end
+        with suppress(OSError):
+            if self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                return True
+        return self.inflow.start != self.inflow.end
 
     def take(self, message: memoryview) -> None:
         if not bytes(message[:64]).strip():
--- a/thistlelever/carrier/directory.py
+++ b/thistlelever/carrier/directory.py
@@ -19,13 +19,15 @@
 # An event counts as told 1.5 s after it happened, and sends must cease 0.25 s or so later: asked this
 # often, three datagrams in a row may be lost before that is late.
 PACE = 0.3
-# No answer in this time is none; a later one is still read, if it is newer.
-PATIENCE = 0.25
+# No answer in this time is none; one that comes later, and within this, is still read for what is newer.
+PATIENCE, READ_LATE = 0.25, 3.0
 # So many times in a row what is no news is asked again at once; after that the pace holds.
 MOST_AT_ONCE = 8
 # So many queries in a row without any answer, and the next goes by a new socket: a way that has fallen silent
 # without a word stays so, and what is told must be known within 1.5 s.
 MOST_SILENT = 4
+# So many sockets are listened to at one address, as late answers may be on their way to those left.
+MOST_SOCKETS = 4
 
 
 class Inquiry:
@@ -46,8 +48,11 @@
         self.zones = {name: z for z, name in enumerate(zones)}
         self.kinds = {name: k for k, name in enumerate(kinds)}
         self.seed, self.asked = seed, 0
+        # Queries by their number: those that an answer is due to, and those given up, as it may be late.
         self.awaited: dict[int, asyncio.TimerHandle] = {}
-        self.transport: asyncio.DatagramTransport | None = None
+        self.overdue: dict[int, asyncio.TimerHandle] = {}
+        # The sockets at one address; the last one asks.
+        self.transports: list[asyncio.DatagramTransport] = []
         self.last, self.misses, self.heard_at = b"", 0, 0.0
         self.address: tuple[str, int] | None = None
         self.silent, self.renewal = 0, None
@@ -57,7 +62,7 @@
         loop = asyncio.get_running_loop()
         transport, _ = await loop.create_datagram_endpoint(lambda: Line(self), remote_addr=address)
         self.close()
-        self.transport, self.address, self.misses, self.silent = transport, address, 0, 0
+        self.transports, self.address, self.misses, self.silent = [transport], address, 0, 0
         self.ask(by_order=False)
 
     async def renew(self) -> None:
@@ -66,11 +71,14 @@
         loop, address = asyncio.get_running_loop(), self.address
         with suppress(OSError):
             transport, _ = await loop.create_datagram_endpoint(lambda: Line(self), remote_addr=address)
-            if self.address != address or self.transport.is_closing():
+            if self.address != address or not self.transports:
                 transport.close()
                 return
-            self.close()
-            self.transport = transport
+            # Risk: with the socket go the answers that are late on their way to it.
+            self.transports.append(transport)
+            for old in self.transports[:-MOST_SOCKETS]:
+                old.close()
+            del self.transports[:-MOST_SOCKETS]
             self.tally.add("directory asked by a new socket")
             self.ask(by_order=False)
 
@@ -83,11 +91,13 @@
 
     def close(self) -> None:
         """Risk: a timer or a late answer of an address that is left would pass for word of the next."""
-        for timer in self.awaited.values():
+        for timer in (*self.awaited.values(), *self.overdue.values()):
             timer.cancel()
         self.awaited.clear()
-        if self.transport:
-            self.transport.close()
+        self.overdue.clear()
+        for transport in self.transports:
+            transport.close()
+        self.transports = []
 
     async def run(self) -> None:
         while True:
@@ -105,45 +115,51 @@
         """Send a query. Its number is not to be guessed, or any datagram could pass for the answer."""
         self.asked += 1
         number = crc32(b"%d dns %d" % (self.seed, self.asked)) & 0xFFFF
-        if number in self.awaited:
+        if number in self.awaited or number in self.overdue:
             return
         loop = asyncio.get_running_loop()
         self.awaited[number] = loop.call_later(PATIENCE, self.unanswered, number, by_order)
-        self.transport.sendto(dns.query(number, NAME))
+        self.transports[-1].sendto(dns.query(number, NAME))
 
     def unanswered(self, number: int, by_order: bool) -> None:
+        loop = asyncio.get_running_loop()
         self.awaited.pop(number, None)
+        self.overdue[number] = loop.call_later(READ_LATE, self.overdue.pop, number, None)
         self.tally.add("directory silent")
         self.silent += 1
         if self.silent % MOST_SILENT == 0:
-            self.renewal = asyncio.get_running_loop().create_task(self.renew())
+            self.renewal = loop.create_task(self.renew())
         self.missed()
         if by_order:
             self.desk.tell(it.ListTold(it.ListKind.FAILED, 0, ()))
 
     def answered(self, data: bytes) -> None:
+        """Take a newer list from an answer, also from a late one."""
         number, self.silent = int.from_bytes(data[:2], "big"), 0
-        if number not in self.awaited:
+        in_time = number in self.awaited
+        timer = self.awaited.pop(number, None) or self.overdue.pop(number, None)
+        if timer is None:
             self.tally.add("directory answers unasked for")
             return
-        if data[2:] == self.last:
-            self.heard(number)
-            return
+        timer.cancel()
         try:
-            listing = dns.listing(data, number, NAME)
-            entries = [self.entry(found) for found in listing.engines]
+            news = data[2:] == self.last or self.take(data, number)
         except (dns.Unreadable, KeyError, ValueError) as why:
             self.tally.add("directory answers out of form")
             self.desk.log("directory answer out of form", why=str(why))
-            self.awaited.pop(number).cancel()
+            news = False
+        if in_time and news:
+            self.misses, self.heard_at = 0, clock.now()
+        elif in_time:
             self.missed()
-            return
+
+    def take(self, data: bytes, number: int) -> bool:
+        """Whether an answer's list is no older than the one held; it is the one held from now on."""
+        listing = dns.listing(data, number, NAME)
+        entries = [self.entry(found) for found in listing.engines]
         if listing.serial < self.roll.serial:
             self.tally.add("directory answers older than the list")
-            self.awaited.pop(number).cancel()
-            self.missed()
-            return
-        self.heard(number)
+            return False
         self.last = data[2:]
         changed = self.roll.replace(listing.serial, entries, clock.now())
         if changed is not None:
@@ -151,10 +167,7 @@
                 self.forget(engine)
             self.desk.log("list", serial=listing.serial, engines=len(entries))
             self.desk.tell(it.ListTold(it.ListKind.WHOLE, listing.serial, self.roll.told()))
-
-    def heard(self, number: int) -> None:
-        self.awaited.pop(number).cancel()
-        self.misses, self.heard_at = 0, clock.now()
+        return True
 
     def entry(self, found: dns.Found) -> Entry:
         facts = found.facts
@@ -183,7 +196,7 @@
         self.inquiry.tally.add("directory out of reach")
 
     def datagram_received(self, data: bytes, address: tuple) -> None:
-        if self.transport is self.inquiry.transport:
+        if self.transport in self.inquiry.transports:
             self.inquiry.answered(data)
 
 
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -229,6 +229,8 @@
         if told is None or told % 1 or (told != page if page else not 1 <= told <= MOST_PAGES):
             raise Spoilt("no number of pages, or not the page asked for")
         rows = http.page(reply.body)
+        if link.repeats(reply):
+            raise Spoilt("the same answer twice on one connection")
         if link.surplus and sent.doubts < DOUBTED:
             # Risk: what lies behind may be the rest of these rows, cut off by a length put too low.
             sent.doubts += 1
--- a/thistlelever/store/links.py
+++ b/thistlelever/store/links.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 from time import monotonic
+from zlib import crc32
 
 from tornado.iostream import IOStream, StreamClosedError
 
@@ -61,6 +62,9 @@
         self.stream, self.engine, self.idle_since, self.calls = stream, engine, 0.0, 0
         self.inflow = Inflow(BUFFER, LONGEST)
         self.calling, self.whole, self.surplus = False, False, False
+        # A digest of the last good reply. Risk: a copy that comes late, while the next call is under way, is
+        # taken for the answer to that call.
+        self.last_good = 0
         # While idle a read is under way, so that what comes unasked is seen, and by whom.
         self.reading: asyncio.Future | None = None
 
@@ -90,6 +94,15 @@
             self.stream.close()
         return reply
 
+    def repeats(self, reply: http.Reply) -> bool:
+        """Whether a good reply is, field by field, the one that came before it on this link, the work that
+        was measured included: no two queries take the same."""
+        if b"elapsed-work" not in reply.fields:
+            return False
+        words = (b"%b:%b" % (name, value) for name, value in sorted(reply.fields.items()))
+        before, self.last_good = self.last_good, crc32(b"\n".join((*words, reply.body))) or 1
+        return before == self.last_good
+
     def rest(self) -> None:
         """Void what the last reply lay in, and listen for what may still come."""
         self.idle_since = monotonic()
