--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -115,6 +115,15 @@
     await stage.do_listed("a")
 
 
+@moment("engine a\nengine b\nfront\nlist 5 a b")
+async def test_a_list_under_a_serial_that_is_held_or_passed_changes_nothing(stage, monkeypatch):
+    """Changes are numbered events: what differs under an old number is no news. The next number is."""
+    for serial in (5, 4):
+        await stage.do_list(serial, "a")
+        await stage.do_listed("a", "b")
+    await play(stage, "list 6 b\nlisted b")
+
+
 def instance(name, lifecycle="Ready"):
     place = {"instanceId": name, "hostPort": "127.0.0.1:9", "zone": "nord", "machineType": "std"}
     return place | {"lifecycle": lifecycle}
