--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -31,13 +31,14 @@
 from thistlelever.ground.tally import Tally
 
 if TYPE_CHECKING:
-    from thistlelever.ground.operator import Operator
+    from thistlelever.ground.operator import Operator, Takeover
     from thistlelever.lifecycle.admin import Administration
     from thistlelever.lifecycle.distribution import SubscribedDiscovery
     from thistlelever.lifecycle.flight import FlightSide
     from thistlelever.lifecycle.membership import MembershipSide
-    from thistlelever.lifecycle.parts import Side
+    from thistlelever.lifecycle.parts import Parts, Side
     from thistlelever.lifecycle.state import StateSide
+    from thistlelever.lifecycle.takeover import TakeoverSide
 
 # After a SIGTERM, requests go on coming for 0.6 s; the kill comes no sooner than the longest time limit,
 # or 3 s if that is less, and 0.7 s more after it. The last answers are written before.
@@ -109,11 +110,11 @@
             return SubscribedDiscovery(papers, section, self.roll, self.forget, self.desk)
         return Inquiry(self.roll, self.forget, self.desk, self.tally, papers.zones, papers.kinds, papers.seed)
 
-    def switched_on(self, operator: Operator) -> list[Side]:
-        """Each section that is there, put together; the others are not even imported."""
+    def parts(self) -> Parts:
+        """What further parts are handed."""
         from thistlelever.lifecycle.parts import Parts
 
-        parts = Parts(
+        return Parts(
             self.papers,
             self.log,
             self.tally,
@@ -125,6 +126,10 @@
             self.dispatcher,
             self.inquiry,
         )
+
+    def switched_on(self, operator: Operator) -> list[Side]:
+        """Each section that is there, put together; the others are not even imported."""
+        parts = self.parts()
         sides: list[Side] = []
         if operator.flight:
             from thistlelever.lifecycle.flight import FlightSide
@@ -148,16 +153,20 @@
 
             self.membership = MembershipSide(parts, operator.membership)
             sides.append(self.membership)
-        if operator.takeover and self.membership:
-            from thistlelever.lifecycle.takeover import TakeoverSide
-
-            takeover = TakeoverSide(parts, operator.takeover, self.membership)
-            if self.state:
-                # A front that keeps nothing does not promise others to.
-                self.state.on_failing.append(takeover.failing)
-            sides.append(takeover)
+            if operator.takeover:
+                sides.append(self.takeover(parts, operator.takeover, self.membership))
         return sides
 
+    def takeover(self, parts: Parts, section: Takeover, membership: MembershipSide) -> TakeoverSide:
+        """Takeover, which hears of it where the front keeps nothing on disk."""
+        from thistlelever.lifecycle.takeover import TakeoverSide
+
+        takeover = TakeoverSide(parts, section, membership)
+        if self.state:
+            # A front that keeps nothing does not promise others to.
+            self.state.on_failing.append(takeover.failing)
+        return takeover
+
     def forget(self, engine: it.EngineId) -> None:
         """Connections to an engine that is gone or was started anew."""
         self.links.forget(engine)
