--- a/thistlelever/subsetting/reach.py
+++ b/thistlelever/subsetting/reach.py
@@ -27,6 +27,7 @@
     ) -> None:
         self._index, self._widths = index, widths
         self._fronts, self._home_fronts = fronts, home_fronts
+        self._ready = index.matching(ANYTHING)
         self._requirements = [(requirement, index.matching(requirement)) for requirement in requirements]
         self._choosers: dict[str, int] = {}
 
@@ -51,21 +52,32 @@
 
     def _width(self, engine_id: str, position: int) -> int:
         """How far back a front can be that comes to an engine on the ring of all."""
-        least = self._widths.terms.least
-        width = max(self._widths.widest(), self._index.all.distance_back(position, least))
+        least, width = self._widths.terms.least, self._widths.widest()
         record = self._index.records[engine_id]
         if record.draining:
-            return width
-        ready = self._index.matching(ANYTHING)
-        width = max(width, ready.distance_back(position, self._widths.ready_least))
+            return max(width, self._index.all.distance_back(position, least))
         for requirement, ring in self._requirements:
             if requirement.matches(record):
                 width = max(width, ring.distance_back(position, least))
+        if self._arcs_are_enough(position, width):
+            return width
+        width = max(width, self._index.all.distance_back(position, least))
+        width = max(width, self._ready.distance_back(position, self._widths.ready_least))
         return max(width, self._distance_past_zone(position))
 
+    def _arcs_are_enough(self, position: int, width: int) -> bool:
+        """Whether within `width` before `position` there are surely enough ready engines, and enough zones:
+        the usual case, told at little cost. False where it takes a closer look."""
+        ready, least = self._ready, self._widths.terms.least
+        end, enough = bisect_left(ready.positions, position), max(self._widths.ready_least, 2 * least)
+        if end < enough or position - ready.positions[end - enough] > width:
+            return False
+        zones = {self._index.records[engine_id].zone for engine_id in ready.ids[end - 2 * least : end]}
+        return len(zones) > least
+
     def _distance_past_zone(self, position: int) -> int:
         """How far back there are `least` ready engines outside any one zone."""
-        ready, records = self._index.matching(ANYTHING), self._index.records
+        ready, records = self._ready, self._index.records
         zones: dict[str, int] = {}
         most, end = 0, bisect_left(ready.positions, position)
         for back in range(1, min(len(ready), MOST_BACK)):
