--- a/tests/test_distribution_claims.py
+++ b/tests/test_distribution_claims.py
@@ -118,6 +118,20 @@
     assert successor.begin().version.term == successor.term
 
 
+def test_catching_up_goes_below_the_floor_once_and_leaves_it_in_place():
+    publisher = publisher_of(5)
+    replica = Replica()
+    replica.receive(publisher.replica.snapshot())
+    delta = drained(publisher, 1)
+    assert promise(replica, 130)
+    assert replica.receive(delta) is Outcome.STALE
+    assert catch_up(replica, delta) is Outcome.APPLIED
+    assert replica.highest() == Version(130, 0)
+    assert replica.receive(drained(publisher, 2)) is Outcome.STALE
+    assert not promise(replica, 129)
+    assert catch_up(replica, Snapshot(Version(1, 1), EMPTY_DIGEST, ())) is Outcome.STALE
+
+
 def test_a_publisher_whose_distributor_promised_a_higher_term_publishes_no_more():
     replicas = [Replica() for _ in range(3)]
     former = claim_by(0, replicas, [0, 1])
--- a/thistlelever/distribution/claim.py
+++ b/thistlelever/distribution/claim.py
@@ -31,7 +31,7 @@
 
 from __future__ import annotations
 
-from thistlelever.distribution.messages import Snapshot
+from thistlelever.distribution.messages import Update
 from thistlelever.distribution.replica import Outcome, Replica
 from thistlelever.distribution.versions import NO_VERSION, Version
 
@@ -54,13 +54,13 @@
     return True
 
 
-def catch_up(replica: Replica, snapshot: Snapshot) -> Outcome:
+def catch_up(replica: Replica, update: Update) -> Outcome:
     """Gives a claimant the newest content that a majority told of. That is older than the term which the
     claimant itself has promised, so that the floor doesn't count here."""
     floor = replica.floor
     replica.floor = NO_VERSION
     try:
-        return replica.receive(snapshot)
+        return replica.receive(update)
     finally:
         replica.floor = floor
 
