Subsetting: a rank in the zone counts only where every front has one

Where some fronts went by it and others by the tier's rank, two could be at one place, and the bound on how many fronts hold an engine would not hold.

--- a/tests/test_subsetting.py
+++ b/tests/test_subsetting.py
@@ -271,6 +271,15 @@
     assert one.fronts == FRONTS
 
 
+def test_a_rank_in_the_zone_counts_only_where_every_front_has_one():
+    front = FrontPlace("a", "zone-1", 7, 1)
+    unranked, ranked = ring_of(fleet(3000)), ring_of(fleet(3000), zone_fronts=FRONTS // 6)
+    without = front._replace(zone_rank=-1)
+    assert unranked.subset(front, (), False) == unranked.subset(without, (), False)
+    assert ranked.subset(front, (), False) != ranked.subset(without, (), False)
+    assert ranked.subset(without, (), False).fronts == FRONTS
+
+
 @st.composite
 def fleets(draw) -> list[EngineRecord]:
     zones, cells = draw(st.integers(1, 4)), draw(st.integers(1, 30))
--- a/thistlelever/subsetting/subsets.py
+++ b/thistlelever/subsetting/subsets.py
@@ -127,7 +127,9 @@
         held = dict.fromkeys(self._index.all.arc(start, widths.everywhere(front.zone)))
         home = self._index.zones.get(front.zone)
         if home is not None:
-            home_rank = front.zone_rank if front.zone_rank >= 0 else rank
+            # Where some fronts of a zone went by one rank and some by the other, two could be at one place.
+            by_zone = self.terms.zone_fronts and front.zone_rank >= 0
+            home_rank = front.zone_rank if by_zone else rank
             home_start = self._home_fronts.position(home_rank)
             held.update(dict.fromkeys(home.arc(home_start, widths.home(front.zone))))
         return held
--- a/thistlelever/subsetting/terms.py
+++ b/thistlelever/subsetting/terms.py
@@ -26,7 +26,7 @@
 
 class FrontPlace(NamedTuple):
     """A front: its name, its zone, its place among the tier's fronts, and among those of its zone. A rank of
-    -1 is unknown: the name's CRC stands in for it. Without a rank in its zone a front uses the other one."""
+    -1 is unknown: the name's CRC stands in for it, and the tier's rank for that in the zone."""
 
     name: str
     zone: str
@@ -53,7 +53,8 @@
 class SubsetTerms(NamedTuple):
     """How many engines a front holds (about: see `EngineRing`), which share of them in its own zone, how many
     at least that meet each requirement, and how many fronts the tier has. `zone_fronts` is how many fronts
-    the largest zone has, where every front knows its rank in its zone; 0 where they do not."""
+    the largest zone has, where every front knows its rank in its zone; 0 where they do not: then nobody's
+    rank in a zone counts."""
 
     engines: int = 96
     home_share: float = 0.5
