Claims: content taken at once with the floor back, forgotten promises of an empty store

Found by reading the callers against the policy: the floor was lowered across awaits (a promise to a lower term could be granted and written meanwhile); a version that came during a claim raised ValueError past claim_at_start; a new or emptied store counted as one that remembers. claiming.py, publishing.py, promises.py.

--- a/thistlelever/distributor/catalog.py
+++ b/thistlelever/distributor/catalog.py
@@ -42,10 +42,12 @@
         held = self.replica.records
         return [held[engine] for engine in engines if engine in held]
 
-    def receive(self, update: Update) -> Outcome:
-        """Take an update from another distributor."""
+    def receive(
+        self, update: Update, take: Callable[[Replica, Update], Outcome] = Replica.receive
+    ) -> Outcome:
+        """Take an update from another distributor; `take` says how the replica is given it."""
         before = self.records_before(update)
-        outcome = self.replica.receive(update)
+        outcome = take(self.replica, update)
         if outcome is Outcome.APPLIED:
             if isinstance(update, Delta):
                 self.history.append(update)
--- a/thistlelever/distributor/claiming.py
+++ b/thistlelever/distributor/claiming.py
@@ -6,10 +6,11 @@
 
 from thistlelever.carrier.distributor_connection import Address, DistributorConnection, DistributorError
 from thistlelever.distribution import codec
-from thistlelever.distribution.claim import Claim, promise
+from thistlelever.distribution.claim import Claim, catch_up, promise
+from thistlelever.distribution.replica import Outcome
 from thistlelever.distribution.versions import Version
-from thistlelever.distributor.content_writer import ContentWriter
 from thistlelever.distributor.follower import Follower
+from thistlelever.distributor.promises import PromiseMemory
 from thistlelever.distributor.store import StoreError
 
 HIGHEST_PATH, PROMISE_PATH, ANNOUNCE_PATH = "/v1/highest", "/v1/promise", "/v1/announce"
@@ -44,12 +45,12 @@
     return {place: answer for place, answer in zip(others, answers, strict=True) if answer is not None}
 
 
-async def claim_term(follower: Follower, above: Version, writer: ContentWriter | None) -> int:
+async def claim_term(follower: Follower, above: Version, memory: PromiseMemory) -> int:
     """Claim the role: returns a term higher than that of `above` once a majority has promised it and this
-    distributor holds the newest content that the majority holds; `ClaimFailedError` otherwise. `writer` keeps
-    its own promise on disk; without one it may have forgotten promises."""
+    distributor holds the newest content that the majority holds; `ClaimFailedError` otherwise. `memory`
+    keeps its own promise."""
     index, distributors, replica = follower.index, follower.distributors, follower.catalog.replica
-    claim = Claim(index, len(distributors), remembers=writer is not None)
+    claim = Claim(index, len(distributors), remembers=memory.remembers())
     claim.learned(max(follower.highest_seen, above))
     claim.heard(index, replica.highest())
     answers = await ask_others(distributors, index, HIGHEST_PATH, codec.HighestRequest(index))
@@ -60,11 +61,10 @@
         raise ClaimFailedError(f"too few answers: {1 + len(answers)} of {len(distributors)} distributors")
     if not promise(replica, term):
         raise ClaimFailedError(f"term {term}: a higher one was promised here meanwhile")
-    if writer:
-        try:
-            await writer.keep_floor(Version(term, 0))
-        except StoreError as error:
-            raise ClaimFailedError(f"term {term}: {error}") from None
+    try:
+        await memory.keep(Version(term, 0))
+    except StoreError as error:
+        raise ClaimFailedError(f"term {term}: {error}") from None
     claim.promised(index, replica.version)
     await ask_for_promises(follower, claim, term)
     source = claim.source()
@@ -90,13 +90,13 @@
 
 
 async def take_over_content(follower: Follower, source: int) -> None:
-    """Bring the replica to what the newest holder among those that promised has, which is older than the
-    floor that this distributor has promised itself."""
-    replica = follower.catalog.replica
-    floor, replica.floor = replica.floor, replica.version
+    """Bring the replica to what the newest holder among those that promised has. That is older than the term
+    which this distributor has promised itself, so that its floor does not count here."""
     try:
-        await follower.follow(source, once=True)
+        reply = await follower.ask(source)
     except DistributorError as error:
         raise ClaimFailedError(f"distributor {source}: {error}") from None
-    finally:
-        replica.floor = max(floor, replica.floor)
+    if reply.update is not None:
+        outcome = follower.catalog.receive(codec.update_from(reply.update), catch_up)
+        if outcome is not Outcome.APPLIED:
+            raise ClaimFailedError(f"distributor {source}: its content was {outcome.value}")
--- a/thistlelever/distributor/follower.py
+++ b/thistlelever/distributor/follower.py
@@ -92,14 +92,14 @@
         publisher = self.publisher()
         if publisher is not None and publisher != self.index and publisher < len(self.distributors):
             try:
-                await self.follow(publisher, once=False)
+                await self.follow(publisher)
             except DistributorError as error:
                 self.note_failure(publisher, error)
         other = self.failover.current
         delay = self.failover.failed()
         if other not in (self.index, publisher):
             try:
-                await self.follow(other, once=True)
+                self.receive(await self.ask(other))
                 delay = min(delay, self.heartbeat / 2)
             except DistributorError as error:
                 self.note_failure(other, error)
@@ -110,23 +110,28 @@
         self.counts["follow failures"] += 1
         self.log("follow failed", distributor=other, why=str(error))
 
-    async def follow(self, other: int, once: bool) -> None:
-        """Poll one distributor, until it fails or, `once`, until it has answered."""
+    async def follow(self, other: int) -> None:
+        """Poll one distributor until it fails."""
         connection = await DistributorConnection.open(self.distributors[other], CONNECT_WITHIN)
         self.following = other
+        within = self.heartbeat + PATIENCE
         try:
             while not self.publishing:
-                wait = 0.0 if once else self.heartbeat
-                reply = await connection.call(
-                    FOLLOW_PATH, self.request(wait), codec.Reply, self.heartbeat + PATIENCE
-                )
-                self.receive(reply)
-                if once:
-                    return
+                request = self.request(self.heartbeat)
+                self.receive(await connection.call(FOLLOW_PATH, request, codec.Reply, within))
         finally:
             self.following = None
             connection.close()
 
+    async def ask(self, other: int) -> codec.Reply:
+        """One question to a distributor for what differs from what is held here."""
+        connection = await DistributorConnection.open(self.distributors[other], CONNECT_WITHIN)
+        try:
+            within = self.heartbeat + PATIENCE
+            return await connection.call(FOLLOW_PATH, self.request(0.0), codec.Reply, within)
+        finally:
+            connection.close()
+
     def request(self, wait: float) -> codec.FollowRequest:
         """The next poll, which may wait `wait` seconds for a newer version."""
         replica = self.catalog.replica
--- a/thistlelever/distributor/handlers.py
+++ b/thistlelever/distributor/handlers.py
@@ -196,12 +196,11 @@
         granted = promise(distributor.catalog.replica, request.term)
         if granted:
             distributor.role.observe(Version(request.term, 0))
-            if distributor.writer:
-                try:
-                    await distributor.writer.keep_floor(Version(request.term, 0))
-                except StoreError as error:
-                    distributor.log("promise not kept on disk", why=str(error))
-                    granted = False
+            try:
+                await distributor.memory.keep(Version(request.term, 0))
+            except StoreError as error:
+                distributor.log("promise not kept on disk", why=str(error))
+                granted = False
         self.answer(self.versions(granted))
 
 
--- a/thistlelever/distributor/publishing.py
+++ b/thistlelever/distributor/publishing.py
@@ -13,8 +13,8 @@
 from thistlelever.distribution.versions import NO_VERSION, Version
 from thistlelever.distributor.catalog import Catalog
 from thistlelever.distributor.claiming import ANNOUNCE_PATH, ClaimFailedError, ask_others, claim_term
-from thistlelever.distributor.content_writer import ContentWriter
 from thistlelever.distributor.follower import Follower
+from thistlelever.distributor.promises import PromiseMemory
 from thistlelever.ground.log import Log
 
 # How long a publish waits for a majority to hold its version.
@@ -26,10 +26,10 @@
 class PublisherRole:
     """`publisher` is set while this distributor has the role."""
 
-    def __init__(self, catalog: Catalog, follower: Follower, log: Log, writer: ContentWriter | None) -> None:
-        """Without the role until `claim`. `writer` keeps promises on disk, where there is one."""
+    def __init__(self, catalog: Catalog, follower: Follower, log: Log, memory: PromiseMemory) -> None:
+        """Without the role until `claim`."""
         self.catalog, self.follower, self.log = catalog, follower, log
-        self.writer = writer
+        self.memory = memory
         self.publisher: Publisher | None = None
         # The newest version that each follower has shown to hold, and who waits for them to move.
         self.held_by: dict[int, Version] = {}
@@ -42,9 +42,13 @@
         async with self.claiming:
             if self.publisher and self.publisher.term > above.term:
                 return self.publisher.term
-            term = await claim_term(self.follower, above, self.writer)
+            term = await claim_term(self.follower, above, self.memory)
             catalog = self.catalog
-            self.publisher = Publisher(catalog.replica, catalog.history, term)
+            try:
+                self.publisher = Publisher(catalog.replica, catalog.history, term)
+            except ValueError as error:
+                # Something newer came while the others were asked.
+                raise ClaimFailedError(str(error)) from None
             self.follower.publishing = True
             self.held_by.clear()
             delta = self.publisher.begin()
--- a/thistlelever/distributor/service.py
+++ b/thistlelever/distributor/service.py
@@ -16,6 +16,7 @@
 from thistlelever.distributor.config import DistributorConfig, address
 from thistlelever.distributor.content_writer import ContentWriter
 from thistlelever.distributor.follower import Follower, Peers
+from thistlelever.distributor.promises import PromiseMemory
 from thistlelever.distributor.publishing import PublisherRole
 from thistlelever.distributor.sessions import Sessions
 from thistlelever.distributor.store import ContentStore
@@ -42,12 +43,12 @@
         self.counts: Counter[str] = Counter()
         self.catalog = Catalog(terms, config.history)
         self.writer: ContentWriter | None = None
-        if config.store:
-            self.restore(config.store)
+        kept = self.restore(config.store) if config.store else False
+        self.memory = PromiseMemory(self.catalog.replica, self.writer, kept)
         addresses = tuple(address(text) for text in config.distributors)
         peers = Peers(config.index, addresses, config.heartbeat_s)
         self.follower = Follower(self.catalog, peers, self.counts, log)
-        self.role = PublisherRole(self.catalog, self.follower, log, self.writer)
+        self.role = PublisherRole(self.catalog, self.follower, log, self.memory)
         admission = SnapshotAdmission(config.snapshots_per_s, config.index, clock.now())
         self.sessions = Sessions(self.catalog, admission, self.counts)
         # Followers whose long poll waits for the next version.
@@ -57,14 +58,16 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.server: HTTPServer | None = None
 
-    def restore(self, path: str) -> None:
-        """Begin with what is on disk. `StoreError` where it is damaged: to serve it would be worse."""
+    def restore(self, path: str) -> bool:
+        """Begin with what is on disk; whether that is anything. `StoreError` where it is damaged: to serve it
+        would be worse."""
         store = ContentStore(path)
         kept = store.read()
         if kept is not None:
             self.catalog.receive(kept)
         self.catalog.replica.floor = store.read_floor()
         self.writer = ContentWriter(store, self.catalog.replica, self.log)
+        return self.catalog.replica.highest() > NO_VERSION
 
     def note(self, update: object, change: Change) -> None:
         """The catalog has changed: to disk, and to who follows."""
