Failure detector in parts with one job: prober, suspicion, merge, anti-entropy, table, outbox

The parameters of the first class are records now (MembershipConfig, Identity, TierSettings), which rigs and tests follow by names.

--- a/rigs/capacity_slopes.py
+++ b/rigs/capacity_slopes.py
@@ -20,8 +20,10 @@
 from thistlelever.ground import interface as it
 from thistlelever.ground import papers
 from thistlelever.ground.tally import Tally
-from thistlelever.membership.facts import Self, Terms
+from thistlelever.membership.config import MembershipConfig
+from thistlelever.membership.facts import Identity, TierSettings
 from thistlelever.membership.judge import Judge
+from thistlelever.membership.member import Member
 from thistlelever.standins.directory import dns_answer
 from thistlelever.standins.papers import SETTINGS, configuration
 from thistlelever.store.roll import Roll
@@ -301,11 +303,12 @@
 
 def member_memory(count: int) -> float:
     """Megabytes of one member that knows all others."""
-    judge = Judge(Terms(), Self("front-0", ("127.1.0.0", 7_946), 1), (), count, 1, 1.0)
+    identity = Identity("front-0", ("127.1.0.0", 7_946), 1)
+    judge = Judge(MembershipConfig(), identity, TierSettings((), count), 1, 1.0)
     tracemalloc.start()
     for place in range(1, count):
         address = (f"127.1.{place // 250}.{place % 250}", 7_946)
-        judge.met(1.0, f"front-{place}", address, 1, 1, "front-0", "list")
+        judge.table.add(1.0, Member(f"front-{place}", address, 1, 1, 1.0), "front-0", "list")
     held, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     return held / MEGABYTE
--- a/rigs/membership_model.py
+++ b/rigs/membership_model.py
@@ -14,8 +14,10 @@
 import click
 
 from rigs.verdict import Chance, close
-from thistlelever.membership.facts import Self, Terms
+from thistlelever.membership.config import MembershipConfig
+from thistlelever.membership.facts import Identity, TierSettings
 from thistlelever.membership.judge import Judge
+from thistlelever.membership.member import Member
 from thistlelever.wire.peers import State, decode, encode, opened, tag
 
 TIER = tag("model")
@@ -26,11 +28,10 @@
 class Swim(Judge):
     """Without what departs from it: no own health, no ring, no witnesses, every death believed."""
 
-    def next_in_ring(self, out):
-        return None
-
-    def worse(self, by):
-        pass
+    def __init__(self, *settings):
+        super().__init__(*settings)
+        self.table.order.next_in_ring = lambda probed, suspected: None
+        self.health.worsen = lambda by: None
 
     def alone(self, now):
         return "" if self.joined else "no word yet"
@@ -40,7 +41,7 @@
     """Carries datagrams between judges: loses, delays, cuts one way, stops members."""
 
     def __init__(self, seed, loss, way=Judge, terms=None, bursts=False, check=False):
-        self.chance, self.loss, self.way, self.terms = Chance(seed), loss, way, terms or Terms()
+        self.chance, self.loss, self.way, self.terms = Chance(seed), loss, way, terms or MembershipConfig()
         self.bursts, self.check, self.burst_till = bursts, check, {}
         self.now, self.queue, self.order = 1000.0, [], count()
         self.judges, self.names, self.dead, self.stopped = {}, {}, set(), {}
@@ -62,10 +63,10 @@
             address = self.judges[name].me.address
         self.names[address] = name
         life = life if life is not None else int(self.now * 8)
-        me = Self(name, address, life)
+        me = Identity(name, address, life)
         known = peers if peers is not None else [j.me.address for j in self.judges.values()][:8]
         seed = self.chance.below(2**31, name, life)
-        self.judges[name] = self.way(self.terms, me, tuple(known), fronts, seed, self.now)
+        self.judges[name] = self.way(self.terms, me, TierSettings(tuple(known), fronts), seed, self.now)
         self.dead.discard(name)
         self.at(
             self.now + self.terms.period * self.chance.share("start", name), "turn", name, self.judges[name]
@@ -79,11 +80,12 @@
         """As if all had met long ago, for sizes at which a start takes long."""
         for name in names:
             me = self.judges[name]
-            me.joined, me.answered_at = True, self.now
+            me.joined, me.health.answered_at = True, self.now
             for other in names:
                 if other != name:
                     o = self.judges[other].me
-                    me.met(self.now, other, o.address, o.life, o.life, name, "list")
+                    member = Member(other, o.address, o.life, o.life, self.now)
+                    me.table.add(self.now, member, name, "list")
             me.changes.clear()
 
     def run(self, till):
@@ -235,7 +237,7 @@
     for name in names:
         net.add(name, fronts=members, peers=())
     for name in names:
-        net.judges[name].peers = tuple(net.judges[o].me.address for o in names[:8] if o != name)
+        net.judges[name].contacts.peers = tuple(net.judges[o].me.address for o in names[:8] if o != name)
     net.known(names)
     net.run(net.now + 2.0)
     net.sent = net.bytes = 0
@@ -284,7 +286,7 @@
 @click.option("--pauses", is_flag=True)
 def main(seed, members, loss, seconds, deaths, bursts, pauses):
     found = {"ours": measure(Judge, members, loss, seconds, deaths, seed, bursts, pauses)}
-    plain = Terms(witnesses=0)
+    plain = MembershipConfig(witnesses=0)
     found["swim"] = measure(Swim, members, loss, seconds, deaths, seed, bursts, pauses, plain)
     times, false = Heartbeats(members, loss, seed, 0.1, 1.0).play(seconds, deaths * 20)
     found["heartbeats"] = {
--- a/rigs/sabotaged.py
+++ b/rigs/sabotaged.py
@@ -6,6 +6,9 @@
 from thistlelever.__main__ import main
 from thistlelever.carrier.wards import Wards
 from thistlelever.membership.judge import Judge
+from thistlelever.membership.local_health import LocalHealth
+from thistlelever.membership.merge import Merger
+from thistlelever.membership.prober import Prober
 from thistlelever.takeover.holder import Holder
 from thistlelever.wire.work import Verb, Word
 
@@ -14,27 +17,31 @@
     """A front that believes itself well whatever befalls it."""
     Judge.awake = lambda self, now: setattr(self, "turned_at", now)
     Judge.alone = lambda self, now: "" if self.joined else "no word yet"
-    Judge.worse = lambda self, by: None
+    LocalHealth.worsen = lambda self, by: None
 
 
 def detour():
     """Nobody is asked to try for another, and nobody that hears of a suspicion sees for itself."""
-    Judge.ask_others = lambda self, now, nonce, member: 0
+    Prober.ask_others = lambda self, nonce, member: 0
 
 
 def incarnation():
     """What is said of a life long past is believed of the present one."""
-    learn = Judge.learn
+    learn = Merger.learn
 
     def believing(self, now, rumour, by):
-        member = self.members.get(rumour.name)
-        if member and rumour.incarnation < member.incarnation and rumour.name != self.me.name:
+        member = self.table.get(rumour.name)
+        if (
+            member
+            and rumour.incarnation < member.incarnation
+            and rumour.name != self.table.local.identity.name
+        ):
             rumour = type(rumour)(
                 rumour.name, rumour.address, member.incarnation, rumour.life, rumour.state, rumour.accuser
             )
         learn(self, now, rumour, by)
 
-    Judge.learn = believing
+    Merger.learn = believing
 
 
 def promise():
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,10 +9,12 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from rigs.membership_model import TIER, Network
-from thistlelever.membership.facts import WINDOW, Member, Self, Terms, fresh
-from thistlelever.membership.fitness import LEAST, WITHIN, Fitness
+from thistlelever.membership.config import MembershipConfig
+from thistlelever.membership.facts import Identity, TierSettings
+from thistlelever.membership.gossip import GossipQueue
 from thistlelever.membership.judge import Judge
-from thistlelever.membership.rumours import Rumours
+from thistlelever.membership.member import REPLAY_WINDOW, Member, is_fresh
+from thistlelever.membership.service_health import MIN_TAKEN, STUCK_AFTER, Observation, ServiceHealth
 from thistlelever.wire import peers as wire
 from thistlelever.wire.peers import Kind, Message, Rumour, State
 
@@ -87,22 +89,31 @@
 
 def test_rumours_fit_their_frame_and_each_gets_its_turn():
     # Risk: under churn the newest crowd out the others, which are then never heard of.
-    news, seen = Rumours(), set()
+    news, seen = GossipQueue(), set()
     for n in range(60):
-        news.tell(Rumour(f"front-{n}", bytes(6), 2**31, 2**31, State.SUSPECTED, 2**31))
+        news.add(Rumour(f"front-{n}", bytes(6), 2**31, 2**31, State.SUSPECTED, 2**31))
     for _ in range(60):
         bare = message()
-        rumours = news.some(wire.ROOM - wire.size(bare), 5)
+        rumours = news.take(wire.ROOM - wire.size(bare), 5)
         told = Message(*(getattr(bare, f) for f in bare.__struct_fields__[:-1]), rumours)
         assert len(wire.encode(told, TIER)) <= wire.LONGEST
         seen |= {r.name for r in wire.decode(wire._pack(told))[1]}
-    assert len(seen) == 60 and not news.items
+    assert len(seen) == 60 and not news.updates
 
 
 def test_a_number_is_taken_once_and_not_long_after():
-    member = Member("a", ("", 0), 1, 1, State.ALIVE, 0.0)
-    assert [fresh(member, n) for n in (5, 3, 5, 3, 4, 6, 6)] == [True, True, False, False, True, True, False]
-    assert fresh(member, 500) and not fresh(member, 500 - WINDOW) and fresh(member, 501 - WINDOW)
+    member = Member("a", ("", 0), 1, 1, 0.0)
+    assert [is_fresh(member, n) for n in (5, 3, 5, 3, 4, 6, 6)] == [
+        True,
+        True,
+        False,
+        False,
+        True,
+        True,
+        False,
+    ]
+    assert is_fresh(member, 500)
+    assert not is_fresh(member, 500 - REPLAY_WINDOW) and is_fresh(member, 501 - REPLAY_WINDOW)
 
 
 def tier(many, seed=1, loss=0.0, way=Judge, **facts):
@@ -112,7 +123,7 @@
     for name in names:
         net.add(name, fronts=many)
     for name in names:
-        net.judges[name].peers = tuple(net.judges[o].me.address for o in names if o != name)
+        net.judges[name].contacts.peers = tuple(net.judges[o].me.address for o in names if o != name)
     net.run(net.now + 2.0)
     assert net.agree()
     return net
@@ -236,18 +247,18 @@
 
 def test_a_new_life_refutes_what_was_said_of_the_former():
     net = tier(5)
-    before = net.judges["n2"].incarnation
+    before = net.judges["n2"].local.incarnation
     net.kill("n2")
     net.run(net.now + 2)
     assert set(states(net, "n2").values()) == {State.DEAD}
     # Its clock was set back: its life looks older than the one that died.
     net.add("n2", peers=(net.judges["n0"].me.address,), life=before - 800, fronts=5)
     settle(net)
-    assert net.judges["n2"].incarnation > before
+    assert net.judges["n2"].local.incarnation > before
     # A rumour of its death that outlives its return.
     old = Rumour("n2", wire.address_bytes(net.judges["n2"].me.address), before, before, State.DEAD)
     for name in ("n0", "n1", "n3"):
-        net.judges[name].learn(net.now, old, "n4")
+        net.judges[name].merger.learn(net.now, old, "n4")
     assert set(states(net, "n2").values()) == {State.ALIVE}
 
 
@@ -266,17 +277,16 @@
     net = tier(4)
     older = net.judges["n2"]
     newer = Judge(
-        Terms(),
-        Self("n2", ("127.9.9.9", 1), older.me.life + 50),
-        tuple(net.judges[n].me.address for n in ("n0", "n1")),
-        4,
+        MembershipConfig(),
+        Identity("n2", ("127.9.9.9", 1), older.me.life + 50),
+        TierSettings(tuple(net.judges[n].me.address for n in ("n0", "n1")), 4),
         77,
         net.now,
     )
     net.judges["twin"], net.names[newer.me.address] = newer, "twin"
     net.at(net.now, "turn", "twin", newer)
     net.run(net.now + 6)
-    assert older.twin and not newer.twin
+    assert older.conflicts.successor and not newer.conflicts.successor
     assert "started later" in older.view(net.now).alone and older.view(net.now).fronts == 4
     assert {net.judges[n].members["n2"].address for n in ("n0", "n1", "n3")} == {newer.me.address}
 
@@ -299,22 +309,22 @@
 
 def test_one_that_serves_nobody_says_so_and_is_not_dead():
     net = tier(4)
-    net.judges["n1"].fitness(net.now, False)
+    net.judges["n1"].set_serving(net.now, False)
     net.run(net.now + 1)
     assert set(states(net, "n1").values()) == {State.UNFIT}
     assert net.judges["n0"].view(net.now).unfit == 1 and net.judges["n0"].view(net.now).alive == 4
-    net.judges["n1"].fitness(net.now + 1, True)
+    net.judges["n1"].set_serving(net.now + 1, True)
     net.run(net.now + 2)
     assert set(states(net, "n1").values()) == {State.ALIVE}
 
 
 def test_fitness_is_judged_by_what_is_returned():
-    fit = Fitness()
-    assert fit.told(0.0, True, 0, 0, 0, 0)
-    assert fit.told(1.0, True, LEAST, LEAST, 0, 0)
-    assert not fit.told(WITHIN + 1, True, 2 * LEAST, 2 * LEAST, 0, 0)
-    assert fit.told(WITHIN + 2, True, 2 * LEAST + 1, 2 * LEAST + 1, 1, 0)
-    assert not fit.told(WITHIN + 3, False, 0, 0, 1, 0)
+    health = ServiceHealth()
+    assert health.observe(Observation(0.0, True, 0, 0, 0, 0))
+    assert health.observe(Observation(1.0, True, MIN_TAKEN, MIN_TAKEN, 0, 0))
+    assert not health.observe(Observation(STUCK_AFTER + 1, True, 2 * MIN_TAKEN, 2 * MIN_TAKEN, 0, 0))
+    assert health.observe(Observation(STUCK_AFTER + 2, True, 2 * MIN_TAKEN + 1, 2 * MIN_TAKEN + 1, 1, 0))
+    assert not health.observe(Observation(STUCK_AFTER + 3, False, 0, 0, 1, 0))
 
 
 def test_who_leaves_is_not_taken_for_dead():
@@ -368,7 +378,7 @@
         for name in names:
             net.add(name, peers=(), fronts=3)
         for name in names:
-            net.judges[name].peers = tuple(net.judges[o].me.address for o in names if o != name)
+            net.judges[name].contacts.peers = tuple(net.judges[o].me.address for o in names if o != name)
         net.known(names)
         net.run(net.now + 0.3)
         seen = {}
@@ -380,7 +390,9 @@
             net.kill("n1")
             if event == "restart":
                 net.run(net.now + 0.2)
-                net.add("n1", peers=net.judges["n0"].peers, life=net.judges["n1"].me.life - 1, fronts=3)
+                net.add(
+                    "n1", peers=net.judges["n0"].contacts.peers, life=net.judges["n1"].me.life - 1, fronts=3
+                )
         left = list(fates)
 
         def lossy(source, target, left=left, net=net):
@@ -455,7 +467,7 @@
                 key = name, judge.me.life, other
                 assert member.incarnation >= self.seen.get(key, 0)
                 self.seen[key] = member.incarnation
-            assert judge.digest == digest(judge)
+            assert judge.table.digest == digest(judge)
 
     def teardown(self):
         self.go_on()
--- a/thistlelever/lifecycle/membership.py
+++ b/thistlelever/lifecycle/membership.py
@@ -15,9 +15,10 @@
 from thistlelever.ground.papers import Papers
 from thistlelever.lifecycle.parts import Parts
 from thistlelever.membership import views
-from thistlelever.membership.facts import Self, Terms, View
-from thistlelever.membership.fitness import Fitness
+from thistlelever.membership.config import MembershipConfig
+from thistlelever.membership.facts import Identity, TierSettings, View
 from thistlelever.membership.judge import Judge
+from thistlelever.membership.service_health import Observation, ServiceHealth
 
 # Lives are counted from here, in eighths of a second: the Unix second of 2020's first.
 EPOCH = 1_577_836_800
@@ -37,14 +38,19 @@
     def __init__(self, parts: Parts, section: Membership) -> None:
         papers = parts.papers
         sound(section, papers)
-        self.parts, self.fitness = parts, Fitness()
+        self.parts, self.service_health = parts, ServiceHealth()
         # Behind a relay or an address translation others know this front by another address than it binds.
         rank = papers.rank
         known_as = papers.peers[rank] if 0 <= rank < len(papers.peers) else papers.peer_listen
         self.peers = Peers(papers.peer_listen, section.tier, parts.tally)
-        terms = Terms(period=section.period_s, suspect=section.suspect_s, knock=section.knock_s)
-        me = Self(papers.name, known_as, int((time() - EPOCH) * 8))
-        judge = Judge(terms, me, papers.peers, papers.manifest.fronts, papers.seed, clock.now())
+        config = MembershipConfig(
+            period=section.period_s,
+            suspicion_timeout=section.suspect_s,
+            reconnect_interval=section.knock_s,
+        )
+        identity = Identity(papers.name, known_as, int((time() - EPOCH) * 8))
+        tier = TierSettings(papers.peers, papers.manifest.fronts)
+        judge = Judge(config, identity, tier, papers.seed, clock.now())
         self.members = Members(judge, self.peers, parts.tally, parts.log, self.counted)
         self.fronts, self.task, self.left = papers.manifest.fronts, None, False
 
@@ -78,10 +84,16 @@
         while True:
             await asyncio.sleep(LOOK)
             answered = counts["End"] + counts["PushBack"] + counts["Error"]
-            serves = self.fitness.told(
-                clock.now(), not self.left, counts["taken"], answered, counts["End"], len(batches.by_number)
+            observation = Observation(
+                at=clock.now(),
+                ready=not self.left,
+                taken=counts["taken"],
+                answered=answered,
+                returned=counts["End"],
+                open_queries=len(batches.by_number),
             )
-            self.members.judge.fitness(clock.now(), serves)
+            serves = self.service_health.observe(observation)
+            self.members.judge.set_serving(clock.now(), serves)
 
     def stopping(self) -> None:
         self.left = True
--- /dev/null
+++ b/thistlelever/membership/merge.py
@@ -0,0 +1,92 @@
+"""What other fronts say of members, merged into this front's table."""
+
+from __future__ import annotations
+
+from thistlelever.membership.context import Context
+from thistlelever.membership.facts import Address
+from thistlelever.membership.member import Member, is_fresh
+from thistlelever.membership.name_conflict import NameConflicts
+from thistlelever.membership.suspicion import Suspicions
+from thistlelever.membership.table import MemberTable
+from thistlelever.wire.peers import Message, Rumour, State, address_of, tag
+
+BY_GOSSIP = "rumour"
+BY_ITSELF = "itself"
+
+
+class Merger:
+    """A newer incarnation, or a worse state of the same, replaces what was believed."""
+
+    def __init__(
+        self, context: Context, table: MemberTable, suspicions: Suspicions, conflicts: NameConflicts
+    ) -> None:
+        """Merges into the table; what is said of this front itself goes to `conflicts`."""
+        self.table, self.suspicions, self.conflicts = table, suspicions, conflicts
+        self.config, self.gossip, self.counts = context.config, context.gossip, context.counts
+
+    def observe_sender(self, now: float, source: Address, message: Message) -> Member | None:
+        """Who sends is there, at the incarnation that it names; None where there is no room to know it."""
+        name, incarnation, life = message.name, message.incarnation, message.life
+        member = self.table.get(name)
+        if member is None:
+            if len(self.table.members) >= self.config.max_members:
+                return None
+            member = Member(name, source, incarnation, life, now)
+            is_fresh(member, message.count)
+            self.table.add(now, member, name, BY_ITSELF)
+            self.gossip.add(member.record())
+        elif incarnation > member.incarnation:
+            self.table.renew(now, member, source, incarnation, life)
+            is_fresh(member, message.count)
+            self.table.set_state(now, member, State.ALIVE, name, BY_ITSELF)
+            self.gossip.add(member.record())
+        return member
+
+    def learn(self, now: float, update: Rumour, by: str) -> None:
+        """Merge one update that another front passed on."""
+        if update.name == self.table.local.identity.name:
+            self.conflicts.refute(now, update)
+            return
+        member = self.table.get(update.name)
+        if member is None:
+            member = self.add(now, update, by)
+            if member is None or update.state is State.ALIVE:
+                return
+        if update.incarnation < member.incarnation:
+            self.counts["old rumours"] += 1
+            return
+        newer = update.incarnation > member.incarnation
+        if newer or update.state > member.state:
+            self.replace(now, member, update, newer, by)
+        elif update.state is State.SUSPECTED is member.state:
+            self.suspicions.accuse(now, member, update.accuser, by, BY_GOSSIP)
+
+    def add(self, now: float, update: Rumour, by: str) -> Member | None:
+        """A member that was not known; None where it is not to be known."""
+        gone = update.state in (State.DEAD, State.LEFT)
+        if gone or len(self.table.members) >= self.config.max_members:
+            return None
+        address = address_of(update.address)
+        member = Member(update.name, address, update.incarnation, update.life, now)
+        self.table.add(now, member, by, BY_GOSSIP)
+        self.gossip.add(member.record())
+        return member
+
+    def replace(self, now: float, member: Member, update: Rumour, newer: bool, by: str) -> None:
+        """Believe the update in place of what was believed."""
+        if newer:
+            self.table.renew(now, member, address_of(update.address), update.incarnation, update.life)
+        answered_lately = now - member.answered_at < (
+            2 * self.config.probe_timeout + self.config.indirect_timeout
+        )
+        if update.state is State.SUSPECTED:
+            if newer:
+                self.table.set_state(now, member, State.ALIVE, by, BY_GOSSIP)
+            self.suspicions.accuse(now, member, update.accuser, by, BY_GOSSIP)
+        elif update.state is State.DEAD and answered_lately:
+            # Departs from SWIM: a death by hearsay of one that answered just now is a suspicion.
+            self.counts["deaths not believed"] += 1
+            self.suspicions.accuse(now, member, tag(by), by, "rumour of its death")
+        else:
+            self.table.set_state(now, member, update.state, by, BY_GOSSIP)
+            self.gossip.add(member.record())
--- /dev/null
+++ b/thistlelever/membership/name_conflict.py
@@ -0,0 +1,74 @@
+"""What others say of this front, and other processes under its name."""
+
+from __future__ import annotations
+
+from thistlelever.membership.context import Context
+from thistlelever.membership.facts import Address
+from thistlelever.membership.member import NEVER
+from thistlelever.membership.outbox import Outbox
+from thistlelever.membership.prober import Prober
+from thistlelever.wire.peers import Kind, Message, Rumour, State, address_of
+
+# Another process under this name is asked for at most this often, in seconds.
+CHECK_INTERVAL = 1.0
+
+
+class NameConflicts:
+    """Refutes what is wrong of this front, and finds out whether a later process has its name."""
+
+    def __init__(self, context: Context, outbox: Outbox, prober: Prober) -> None:
+        """No other process is known of."""
+        self.outbox, self.prober = outbox, prober
+        self.local, self.table = outbox.local, outbox.table
+        self.chance, self.health, self.counts = context.chance, context.health, context.counts
+        # Where a process under this name lives that started later, once it has answered: then this front
+        # stands down.
+        self.successor = ""
+        self.check_nonce, self.checked_at = 0, NEVER
+
+    def refute(self, now: float, update: Rumour) -> None:
+        """What others say of this front. All but what it says itself is refuted by a higher incarnation."""
+        if update.incarnation < self.local.incarnation or self.local.state is State.LEFT:
+            return
+        same_life = update.life == self.local.identity.life
+        own = update.incarnation == self.local.incarnation and same_life
+        if own and update.state <= self.local.state:
+            return
+        if update.state in (State.SUSPECTED, State.DEAD) and same_life:
+            # Who is accused may be slow itself (Lifeguard).
+            self.health.worsen(1)
+            self.counts["refuted"] += 1
+            accuser = f"accuser {update.accuser:08x}"
+            self.table.record_own_change(now, update.state, accuser, "refuted", self.health.lateness)
+        elif not same_life:
+            self.counts["words of a former life refuted"] += 1
+            self.check_address(now, address_of(update.address))
+        self.outbox.announce(update.incarnation + 1)
+
+    def check_address(self, now: float, address: Address) -> None:
+        """At another address is a former life, or another process that lives. It is asked."""
+        if address == self.local.identity.address or now - self.checked_at < CHECK_INTERVAL:
+            return
+        self.checked_at, self.check_nonce = now, self.chance.nonce()
+        self.prober.ping_address(now, address, self.check_nonce)
+
+    def hear_namesake(self, now: float, source: Address, message: Message) -> None:
+        """A datagram under this front's own name."""
+        if message.life == self.local.identity.life:
+            self.counts["own words back"] += 1
+        elif message.kind is Kind.PING:
+            # It asks whether somebody lives here under its name.
+            self.counts["namesakes"] += 1
+            self.outbox.send_to(source, Kind.ACK, message.nonce)
+        elif message.kind is Kind.ACK and message.nonce == self.check_nonce:
+            self.counts["namesakes"] += 1
+            if message.life > self.local.identity.life:
+                self.successor = f"{source[0]}:{source[1]}"
+                by = self.local.identity.name
+                self.table.record_own_change(now, self.local.state, by, self.reason())
+
+    def reason(self) -> str:
+        """Why this front stands down, or empty."""
+        if not self.successor:
+            return ""
+        return f"another process under this name, at {self.successor}, started later"
--- /dev/null
+++ b/thistlelever/membership/table.py
@@ -0,0 +1,126 @@
+"""The table of members: the one place where a member is added, changes its state, and is forgotten."""
+
+from __future__ import annotations
+
+from zlib import crc32
+
+from thistlelever.membership.chance import Chance
+from thistlelever.membership.facts import Address, Change
+from thistlelever.membership.local import LocalMember
+from thistlelever.membership.member import MAX_CHANGES, NEVER, Member
+from thistlelever.membership.probe_order import ProbeOrder
+from thistlelever.wire.peers import State
+
+# Refutations of the last so many seconds make a further suspicion of the same member longer.
+REFUTATION_MEMORY = 60.0
+
+
+def digest_of(name: str, incarnation: int) -> int:
+    """What one living member adds to the digest of a view."""
+    return crc32(b"%s %d" % (name.encode(), incarnation))
+
+
+class MemberTable:
+    """All members that this front knows, without itself."""
+
+    def __init__(self, local: LocalMember, chance: Chance, now: float) -> None:
+        """Nobody is known yet."""
+        self.local = local
+        self.members: dict[str, Member] = {}
+        self.by_address: dict[Address, str] = {}
+        self.order = ProbeOrder((local.tag, local.identity.name), chance)
+        self.suspected: set[str] = set()
+        # Changes that the carrier has not taken yet.
+        self.changes: list[Change] = []
+        self.digest, self.changed_at = 0, now
+
+    @property
+    def living_count(self) -> int:
+        """How many members are taken to be alive."""
+        return len(self.order.ring)
+
+    def get(self, name: str) -> Member | None:
+        """The member of that name, if it is known."""
+        return self.members.get(name)
+
+    def at_address(self, address: Address) -> Member | None:
+        """The member that is known at that address, if any."""
+        return self.members.get(self.by_address.get(address, ""))
+
+    def is_living(self, name: str) -> bool:
+        """Whether a member of that name is known and taken to be alive."""
+        member = self.members.get(name)
+        return member is not None and member.lives
+
+    def add(self, now: float, member: Member, by: str, path: str) -> None:
+        """A member that was not known, taken to be alive."""
+        self.members[member.name] = member
+        self.by_address[member.address] = member.name
+        self.order.add(member.name)
+        self.toggle_in_digest(now, member)
+        self.record_change(Change(now, member.name, State.ALIVE, None, by, path, 0.0))
+
+    def renew(self, now: float, member: Member, address: Address, incarnation: int, life: int) -> None:
+        """A higher incarnation: the member has refuted, returned, or has another life."""
+        if member.lives:
+            self.toggle_in_digest(now, member)
+        if member.state in (State.SUSPECTED, State.DEAD) and life == member.life:
+            recent = (at for at in member.refuted_at if at > now - REFUTATION_MEMORY)
+            member.refuted_at = (*recent, now)
+        if life != member.life:
+            member.last_number, member.numbers_seen, member.answered_at = 0, 0, NEVER
+        self.release_address(member)
+        member.address, member.incarnation, member.life = address, incarnation, life
+        self.by_address[address] = member.name
+        if member.lives:
+            self.toggle_in_digest(now, member)
+
+    def set_state(self, now: float, member: Member, state: State, by: str, path: str) -> None:
+        """The one place where a member's state changes."""
+        was, lived = member.state, member.lives
+        if state is not State.SUSPECTED:
+            self.suspected.discard(member.name)
+            member.clear_accusations()
+        if was is state:
+            return
+        late = now - member.since if state is State.DEAD else 0.0
+        member.state, member.since = state, now
+        if lived != member.lives:
+            self.toggle_in_digest(now, member)
+            if lived:
+                self.order.remove(member.name)
+            else:
+                self.order.add(member.name)
+        self.record_change(Change(now, member.name, state, was, by, path, late))
+
+    def record_change(self, change: Change) -> None:
+        """Note a change, of a member or of this front, for the carrier and for those who ask why."""
+        if member := self.members.get(change.name):
+            member.changes = (*member.changes, change)[-MAX_CHANGES:]
+        self.changes.append(change)
+
+    def record_own_change(self, now: float, state: State, by: str, path: str, late: float = 0.0) -> None:
+        """Note a change of this front."""
+        self.record_change(Change(now, self.local.identity.name, state, None, by, path, late))
+
+    def forget(self, now: float, after: float) -> list[str]:
+        """Drop members that have been dead or gone for so long; their names."""
+        gone = [m for m in self.members.values() if not m.lives and now - m.since > after]
+        for member in gone:
+            del self.members[member.name]
+            self.release_address(member)
+        return [member.name for member in gone]
+
+    def release_address(self, member: Member) -> None:
+        """The member is no longer found by its address, unless another took the address over."""
+        if self.by_address.get(member.address) == member.name:
+            del self.by_address[member.address]
+
+    def toggle_in_digest(self, now: float, member: Member) -> None:
+        """In or out of the digest: two views that agree on who lives, and since when, have the same one."""
+        self.digest ^= digest_of(member.name, member.incarnation)
+        self.changed_at = now
+
+    def shown_digest(self) -> int:
+        """The digest as it is told to others: with this front itself."""
+        return self.digest ^ digest_of(self.local.identity.name, self.local.incarnation)
--- a/thistlelever/membership/views.py
+++ b/thistlelever/membership/views.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from thistlelever.membership.facts import Change, Member
+from thistlelever.membership.facts import Change
 from thistlelever.membership.judge import Judge
+from thistlelever.membership.member import Member
 
 
 def show(judge: Judge, now: float) -> dict:
@@ -11,48 +12,48 @@
     view = judge.view(now)
     return {
         "name": judge.me.name,
-        "state": judge.state.name.lower(),
+        "state": judge.local.state.name.lower(),
         "alone": view.alone,
         "fronts": view.fronts,
         "alive": view.alive,
         "suspected": view.suspected,
         "unfit": view.unfit,
-        "incarnation": judge.incarnation,
-        "health": judge.score,
-        "digest": f"{judge.digest:08x}",
-        "members": [one(m, now) for _, m in sorted(judge.members.items())],
+        "incarnation": judge.local.incarnation,
+        "health": judge.health.score,
+        "digest": f"{judge.table.digest:08x}",
+        "members": [describe_member(member, now) for _, member in sorted(judge.members.items())],
         "counts": dict(sorted(judge.counts.items())),
     }
 
 
-def one(member: Member, now: float) -> dict:
-    heard = round(now - member.heard_at, 3) if member.heard_at > 0 else None
+def explain(judge: Judge, name: str, now: float) -> dict:
+    """Why a member is held to be what it is: who said so, over which path, how late."""
+    member = judge.members.get(name)
+    if member is None:
+        state = "this front itself" if name == judge.me.name else "not known here"
+        return {"name": name, "state": state, "story": []}
+    changes = [describe_change(change, now) for change in member.changes]
+    return describe_member(member, now) | {"story": changes}
+
+
+def describe_member(member: Member, now: float) -> dict:
+    """One member as it is believed to be."""
+    answered = round(now - member.answered_at, 3) if member.answered_at > 0 else None
     return {
         "name": member.name,
         "address": "{}:{}".format(*member.address),
         "state": member.state.name.lower(),
         "for_s": round(now - member.since, 3),
-        "answered_ago_s": heard,
+        "answered_ago_s": answered,
         "incarnation": member.incarnation,
         "life": member.life,
         "accusers": len(member.accusers),
-        "refutals": len(member.refutals),
+        "refutals": len(member.refuted_at),
     }
 
 
-def explain(judge: Judge, name: str, now: float) -> dict:
-    """Why a member is held to be what it is: who said so, over which path, how late."""
-    member = judge.members.get(name)
-    if member is None:
-        return {
-            "name": name,
-            "state": "this front itself" if name == judge.me.name else "not known here",
-            "story": [],
-        }
-    return one(member, now) | {"story": [told(change, now) for change in member.story]}
-
-
-def told(change: Change, now: float) -> dict:
+def describe_change(change: Change, now: float) -> dict:
+    """One change of a member's state."""
     return {
         "ago_s": round(now - change.at, 3),
         "state": change.state.name.lower(),
