Distribution: digests of records remembered, fronts that name what they hold admitted

Cause: under a profiler (slow) 133 fronts that reconnected together cost more than a heartbeat's patience, 200 record digests each, so that they timed out and came again without end. Digests are remembered per record now, and a watch that names all that is held passes the admission as a whole subset does.

--- a/thistlelever/distribution/records.py
+++ b/thistlelever/distribution/records.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from functools import lru_cache
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -12,6 +13,9 @@
 DIGEST_BITS = 128
 DIGEST_MASK = (1 << DIGEST_BITS) - 1
 EMPTY_DIGEST = 0
+# A distributor compares the same records for one front after the other: so many digests are remembered,
+# those of all engines and of some that changed, at some 300 bytes each.
+MOST_DIGESTS_KEPT = 32_768
 
 
 class EngineRecord(NamedTuple):
@@ -32,6 +36,7 @@
     in_subset: bool = True
 
 
+@lru_cache(maxsize=MOST_DIGESTS_KEPT)
 def record_digest(record: EngineRecord) -> int:
     """The 128-bit hash of one record. Texts go in with their lengths, so that no two records read alike."""
     text = (
--- a/thistlelever/distributor/config.py
+++ b/thistlelever/distributor/config.py
@@ -39,7 +39,7 @@
     publisher: bool = False
     store: str | None = None
     heartbeat_s: Seconds = 2.0
-    # Answers that tell a front its whole subset, a second.
+    # Fronts that are told their whole subset, or that name all that they hold, a second.
     snapshots_per_s: Annotated[float, Meta(ge=1, le=10_000)] = 50.0
     # Changes that are kept so that others can catch up by a delta.
     history: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
--- a/thistlelever/distributor/sessions.py
+++ b/thistlelever/distributor/sessions.py
@@ -16,8 +16,8 @@
 from thistlelever.ground import clock
 from thistlelever.subsetting import FrontPlace, Requirement, Subset
 
-# An answer with more records than this counts as a whole subset: it has to be admitted.
-MOST_RECORDS_UNADMITTED = 16
+# An answer with more records than this counts as a whole subset.
+LARGE_UPDATE = 16
 # The longest that a watch is held back, whatever its front asks for.
 LONGEST_WAIT = 30.0
 # A front that has not asked for so long is forgotten.
@@ -101,6 +101,8 @@
             raise BehindError(self.catalog.version)
         if not self.catalog.replica.records:
             raise BusyError(EMPTY_RETRY_S)
+        if request.held is not None:
+            self.admit()
         session = self.session(request)
         till = clock.now() + min(request.wait, LONGEST_WAIT)
         while True:
@@ -158,12 +160,18 @@
             session.subset = Subset(ids, ring.most_fronts(session.place, ids, *asked))
             session.bound_revision = ring.revision
 
-    def told(self, session: Session, update: Update, request: codec.WatchRequest) -> Update | None:
-        """Remember what goes out; `BusyError` for a whole subset that is not admitted."""
-        whole = not isinstance(update, Delta) or len(update.upserts) > MOST_RECORDS_UNADMITTED
-        if whole and (retry_after := self.admission.admit(clock.now())):
+    def admit(self) -> None:
+        """Let a front that names all that it holds, or that is told its whole subset, pass at a bounded rate:
+        either costs some hundred times a heartbeat."""
+        if retry_after := self.admission.admit(clock.now()):
             self.counts["snapshots refused"] += 1
             raise BusyError(retry_after)
+
+    def told(self, session: Session, update: Update, request: codec.WatchRequest) -> Update | None:
+        """Remember what goes out; `BusyError` for a whole subset that is not admitted."""
+        whole = not isinstance(update, Delta) or len(update.upserts) > LARGE_UPDATE
+        if whole and request.held is None:
+            self.admit()
         if not is_news(update) and update.version == request.version:
             self.counts["heartbeats"] += 1
             return None
