A distributor works out subsets for fronts that wait on it alone

Found by the scale rig (300 fronts, 2,000 engines, 4 distributors, load 20): fronts that had gone to another distributor stayed in by_front for 60 s and were worked out at each change of the ring, so that each distributor had all 302, answered late, and more fronts went elsewhere; it did not end in 60 s. Now only a watch that is held back is looked at, a session ends with its connection, a turn is 5 ms at most, and a front's patience is 1 s (0.5).

--- a/tests/test_distributor.py
+++ b/tests/test_distributor.py
@@ -343,3 +343,24 @@
 def fail(update):
     """A disk that takes nothing."""
     raise StoreError("no space left")
+
+
+def test_a_front_that_went_elsewhere_costs_nothing_more():
+    async def scenario():
+        async with tier(1, engines=40) as stage:
+            front = stage.subscribe()
+            sessions = stage.running[0].sessions
+            await stage.until(lambda: sessions.by_front and sessions.by_front["front-0"].waits())
+            _, task = stage.subscriptions.pop()
+            task.cancel()
+            await stage.until(lambda: not sessions.by_front)
+            # Nor one that is between two watches: it looks anew when it asks.
+            front = stage.subscribe("front-1", 1)
+            await stage.until(lambda: "front-1" in sessions.by_front and sessions.by_front["front-1"].waits())
+            session = sessions.by_front["front-1"]
+            revision, session.stir = session.revision, None
+            stage.running[0].role.publish([], [min(front.replica.records)], None)
+            await asyncio.sleep(HEARTBEAT / 4)
+            assert session.revision == revision
+
+    play(scenario())
--- a/thistlelever/carrier/subscription.py
+++ b/thistlelever/carrier/subscription.py
@@ -39,7 +39,7 @@
 
     distributors: tuple[Address, ...]
     heartbeat: float = 2.0
-    patience: float = 0.5
+    patience: float = 1.0
     seed: int = 0
 
 
--- a/thistlelever/distributor/handlers.py
+++ b/thistlelever/distributor/handlers.py
@@ -17,7 +17,7 @@
 from thistlelever.distributor.claiming import ANNOUNCE_PATH, HIGHEST_PATH, PROMISE_PATH, ClaimFailedError
 from thistlelever.distributor.follower import FOLLOW_PATH
 from thistlelever.distributor.service import Distributor
-from thistlelever.distributor.sessions import BehindError, BusyError
+from thistlelever.distributor.sessions import BehindError, BusyError, Session
 from thistlelever.distributor.store import StoreError
 
 WATCH_PATH = "/v1/watch"
@@ -107,6 +107,13 @@
 class WatchHandler(Handler):
     """A front watches its subset."""
 
+    session: Session | None = None
+
+    def on_connection_close(self) -> None:
+        """The front has gone while its watch was held back."""
+        if self.session is not None:
+            self.distributor.sessions.left(self.session)
+
     async def post(self) -> None:
         """Wait for what differs, and tell it."""
         request = self.body_as(codec.WatchRequest)
@@ -116,7 +123,8 @@
         # distributors have lost.
         distributor = self.distributor
         try:
-            update, fronts = await distributor.sessions.watch(request)
+            self.session = distributor.sessions.open(request)
+            update, fronts = await distributor.sessions.watch(self.session, request)
         except BusyError as error:
             self.set_header("Retry-After", f"{error.retry_after:.3f}")
             self.refuse(UNAVAILABLE, str(error))
--- a/thistlelever/distributor/sessions.py
+++ b/thistlelever/distributor/sessions.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from time import perf_counter
 
 from thistlelever.distribution import codec
 from thistlelever.distribution.messages import Delta, Update
@@ -20,11 +21,11 @@
 LARGE_UPDATE = 16
 # The longest that a watch is held back, whatever its front asks for.
 LONGEST_WAIT = 30.0
-# A front that has not asked for so long is forgotten.
-FORGET_AFTER = 60.0
-# So many fronts are looked at in one turn of the loop when the list has changed, and changes that come closer
-# together than this are told together.
-FRONTS_A_TURN, COALESCE_S = 16, 0.02
+# A front that does not wait for an answer and has not asked for so long is forgotten.
+FORGET_AFTER = 10.0
+# When the list has changed, fronts are looked at for so many seconds in one turn of the loop; changes that
+# come closer together than this are told together.
+LONGEST_TURN_S, COALESCE_S = 0.005, 0.02
 # The bound on how many fronts share an engine is worked out anew after changes of this share of all engines.
 BOUND_AGE = 0.01
 # How long one that holds nothing yet asks fronts to stay away.
@@ -72,9 +73,13 @@
         """Whether a change touches an engine that the front holds."""
         return not change.engines.isdisjoint(self.subset.ids) or not change.engines.isdisjoint(self.retained)
 
+    def waits(self) -> bool:
+        """Whether a watch of the front is held back."""
+        return self.stir is not None and not self.stir.done()
+
     def wake(self) -> None:
         """Let a watch that is held back look again."""
-        if self.stir and not self.stir.done():
+        if self.waits():
             self.stir.set_result(None)
 
 
@@ -94,16 +99,20 @@
         self.changes.append(change)
         self.changed.set()
 
-    async def watch(self, request: codec.WatchRequest) -> tuple[Update | None, int]:
-        """The answer to a watch, as soon as something that concerns the front differs from what it holds, or
-        when its time is up; and how many fronts may send to any one of its engines."""
+    def open(self, request: codec.WatchRequest) -> Session:
+        """The session of a front that watches. `BehindError` where it holds something newer, `BusyError`
+        where it is to come again."""
         if request.version > self.catalog.version:
             raise BehindError(self.catalog.version)
         if not self.catalog.replica.records:
             raise BusyError(EMPTY_RETRY_S)
         if request.held is not None:
             self.admit()
-        session = self.session(request)
+        return self.session(request)
+
+    async def watch(self, session: Session, request: codec.WatchRequest) -> tuple[Update | None, int]:
+        """The answer to a watch, as soon as something that concerns the front differs from what it holds, or
+        when its time is up; and how many fronts may send to any one of its engines."""
         till = clock.now() + min(request.wait, LONGEST_WAIT)
         while True:
             update = self.update(session, request)
@@ -196,22 +205,33 @@
         """Wake the watches that these changes concern."""
         engines = frozenset[str]().union(*(change.engines for change in changes))
         change = Change(engines, any(change.subsets_differ for change in changes))
-        for number, session in enumerate(list(self.by_front.values())):
-            if number % FRONTS_A_TURN == 0:
+        began = perf_counter()
+        # Who does not wait looks anew when it next asks. Risk: fronts that went elsewhere, worked out at each
+        # change, cost so much that those that are here go elsewhere too.
+        for session in [session for session in self.by_front.values() if session.waits()]:
+            if perf_counter() - began > LONGEST_TURN_S:
                 await asyncio.sleep(0)
+                began = perf_counter()
             before = session.subset.ids
             if session.concerns(change):
                 session.wake()
             elif change.subsets_differ:
-                self.wanted(session)
+                self.renew_subset(session)
                 if session.subset.ids != before:
                     session.wake()
 
+    def left(self, session: Session) -> None:
+        """The connection of a front has ended while its watch was held back."""
+        if self.by_front.get(session.place.name) is session:
+            del self.by_front[session.place.name]
+        session.wake()
+
     def sweep(self) -> None:
         """Forget the fronts that no longer ask."""
         before = clock.now() - FORGET_AFTER
-        for front in [name for name, session in self.by_front.items() if session.seen_at < before]:
-            del self.by_front[front]
+        for front, session in list(self.by_front.items()):
+            if session.seen_at < before and not session.waits():
+                del self.by_front[front]
 
 
 def held_by(request: codec.WatchRequest) -> tuple[Version, int]:
--- a/thistlelever/ground/operator.py
+++ b/thistlelever/ground/operator.py
@@ -149,7 +149,7 @@
 
     distributors: Annotated[tuple[Address, ...], Meta(min_length=1, max_length=64)]
     heartbeat_s: Annotated[float, Meta(ge=0.1, le=30)] = 2.0
-    patience_s: Annotated[float, Meta(ge=0.05, le=30)] = 0.5
+    patience_s: Annotated[float, Meta(ge=0.05, le=30)] = 1.0
     start_within_s: Annotated[float, Meta(ge=0, le=60)] = 2.0
     zone_rank: Annotated[int, Meta(ge=-1, le=100_000)] = -1
 
