Membership: suspected members in the order of their suspicion, not of a hash

Withdrawals and deaths that fell due together were noted and sent in the order of a set of names, which hangs on the process.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,7 +1,11 @@
 """Membership: the wire's bad forms, each hard case on the model under a virtual clock, every way in which a
 few datagrams can be lost or late, and a machine that goes on at length."""
 
+import os
+import subprocess
+import sys
 from itertools import product
+from pathlib import Path
 
 import pytest
 from hypothesis import HealthCheck, settings
@@ -366,6 +370,38 @@
     assert (one.sent, one.bytes, one.changes) == (other.sent, other.bytes, other.changes)
 
 
+def test_the_order_of_hashes_decides_nothing():
+    # Risk: two processes that are told the same do not do the same, and a run can't be played again.
+    code = (
+        "from zlib import crc32\n"
+        "from rigs.membership_model import Network\n"
+        "net = Network(0, 0.2, check=True)\n"
+        "names = [f'n{n}' for n in range(20)]\n"
+        "[net.add(name, fronts=20) for name in names]\n"
+        "net.known(names)\n"
+        "changes = []\n"
+        "net.changed = lambda name, change: changes.append((name, change))\n"
+        "for first in range(6):\n"
+        "    [net.stop(name) for name in names[first::3][:5]]\n"
+        "    net.run(net.now + 0.6)\n"
+        "    [net.go_on(name) for name in list(net.stopped)]\n"
+        "    net.run(net.now + 0.5)\n"
+        "print(net.sent, net.bytes, crc32(repr(changes).encode()))"
+    )
+    said = [
+        subprocess.run(
+            [sys.executable, "-c", code],
+            cwd=Path(__file__).parents[1],
+            env=os.environ | {"PYTHONHASHSEED": seed},
+            capture_output=True,
+            text=True,
+            check=True,
+        ).stdout
+        for seed in ("0", "5")
+    ]
+    assert said[0] == said[1]
+
+
 EVENTS = ("kill", "pause", "restart")
 
 
--- a/thistlelever/membership/suspicion.py
+++ b/thistlelever/membership/suspicion.py
@@ -42,7 +42,7 @@
         """The first accusation of a member; perhaps this front sees for itself."""
         member.accusers = frozenset((accuser,))
         self.table.set_state(now, member, State.SUSPECTED, by, path)
-        self.table.suspected.add(member.name)
+        self.table.suspected[member.name] = None
         member.deadline = now + self.duration(member)
         own = by == self.table.local.identity.name
         if not own and self.chance.below(self.table.living_count or 1) < self.config.witnesses:
--- a/thistlelever/membership/table.py
+++ b/thistlelever/membership/table.py
@@ -29,7 +29,8 @@
         self.members: dict[str, Member] = {}
         self.by_address: dict[Address, str] = {}
         self.order = ProbeOrder((local.tag, local.identity.name), chance)
-        self.suspected: set[str] = set()
+        # Names in the order in which they were suspected: a set's order would hang on the process.
+        self.suspected: dict[str, None] = {}
         # Changes that the carrier has not taken yet.
         self.changes: list[Change] = []
         self.digest, self.changed_at = 0, now
@@ -79,7 +80,7 @@
         """The one place where a member's state changes."""
         was, lived = member.state, member.lives
         if state is not State.SUSPECTED:
-            self.suspected.discard(member.name)
+            self.suspected.pop(member.name, None)
             member.clear_accusations()
         if was is state:
             return
