--- a/thistlelever/distributor/sessions.py
+++ b/thistlelever/distributor/sessions.py
@@ -30,6 +30,8 @@
 BOUND_AGE = 0.01
 # How long one that holds nothing yet asks fronts to stay away.
 EMPTY_RETRY_S = 0.5
+# How long one that has forgotten a front asks it to stay away.
+FORGOTTEN_RETRY_S = 0.05
 
 
 class BusyError(Exception):
@@ -108,6 +110,9 @@
             raise BusyError(EMPTY_RETRY_S)
         if request.held is not None:
             self.admit()
+        elif request.front not in self.by_front:
+            # Forgotten: by a new connection the front tells all anew.
+            raise BusyError(FORGOTTEN_RETRY_S)
         return self.session(request)
 
     async def watch(self, session: Session, request: codec.WatchRequest) -> tuple[Update | None, int]:
