Reloads: a newer list in the configuration is held at once; one during the start is done

Two faults, both about SIGHUP.

Until Office.open set its handler (run.py) SIGHUP had its default action, and one between reading the configuration and the handler was lost: the shell ignores it at the start, serve holds it back before it reads the configuration, open lets it through.

The list of a configuration read again was not looked at (run.py, renewing). It is held now if its number is higher (Inquiry.hold).

--- a/thistlelever/carrier/directory.py
+++ b/thistlelever/carrier/directory.py
@@ -161,13 +161,18 @@
             self.tally.add("directory answers older than the list")
             return False
         self.last = data[2:]
-        changed = self.roll.replace(listing.serial, entries, clock.now())
+        self.hold(listing.serial, entries)
+        return True
+
+    def hold(self, serial: int, entries: list[Entry]) -> None:
+        """Take a whole list if it is newer than the one held: of an answer, or of a configuration that was
+        read again."""
+        changed = self.roll.replace(serial, entries, clock.now())
         if changed is not None:
             for engine in changed:
                 self.forget(engine)
-            self.desk.log("list", serial=listing.serial, engines=len(entries))
-            self.desk.tell(it.ListTold(it.ListKind.WHOLE, listing.serial, self.roll.told()))
-        return True
+            self.desk.log("list", serial=serial, engines=len(entries))
+            self.desk.tell(it.ListTold(it.ListKind.WHOLE, serial, self.roll.told()))
 
     def entry(self, found: dns.Found) -> Entry:
         facts = found.facts
--- a/thistlelever/cli/serve.py
+++ b/thistlelever/cli/serve.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import signal
 import sys
 
 import click
@@ -23,6 +24,9 @@
 @operator_option
 def serve(operator: str | None) -> None:
     """Serve as one front; BALANCER_CONFIG names the configuration."""
+    # Risk: a SIGHUP that comes before it is handled ends the process, or is about a configuration newer than
+    # the one that was read. Held back from here on, it is a reload once the front is up.
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     from thistlelever.lifecycle.run import serve as run
 
     config = load_config()
--- a/thistlelever/lifecycle/distribution.py
+++ b/thistlelever/lifecycle/distribution.py
@@ -13,7 +13,7 @@
 from thistlelever.distribution.versions import unpacked
 from thistlelever.ground import interface as it
 from thistlelever.ground.operator import Distribution, address
-from thistlelever.ground.papers import Papers
+from thistlelever.ground.papers import Entry, Papers
 from thistlelever.store.roll import Roll
 from thistlelever.subsetting import FrontPlace, Requirement
 
@@ -61,6 +61,9 @@
         self.list.changed(listing)
         self.first.set()
 
+    def hold(self, serial: int, entries: list[Entry]) -> None:
+        """The list of a configuration that was read again; its serials are not the distributors' versions."""
+
     def accept_from(self, serial: int) -> None:
         """A former life of this front held that version: nothing older is taken."""
         self.subscription.replica.floor = unpacked(serial)
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -180,6 +180,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
         loop.add_signal_handler(signal.SIGHUP, self.renew.set)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         await self.inquiry.open(self.papers.directory)
         if self.papers.peer_listen and not self.membership:
             await loop.create_datagram_endpoint(lambda: Deaf(self.tally), local_addr=self.papers.peer_listen)
@@ -259,6 +260,8 @@
                     plan(operator.budgets)
                 if new.directory != self.papers.directory:
                     await self.inquiry.open(new.directory)
+                # Risk: a drain that it names is known only once the directory's new address has answered.
+                self.inquiry.hold(new.serial, list(new.known))
             except Unreadable as why:
                 self.log("reload refused", why=str(why))
                 continue
