--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -11,8 +11,9 @@
 
 from thistlelever.budgets.fair import Node
 from thistlelever.budgets.forecast import Forecast
-from thistlelever.budgets.judge import WASTE_WINDOW, Entry, Judge, Terms
+from thistlelever.budgets.judge import Entry, Judge, Terms
 from thistlelever.budgets.plan import Branch, Plan, Share, Unsound
+from thistlelever.budgets.preemption import WASTE_WINDOW
 from thistlelever.ground.orders import Preempt, Refuse, Release
 
 TERMS = Terms(cancels=True, waste=0.05, longest_return=1.0, depth=1.0)
@@ -336,7 +337,7 @@
         yard.submit(f"t{n}", 0.01)
     yard.passes(2.0)
     yard.passes(120.0, step=1.0)
-    assert len(yard.judge.nodes()) <= 2 and not yard.judge.cost
+    assert len(yard.judge.tree.nodes()) <= 2 and not yard.judge.estimates.cost
 
 
 @pytest.mark.parametrize(
@@ -415,7 +416,7 @@
     def conserved(self):
         judge = self.yard.judge
         assert judge.conserved(), judge.counts
-        leaves = [node for node in judge.nodes() if node.parent and not node.children]
+        leaves = [node for node in judge.tree.nodes() if node.parent and not node.children]
         assert sum(len(leaf.queue) for leaf in leaves) == judge.root.held
         assert abs(judge.root.threads - sum(h.entry.width for h in judge.running.values())) < 1e-6
         assert judge.thrown_away <= 1e9
--- a/thistlelever/budgets/views.py
+++ b/thistlelever/budgets/views.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from thistlelever.budgets.fair import Node
-from thistlelever.budgets.judge import Judge, upwards
+from thistlelever.budgets.judge import Judge
+from thistlelever.budgets.tree import upwards
 
 
 def show(judge: Judge, now: float) -> dict:
@@ -19,7 +20,9 @@
         "thrown_away_core_s": round(judge.thrown_away, 3),
         "estimate_errors": judge.waits.percentiles(),
         "nodes": [
-            line(node, judge, now) for node in judge.nodes() if node.parent and (node.held or node.threads)
+            line(node, judge, now)
+            for node in judge.tree.nodes()
+            if node.parent and (node.held or node.threads)
         ],
     }
 
