--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -12,7 +12,7 @@
 from thistlelever.budgets.fair import Node
 from thistlelever.budgets.forecast import Forecast
 from thistlelever.budgets.judge import Entry, Judge, Terms
-from thistlelever.budgets.plan import Branch, Plan, Share, Unsound
+from thistlelever.budgets.plan import Branch, Plan, Share, PlanError
 from thistlelever.budgets.preemption import WASTE_WINDOW
 from thistlelever.ground.orders import Preempt, Refuse, Release
 
@@ -357,7 +357,7 @@
     ],
 )
 def test_a_tree_that_can_not_be_kept(plan, words):
-    with pytest.raises(Unsound) as why:
+    with pytest.raises(PlanError) as why:
         plan()
     assert words in str(why.value)
 
--- a/thistlelever/budgets/fair.py
+++ b/thistlelever/budgets/fair.py
@@ -29,6 +29,7 @@
     held."""
 
     def __init__(self, name: str, parent: Node | None, share: Share) -> None:
+        """A node that holds nothing yet."""
         self.name, self.parent, self.share = name, parent, share
         self.children: dict[str, Node] = {}
         # Tags in the parent's virtual time; own virtual time for those below.
@@ -47,6 +48,7 @@
         self.marks: deque[tuple[float, float]] = deque(maxlen=PACE_TURNS)
 
     def path(self) -> tuple[str, ...]:
+        """The names from below the root down to it."""
         return (*self.parent.path(), self.name) if self.parent else ()
 
     def under(self, capacity: float) -> bool:
--- a/thistlelever/budgets/forecast.py
+++ b/thistlelever/budgets/forecast.py
@@ -26,9 +26,11 @@
     __slots__ = ("at", "first", "rate")
 
     def __init__(self, now: float) -> None:
+        """Nothing was sent yet."""
         self.rate, self.at, self.first = 0.0, now, now
 
     def sent(self, work: float, now: float) -> None:
+        """So much work was sent."""
         self.rate = self.rate * exp((self.at - now) / INFLOW_OVER) + work / INFLOW_OVER
         self.at = now
 
@@ -51,6 +53,7 @@
         drain: float,
         now: float,
     ) -> None:
+        """Looks ahead from now until the horizon, or until no backlog runs out any more."""
         self.at = now
         self.pieces: list[tuple[float, float]] = []
         weights = {leaf: weight(leaf) for leaf in leaves}
@@ -106,6 +109,7 @@
 
 
 def path(leaf: Node) -> list[Node]:
+    """The leaf and the nodes above it, without the root."""
     found, node = [], leaf
     while node.parent is not None:
         found.append(node)
--- a/thistlelever/budgets/held.py
+++ b/thistlelever/budgets/held.py
@@ -58,6 +58,7 @@
     slow: bool = False
 
     def __lt__(self, other: Held) -> bool:
+        """In its leaf's queue the one that is due first comes first."""
         return (self.due, self.entry.number) < (other.due, other.entry.number)
 
     def done(self, now: float) -> float:
--- a/thistlelever/budgets/judge.py
+++ b/thistlelever/budgets/judge.py
@@ -33,17 +33,10 @@
 # The time to come back is spread by so much, so that those pushed back together do not come back together.
 SPREAD = 0.5
 
-
 # What is counted of batches.
 COUNTED = (
-    "submitted",
-    "released",
-    "refused",
-    "left",
-    "preempted",
-    "ended",
-    "moved",
-    "too late to preempt",
+    *("submitted", "released", "refused", "left"),
+    *("preempted", "ended", "moved", "too late to preempt"),
 )
 
 
@@ -51,6 +44,7 @@
     """All budgets of one front. It knows what it was told and nothing else."""
 
     def __init__(self, plan: Plan, terms: Terms, seed: int, capacity: float = 0.0) -> None:
+        """Nothing is held; `capacity` is in threads."""
         self.terms, self.seed, self.draws = terms, seed, 0
         self.capacity = capacity
         self.estimates, self.key_order, self.preemption = Estimates(), KeyOrder(), Preemption()
@@ -294,6 +288,7 @@
         return not self.root.threads or self.root.threads + width <= self.capacity * self.terms.depth
 
     def hold(self, held: Held) -> None:
+        """It takes part in its leaf's turns from now on."""
         leaf = held.leaf
         held.waiting = True
         insort(leaf.queue, held)
@@ -311,6 +306,7 @@
                 node.waits(self.capacity)
 
     def unhold(self, held: Held) -> None:
+        """It takes part in no turns any more."""
         if not held.waiting:
             return
         held.waiting = False
@@ -339,6 +335,7 @@
             self.hold(following)
 
     def release_threads(self, held: Held, owed: float, now: float) -> None:
+        """What was out has ended: its threads are free, and what was charged short is owed."""
         for node in upwards(held.leaf):
             node.threads -= held.entry.width
             if node.threads < 1e-9:
--- a/thistlelever/budgets/plan.py
+++ b/thistlelever/budgets/plan.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 
-class Unsound(Exception):
+class PlanError(Exception):
     """The tree can't be kept; the path of the node at fault and why."""
 
 
@@ -31,16 +31,18 @@
     """Where each team stands. A team that no broker names is one of `other`, each for itself below it."""
 
     def __init__(self, brokers: dict[str, Branch], other: Share) -> None:
+        """The tree of these brokers and their teams; `PlanError` where it can't be kept."""
         self.brokers, self.other = brokers, other
         self.broker_of: dict[str, str] = {}
         for name, broker in brokers.items():
             for team in broker.below:
                 if team in self.broker_of:
-                    raise Unsound(f"{name}.{team}: also a team of {self.broker_of[team]}")
+                    raise PlanError(f"{name}.{team}: also a team of {self.broker_of[team]}")
                 self.broker_of[team] = name
         sound("", Branch(Share(1.0), brokers | {OTHER: Branch(other, {})}))
 
     def path(self, team: str, group: str) -> tuple[str, str, str]:
+        """Where a team's service group stands: broker, team, group."""
         return self.broker_of.get(team, OTHER), team, group
 
     def share(self, path: Iterable[str]) -> Share:
@@ -65,15 +67,15 @@
     broken would hang on who comes first."""
     share, name = branch.share, path or "the platform"
     if not 0 <= share.guarantee <= share.ceiling <= 1:
-        raise Unsound(
+        raise PlanError(
             f"{name}: a guarantee from 0 up to its ceiling, and that up to 1 expected; "
             f"found {share.guarantee:g} and {share.ceiling:g}"
         )
     if share.weight <= 0 or share.burst < 0:
-        raise Unsound(f"{name}: a weight above 0 and a burst from 0 up expected")
+        raise PlanError(f"{name}: a weight above 0 and a burst from 0 up expected")
     promised = sum(below.share.guarantee for below in branch.below.values())
     whole = share.guarantee if share.guarantee else 1.0 if not path else share.ceiling
     if promised > whole + 1e-9:
-        raise Unsound(f"{name}: the guarantees below it are {promised:g} together, more than its {whole:g}")
+        raise PlanError(f"{name}: the guarantees below it are {promised:g} together, more than its {whole:g}")
     for key, below in branch.below.items():
         sound(f"{path}.{key}" if path else key, below)
--- a/thistlelever/budgets/views.py
+++ b/thistlelever/budgets/views.py
@@ -28,6 +28,7 @@
 
 
 def line(node: Node, judge: Judge, now: float) -> dict:
+    """One node, in threads, core-seconds and seconds."""
     promised = node.share.guarantee * judge.capacity
     oldest = min((held.since for held in node.queue), default=None)
     return {
@@ -65,6 +66,7 @@
 
 
 def because(judge: Judge, held) -> str:
+    """What a held batch waits for."""
     if not held.waiting:
         return "a batch of the same key goes first"
     for node in upwards(held.leaf):
--- a/thistlelever/budgets/waits.py
+++ b/thistlelever/budgets/waits.py
@@ -20,6 +20,7 @@
     themselves."""
 
     def __init__(self) -> None:
+        """No wait was seen yet."""
         self.factor: dict[tuple[str, ...], float] = {}
         self.errors: deque[float] = deque(maxlen=KEPT)
         self.naive_errors: deque[float] = deque(maxlen=KEPT)
--- a/thistlelever/lifecycle/budgets.py
+++ b/thistlelever/lifecycle/budgets.py
@@ -6,7 +6,7 @@
 
 from thistlelever.budgets import views
 from thistlelever.budgets.judge import Terms
-from thistlelever.budgets.plan import Branch, Plan, Share, Unsound
+from thistlelever.budgets.plan import Branch, Plan, Share, PlanError
 from thistlelever.carrier.gate import Gate
 from thistlelever.ground import clock
 from thistlelever.ground.manifest import Unreadable
@@ -28,7 +28,7 @@
     try:
         brokers = {name: branch(node, "teams", "groups") for name, node in section.brokers.items()}
         return Plan(brokers, branch(section.other).share)
-    except Unsound as why:
+    except PlanError as why:
         raise Unreadable(f"operator file: budgets: {why}") from None
 
 
