--- a/thistlelever/ground/log.py
+++ b/thistlelever/ground/log.py
@@ -19,11 +19,13 @@
     """Writes events. Lines are few, as each counts as memory where the log is kept in it."""
 
     def __init__(self, name: str, sink: BinaryIO | None = None) -> None:
+        """Write under the front's name, to standard output unless a sink is given."""
         self.name, self.sink = name, sink or sys.stdout.buffer
         # Of each event the minute, the lines written in it, and those left out since the last one written.
         self.said: dict[str, tuple[int, int, int]] = {}
 
     def __call__(self, event: str, **facts) -> None:
+        """Write one event, unless too many of its kind were written in this minute."""
         now = time()
         minute, lines, left_out = self.said.get(event, (0, 0, 0))
         if minute != now // 60:
@@ -45,9 +47,11 @@
     """What libraries log, as lines of the same form."""
 
     def __init__(self, log: Log) -> None:
+        """Take warnings and worse."""
         super().__init__(logging.WARNING)
         self.log = log
 
     def emit(self, record: logging.LogRecord) -> None:
+        """Write one record, with its traceback on the same line."""
         trace = logging.Formatter().formatException(record.exc_info) if record.exc_info else ""
         self.log("library", source=record.name, text=record.getMessage(), trace=trace)
--- a/thistlelever/ground/tally.py
+++ b/thistlelever/ground/tally.py
@@ -9,9 +9,11 @@
     """How often each thing happened since the start."""
 
     def __init__(self) -> None:
+        """Nothing has happened yet."""
         self.counts: Counter[str] = Counter()
 
     def add(self, name: str) -> None:
+        """It happened once more."""
         self.counts[name] += 1
 
     def must(self, holds: bool, name: str) -> bool:
