--- a/tests/test_distributor.py
+++ b/tests/test_distributor.py
@@ -364,3 +364,15 @@
             assert session.revision == revision
 
     play(scenario())
+
+
+def test_watches_that_began_together_do_not_end_together():
+    async def scenario():
+        async with tier(1, engines=12) as stage:
+            sessions = stage.running[0].sessions
+            front = stage.subscribe()
+            await stage.until(lambda: sessions.by_front.get("front-0") and front.replica.records)
+            parts = [sessions.part_of_wait(sessions.by_front["front-0"]) for _ in range(200)]
+            assert 0.7 <= min(parts) < 0.73 and 0.97 < max(parts) < 1.0 and len(set(parts)) == 200
+
+    play(scenario())
--- a/thistlelever/distributor/sessions.py
+++ b/thistlelever/distributor/sessions.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from time import perf_counter
+from zlib import crc32
 
 from thistlelever.distribution import codec
 from thistlelever.distribution.messages import Delta, Update
@@ -21,6 +22,8 @@
 LARGE_UPDATE = 16
 # The longest that a watch is held back, whatever its front asks for.
 LONGEST_WAIT = 30.0
+# A watch without news is held back for this part of its time at least.
+LEAST_PART_OF_WAIT = 0.7
 # A front that does not wait for an answer and has not asked for so long is forgotten.
 FORGET_AFTER = 10.0
 # When the list has changed, fronts are looked at for so many seconds in one turn of the loop; changes that
@@ -66,6 +69,7 @@
         )
         self.views = ToldViews()
         self.retained: tuple[str, ...] = ()
+        self.watches = 0
         self.version, self.seen_at = NO_VERSION, clock.now()
         self.subset, self.revision, self.bound_revision = Subset((), 0), -1, -1
         # Done when something that concerns a watch that is held back has changed.
@@ -118,7 +122,7 @@
     async def watch(self, session: Session, request: codec.WatchRequest) -> tuple[Update | None, int]:
         """The answer to a watch, as soon as something that concerns the front differs from what it holds, or
         when its time is up; and how many fronts may send to any one of its engines."""
-        till = clock.now() + min(request.wait, LONGEST_WAIT)
+        till = clock.now() + min(request.wait, LONGEST_WAIT) * self.part_of_wait(session)
         while True:
             update = self.update(session, request)
             left = till - clock.now()
@@ -127,6 +131,13 @@
             session.stir = asyncio.get_running_loop().create_future()
             await asyncio.wait((session.stir,), timeout=left)
 
+    def part_of_wait(self, session: Session) -> float:
+        """Which part of its time a watch is held back, by chance. Risk: fronts that were told together ask
+        together, and their watches run out in one moment, again and again."""
+        session.watches += 1
+        draw = crc32(b"%d %b" % (session.watches, session.place.name.encode())) / 2**32
+        return LEAST_PART_OF_WAIT + (1 - LEAST_PART_OF_WAIT) * draw
+
     def session(self, request: codec.WatchRequest) -> Session:
         """The front's session; a new one where it tells what it holds."""
         session = self.by_front.get(request.front)
