--- a/tests/test_distributor_commands.py
+++ b/tests/test_distributor_commands.py
@@ -82,3 +82,18 @@
 def test_the_example_is_sound():
     said = run("check", "--config", str(EXAMPLE))
     assert said.returncode == 0 and "claims to publish" in said.stdout
+
+
+def test_configure_puts_sections_in_force_and_names_what_can_not_be(distributor):
+    run("publish", "--at", distributor, "-", source=json.dumps([engine(1)]))
+    sections = json.dumps({"budgets": {"brokers": {"acme": {"guarantee": 0.5}}}})
+    assert run("configure", "--at", distributor, "-", source=sections).returncode == 0
+    report = json.loads(run("status", "--at", distributor, "--json").stdout)
+    assert report["documents"] == ["operator"]
+    too_much = json.dumps({"budgets": {"brokers": {n: {"guarantee": 0.75} for n in ("acme", "zeta")}}})
+    said = run("configure", "--at", distributor, "-", source=too_much)
+    assert said.returncode == 1 and "budgets" in said.stderr, said.stderr
+    assert run("configure", "--at", distributor, "--remove").returncode == 0
+    assert run("configure", "--at", distributor).returncode == 2
+    report = json.loads(run("status", "--at", distributor, "--json").stdout)
+    assert report["documents"] == []
--- a/thistlelever/carrier/directory.py
+++ b/thistlelever/carrier/directory.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
+from typing import TYPE_CHECKING
 from zlib import crc32
 
 from thistlelever.ground import interface as it
@@ -15,6 +16,9 @@
 from thistlelever.ground.tally import Tally
 from thistlelever.wire import dns
 
+if TYPE_CHECKING:
+    from thistlelever.ground.operator import Operator
+
 NAME = "_api._tcp.svc.local"
 # An event counts as told 1.5 s after it happened, and sends must cease 0.25 s or so later: asked this
 # often, three datagrams in a row may be lost before that is late.
@@ -55,6 +59,8 @@
         self.transports: list[asyncio.DatagramTransport] = []
         self.last, self.misses, self.heard_at = b"", 0, 0.0
         self.address: tuple[str, int] | None = None
+        # Set where the configuration is to be read again; nothing that comes by DNS asks for that.
+        self.renew: asyncio.Event | None = None
         self.silent, self.renewal = 0, None
 
     async def open(self, address: tuple[str, int]) -> None:
@@ -85,6 +91,10 @@
     def accept_from(self, serial: int) -> None:
         """A former life held that serial. The directory may begin anew: its newest answer is believed."""
 
+    def overlay(self, operator: Operator) -> Operator:
+        """The operator file, of which nothing comes by DNS."""
+        return operator
+
     def questions(self) -> dict[str, Callable[..., dict]]:
         """What the administration may be asked."""
         return {}
--- a/thistlelever/carrier/subscribed_list.py
+++ b/thistlelever/carrier/subscribed_list.py
@@ -8,7 +8,7 @@
 
 from thistlelever.carrier.desk import Desk
 from thistlelever.carrier.subscription import Listing, Subscription
-from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.records import EngineRecord, engines_of
 from thistlelever.ground import clock
 from thistlelever.ground import interface as it
 from thistlelever.ground.papers import Entry
@@ -60,11 +60,15 @@
 
     def retained(self) -> tuple[str, ...]:
         """Engines that queries are out at and that are not in the subset."""
-        held = self.subscription.replica.records
+        held = self.held()
         outside = [engine for engine in self.leaving if self.out(engine)]
         outside += [engine for engine, record in held.items() if not record.in_subset and self.out(engine)]
         return tuple(sorted(set(outside)))
 
+    def held(self) -> dict[str, EngineRecord]:
+        """The engines that the subscription holds."""
+        return {record.id: record for record in engines_of(self.subscription.replica.records.values())}
+
     def out(self, engine: str) -> bool:
         """Whether queries of this front are out at the engine."""
         return self.roll.out[engine.encode()] > 0
@@ -72,7 +76,7 @@
     def changed(self, listing: Listing) -> None:
         """The subscription holds something else than before."""
         self.roll.sharing = listing.fronts
-        held = self.subscription.replica.records
+        held = self.held()
         for engine, (record, _) in self.entries.items():
             if engine not in held and engine not in self.leaving and self.out(engine):
                 self.leaving[engine] = record._replace(in_subset=False)
@@ -84,7 +88,7 @@
 
     def tell(self) -> None:
         """Tell the registry and the decisions what is held now."""
-        held = self.subscription.replica.records
+        held = self.held()
         self.leaving = self.still_leaving(held)
         self.entries = {
             record.id: known
--- a/thistlelever/cli/distributor.py
+++ b/thistlelever/cli/distributor.py
@@ -39,12 +39,13 @@
     from thistlelever.distributor.service import serve as run
     from thistlelever.distributor.store import StoreError
     from thistlelever.ground.log import Libraries, Log
+    from thistlelever.lifecycle.distributed_configuration import OPERATOR_DOCUMENT, check_document
 
     config = load(config_path)
     log = Log(config.name)
     logging.basicConfig(handlers=[Libraries(log)], level=logging.WARNING)
     try:
-        sys.exit(asyncio.run(run(config, log)))
+        sys.exit(asyncio.run(run(config, log, {OPERATOR_DOCUMENT: check_document})))
     except (OSError, StoreError) as error:
         exit_with_error(error, EXIT_FAILURE)
 
@@ -94,6 +95,28 @@
     body = {"engines": change} if isinstance(change, list) else change
     if expected:
         body["expected"] = expected
+    publish_body(at, body)
+
+
+@distributor.command("configure")
+@at_option
+@click.argument("source", type=click.Path(exists=True, dir_okay=False, allow_dash=True), required=False)
+@click.option("--remove", is_flag=True, help="Fronts go back to their own operator files.")
+@click.option("--expected", help="Refuse it unless this version is present.")
+def configure(at: str, source: str | None, remove: bool, expected: str | None) -> None:
+    """Put sections of the operator file (SOURCE, JSON) in force at all fronts, as a new version; an older
+    SOURCE rolls back. Refused, with the key at fault, where no front could use it."""
+    if remove == bool(source):
+        raise click.UsageError("either SOURCE or --remove expected")
+    text = None if source is None else sys.stdin.read() if source == "-" else Path(source).read_text()
+    body: dict = {"documents": {"operator": text}}
+    if expected:
+        body["expected"] = expected
+    publish_body(at, body)
+
+
+def publish_body(at: str, body: dict) -> None:
+    """Publish, print the version and exit: 1 where it is refused or no majority holds it yet."""
     answer = call(at, "POST", "/v1/publish", body)
     confirmed = answer["confirmed"]
     click.echo(f"{answer['version']}{'' if confirmed else ': not held by a majority yet'}")
--- a/thistlelever/distribution/codec.py
+++ b/thistlelever/distribution/codec.py
@@ -12,7 +12,13 @@
 from msgspec import Struct
 
 from thistlelever.distribution.messages import Delta, Removal, Snapshot, Update
-from thistlelever.distribution.records import DIGEST_BITS, EngineRecord
+from thistlelever.distribution.records import (
+    DIGEST_BITS,
+    DocumentRecord,
+    EngineRecord,
+    documents_of,
+    engines_of,
+)
 from thistlelever.distribution.versions import Version
 
 DIGEST_BYTES = DIGEST_BITS // 8
@@ -106,6 +112,7 @@
     digest: bytes
     upserts: tuple[EngineRecord, ...]
     removals: tuple[Removal, ...]
+    documents: tuple[DocumentRecord, ...] = ()
 
 
 class SnapshotBody(Struct, array_like=True, frozen=True, tag="snapshot"):
@@ -114,6 +121,7 @@
     version: Version
     digest: bytes
     records: tuple[EngineRecord, ...]
+    documents: tuple[DocumentRecord, ...] = ()
 
 
 class Reply(Struct, array_like=True, frozen=True):
@@ -180,26 +188,28 @@
 def body_of(update: Update) -> DeltaBody | SnapshotBody:
     """An update as it travels."""
     if isinstance(update, Snapshot):
-        return SnapshotBody(update.version, digest_bytes(update.digest), update.records)
+        engines, documents = tuple(engines_of(update.records)), tuple(documents_of(update.records))
+        return SnapshotBody(update.version, digest_bytes(update.digest), engines, documents)
     return DeltaBody(
         update.base,
         digest_bytes(update.base_digest),
         update.version,
         digest_bytes(update.digest),
-        update.upserts,
+        tuple(engines_of(update.upserts)),
         update.removals,
+        tuple(documents_of(update.upserts)),
     )
 
 
 def update_from(body: DeltaBody | SnapshotBody) -> Update:
     """The update that travelled as `body`."""
     if isinstance(body, SnapshotBody):
-        return Snapshot(body.version, digest_from(body.digest), body.records)
+        return Snapshot(body.version, digest_from(body.digest), (*body.records, *body.documents))
     return Delta(
         body.base,
         digest_from(body.base_digest),
         body.version,
         digest_from(body.digest),
-        body.upserts,
+        (*body.upserts, *body.documents),
         body.removals,
     )
--- a/thistlelever/distribution/history.py
+++ b/thistlelever/distribution/history.py
@@ -7,7 +7,7 @@
 from itertools import islice
 
 from thistlelever.distribution.messages import Delta, Removal
-from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.records import Record
 from thistlelever.distribution.versions import Version
 
 # A history keeps no more upserts and removals than this, however few its changes are.
@@ -83,7 +83,7 @@
 
 def _merged(changes: Iterable[Delta], base: Version, base_digest: int) -> Delta:
     """One delta for several that follow each other: the last word on each id counts."""
-    upserts: dict[str, EngineRecord] = {}
+    upserts: dict[str, Record] = {}
     removals: dict[str, Removal] = {}
     version, digest = base, base_digest
     for change in changes:
--- a/thistlelever/distribution/messages.py
+++ b/thistlelever/distribution/messages.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.records import Record
 from thistlelever.distribution.versions import Version
 
 
@@ -24,7 +24,7 @@
     base_digest: int
     version: Version
     digest: int
-    upserts: tuple[EngineRecord, ...]
+    upserts: tuple[Record, ...]
     removals: tuple[Removal, ...]
 
 
@@ -33,7 +33,7 @@
 
     version: Version
     digest: int
-    records: tuple[EngineRecord, ...]
+    records: tuple[Record, ...]
 
 
 Update = Delta | Snapshot
--- a/thistlelever/distribution/publisher.py
+++ b/thistlelever/distribution/publisher.py
@@ -6,13 +6,22 @@
 
 from thistlelever.distribution.history import History
 from thistlelever.distribution.messages import Delta, Removal
-from thistlelever.distribution.records import DIGEST_MASK, EngineRecord, record_digest
+from thistlelever.distribution.records import (
+    DIGEST_MASK,
+    EngineRecord,
+    Record,
+    documents_of,
+    engines_of,
+    record_digest,
+)
 from thistlelever.distribution.replica import Outcome, Replica
 from thistlelever.distribution.validation import (
+    MOST_DOCUMENTS,
     MOST_RECORDS,
     MOST_RECORDS_PER_CHANGE,
     PublishRefusedError,
     validate,
+    validate_documents,
     validate_removed_ids,
 )
 from thistlelever.distribution.versions import Version
@@ -44,7 +53,7 @@
         self.term = term
         self.superseded: Version | None = None
         self._published = replica.version
-        self._ids_by_address = {record.address: record.id for record in replica.records.values()}
+        self._ids_by_address = {record.address: record.id for record in engines_of(replica.records.values())}
 
     def observe(self, version: Version) -> None:
         """Notes a version that somebody showed. One that is newer than the newest of this publisher comes
@@ -59,7 +68,7 @@
         return self._commit([], [])
 
     def publish(
-        self, upserts: Sequence[EngineRecord], removed_ids: Sequence[str], expected: Version | None
+        self, upserts: Sequence[Record], removed_ids: Sequence[str], expected: Version | None
     ) -> Delta | None:
         """Publishes a change in time by its own size. `expected` is the version that the change was made
         for; None for whichever is present.
@@ -73,16 +82,19 @@
             raise PublishRefusedError(
                 f"upserts, removed_ids: at most {MOST_RECORDS_PER_CHANGE} together expected; found {size}"
             )
-        validate(upserts, "upserts")
+        engines, documents = tuple(engines_of(upserts)), tuple(documents_of(upserts))
+        validate(engines, "upserts")
+        validate_documents(documents)
         upserted_ids = {record.id for record in upserts}
         validate_removed_ids(removed_ids, upserted_ids)
-        self._check_addresses(upserts, upserted_ids.union(removed_ids))
+        self._check_addresses(engines, upserted_ids.union(removed_ids))
         changed = [record for record in upserts if self.replica.records.get(record.id) != record]
         removed = [removed_id for removed_id in removed_ids if removed_id in self.replica.records]
         return self._commit_if_any(changed, removed)
 
     def replace_all(self, records: Sequence[EngineRecord], expected: Version | None) -> Delta | None:
-        """Publishes the smallest change that leaves exactly these records; None if nothing differs.
+        """Publishes the smallest change that leaves exactly these engines, and documents as they are; None if
+        nothing differs.
 
         An empty list is refused: it is far more often a fault of its source than meant. Whoever means it
         removes by id.
@@ -94,7 +106,7 @@
         validate(records)
         kept_ids = {record.id for record in records}
         changed = [record for record in records if held.get(record.id) != record]
-        removed = [held_id for held_id in held if held_id not in kept_ids]
+        removed = [engine.id for engine in engines_of(held.values()) if engine.id not in kept_ids]
         return self._commit_if_any(changed, removed)
 
     def _check_role(self, expected: Version | None) -> None:
@@ -116,16 +128,23 @@
                     f"found {record.address!r}, that of {owner!r}"
                 )
 
-    def _commit_if_any(self, upserts: list[EngineRecord], removed_ids: list[str]) -> Delta | None:
+    def _commit_if_any(self, upserts: list[Record], removed_ids: list[str]) -> Delta | None:
         if not upserts and not removed_ids:
             return None
         added = sum(record.id not in self.replica.records for record in upserts)
         size = len(self.replica.records) + added - len(removed_ids)
         if size > MOST_RECORDS:
             raise PublishRefusedError(f"engines: at most {MOST_RECORDS} records expected; found {size}")
+        self._check_documents(upserts)
         return self._commit(upserts, removed_ids)
 
-    def _commit(self, upserts: list[EngineRecord], removed_ids: list[str]) -> Delta:
+    def _check_documents(self, upserts: list[Record]) -> None:
+        """The number of documents is bounded, as every front holds all of them."""
+        new = [record for record in documents_of(upserts) if record.id not in self.replica.records]
+        if new and len(new) + sum(1 for _ in documents_of(self.replica.records.values())) > MOST_DOCUMENTS:
+            raise PublishRefusedError(f"documents: at most {MOST_DOCUMENTS} expected")
+
+    def _commit(self, upserts: list[Record], removed_ids: list[str]) -> Delta:
         delta = self._delta(upserts, removed_ids)
         replaced = self._held(delta)
         outcome = self.replica.receive(delta)
@@ -133,13 +152,13 @@
             raise RuntimeError(f"a publisher's own delta {delta.version} was {outcome.value}")
         self.history.append(delta)
         self._published = delta.version
-        for record in replaced:
+        for record in engines_of(replaced):
             del self._ids_by_address[record.address]
-        for record in upserts:
+        for record in engines_of(upserts):
             self._ids_by_address[record.address] = record.id
         return delta
 
-    def _delta(self, upserts: list[EngineRecord], removed_ids: list[str]) -> Delta:
+    def _delta(self, upserts: list[Record], removed_ids: list[str]) -> Delta:
         replica = self.replica
         removals = tuple(Removal(removed_id, gone=True) for removed_id in removed_ids)
         version = Version(self.term, replica.version.number + 1)
@@ -148,12 +167,12 @@
         after = _sum_of_digests(upserts)
         return unfinished._replace(digest=(replica.digest - before + after) & DIGEST_MASK)
 
-    def _held(self, delta: Delta) -> list[EngineRecord]:
+    def _held(self, delta: Delta) -> list[Record]:
         """The records of the present version that this delta replaces or removes."""
         ids = [record.id for record in delta.upserts] + [removal.id for removal in delta.removals]
         held = self.replica.records
         return [held[engine_id] for engine_id in ids if engine_id in held]
 
 
-def _sum_of_digests(records: Iterable[EngineRecord]) -> int:
+def _sum_of_digests(records: Iterable[Record]) -> int:
     return sum(map(record_digest, records))
--- a/thistlelever/distribution/reconnect.py
+++ b/thistlelever/distribution/reconnect.py
@@ -9,14 +9,14 @@
 from collections.abc import Callable, Collection, Mapping
 
 from thistlelever.distribution.messages import Delta, Removal
-from thistlelever.distribution.records import DIGEST_BITS, EngineRecord, digest_of, record_digest
+from thistlelever.distribution.records import DIGEST_BITS, Record, digest_of, record_digest
 from thistlelever.distribution.versions import Version
 
 # Enough to tell two states of one engine apart; a digest of all that is held is compared in the end.
 SHORT_DIGEST_BYTES = 8
 
 
-def short_digest(record: EngineRecord) -> bytes:
+def short_digest(record: Record) -> bytes:
     """The first bytes of a record's digest."""
     return record_digest(record).to_bytes(DIGEST_BITS // 8, "big")[:SHORT_DIGEST_BYTES]
 
@@ -25,7 +25,7 @@
     base: tuple[Version, int],
     held: Mapping[str, bytes],
     version: Version,
-    wanted: Collection[EngineRecord],
+    wanted: Collection[Record],
     exists: Callable[[str], bool],
     retained: tuple[str, ...],
 ) -> Delta:
--- a/thistlelever/distribution/records.py
+++ b/thistlelever/distribution/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from functools import lru_cache
 from hashlib import blake2b
 from typing import NamedTuple
@@ -13,6 +13,8 @@
 DIGEST_BITS = 128
 DIGEST_MASK = (1 << DIGEST_BITS) - 1
 EMPTY_DIGEST = 0
+# What the ids of documents begin with.
+DOCUMENT_PREFIX = "document:"
 # A distributor compares the same records for one front after the other: so many digests are remembered,
 # those of all engines and of some that changed, at some 300 bytes each.
 MOST_DIGESTS_KEPT = 32_768
@@ -36,10 +38,50 @@
     in_subset: bool = True
 
 
+class DocumentRecord(NamedTuple):
+    """A document that every front holds, such as a configuration. `id` begins with `DOCUMENT_PREFIX`, which
+    no engine's does; `content` is its text."""
+
+    id: str
+    content: str
+
+    @property
+    def name(self) -> str:
+        """The name that it was published under."""
+        return self.id.removeprefix(DOCUMENT_PREFIX)
+
+
+Record = EngineRecord | DocumentRecord
+
+
+def document(name: str, content: str) -> DocumentRecord:
+    """The record of a document."""
+    return DocumentRecord(DOCUMENT_PREFIX + name, content)
+
+
+def engines_of(records: Iterable[Record]) -> Iterator[EngineRecord]:
+    """The engines among some records, in their order."""
+    return (record for record in records if isinstance(record, EngineRecord))
+
+
+def documents_of(records: Iterable[Record]) -> Iterator[DocumentRecord]:
+    """The documents among some records, in their order."""
+    return (record for record in records if isinstance(record, DocumentRecord))
+
+
 @lru_cache(maxsize=MOST_DIGESTS_KEPT)
-def record_digest(record: EngineRecord) -> int:
+def record_digest(record: Record) -> int:
     """The 128-bit hash of one record. Texts go in with their lengths, so that no two records read alike."""
-    text = (
+    text = _document_text(record) if isinstance(record, DocumentRecord) else _engine_text(record)
+    return int.from_bytes(blake2b(text.encode(), digest_size=DIGEST_BITS // 8).digest(), "big")
+
+
+def _document_text(record: DocumentRecord) -> str:
+    return f"document{len(record.id)}:{record.id}{len(record.content)}:{record.content}"
+
+
+def _engine_text(record: EngineRecord) -> str:
+    return (
         f"{len(record.id)}:{record.id}"
         f"{len(record.zone)}:{record.zone}"
         f"{len(record.kind)}:{record.kind}"
@@ -47,9 +89,8 @@
         f"{record.cell}:{record.draining:d}:{record.in_subset:d}:"
         f"{record.started.hex()}:{record.weight.hex()}"
     )
-    return int.from_bytes(blake2b(text.encode(), digest_size=DIGEST_BITS // 8).digest(), "big")
 
 
-def digest_of(records: Iterable[EngineRecord]) -> int:
+def digest_of(records: Iterable[Record]) -> int:
     """The digest of a set of records."""
     return sum(map(record_digest, records)) & DIGEST_MASK
--- a/thistlelever/distribution/replica.py
+++ b/thistlelever/distribution/replica.py
@@ -8,7 +8,7 @@
 from thistlelever.distribution.records import (
     DIGEST_MASK,
     EMPTY_DIGEST,
-    EngineRecord,
+    Record,
     digest_of,
     record_digest,
 )
@@ -49,7 +49,7 @@
         self.floor = floor
         self.version = NO_VERSION
         self.digest = EMPTY_DIGEST
-        self.records: dict[str, EngineRecord] = {}
+        self.records: dict[str, Record] = {}
 
     def receive(self, update: Update) -> Outcome:
         """Applies the update if it is newer and fits. A delta costs time by its own size, not by the size of
--- a/thistlelever/distribution/validation.py
+++ b/thistlelever/distribution/validation.py
@@ -7,11 +7,14 @@
 from collections.abc import Callable, Collection, Sequence
 from typing import NamedTuple, NoReturn
 
-from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.records import DOCUMENT_PREFIX, DocumentRecord, EngineRecord
 
 MOST_NAME_CHARACTERS = 128
 MOST_RECORDS = 65_536
 MOST_RECORDS_PER_CHANGE = 4_096
+# A document goes whole to every front at each change of it: one that changes each 3 s takes 5.5 KB a second.
+MOST_DOCUMENT_BYTES = 16_384
+MOST_DOCUMENTS = 16
 
 # `HOST:PORT` in its one spelling: no leading zeros, 0 to 255 four times, 1 to 65535.
 _OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
@@ -32,6 +35,8 @@
     positions_by_address: dict[str, int] = {}
     for position, record in enumerate(records):
         _validate_record(record, path, position)
+        if record.id.startswith(DOCUMENT_PREFIX):
+            _refuse(f"{path}[{position}].id", f"no id that begins with {DOCUMENT_PREFIX!r}", record.id)
         earlier = positions_by_id.setdefault(record.id, position)
         if earlier != position:
             _refuse(f"{path}[{position}].id", f"an id other than that of {path}[{earlier}]", record.id)
@@ -41,6 +46,21 @@
             _refuse(f"{path}[{position}].address", expected, record.address)
 
 
+def validate_documents(documents: Sequence[DocumentRecord]) -> None:
+    """Checks documents for themselves, each with the check that its publisher has for its name."""
+    names: set[str] = set()
+    for record in documents:
+        path = f"documents.{record.name}"
+        if not _is_name(record.name):
+            _refuse(path, _NAME_EXPECTED, record.name)
+        if record.name in names:
+            _refuse(path, "a name that comes once", record.name)
+        names.add(record.name)
+        size = len(record.content.encode())
+        if size > MOST_DOCUMENT_BYTES:
+            _refuse(path, f"at most {MOST_DOCUMENT_BYTES} bytes", size)
+
+
 def validate_removed_ids(removed_ids: Sequence[str], upserted_ids: Collection[str]) -> None:
     """Checks that ids to be removed are ids, come once and are not upserted as well."""
     seen: set[str] = set()
--- a/thistlelever/distribution/views.py
+++ b/thistlelever/distribution/views.py
@@ -14,7 +14,7 @@
 from thistlelever.distribution.records import (
     DIGEST_MASK,
     EMPTY_DIGEST,
-    EngineRecord,
+    Record,
     digest_of,
 )
 from thistlelever.distribution.versions import NO_VERSION, Version
@@ -26,7 +26,7 @@
 
     version: Version = NO_VERSION
     digest: int = EMPTY_DIGEST
-    records: dict[str, EngineRecord] = {}
+    records: dict[str, Record] = {}
 
     def is_at(self, version: Version, digest: int) -> bool:
         """Whether a front that holds this version with this digest holds this view."""
@@ -76,7 +76,7 @@
 def difference(
     held: FrontView,
     version: Version,
-    wanted: Iterable[EngineRecord],
+    wanted: Iterable[Record],
     exists: Callable[[str], bool],
     retained: Iterable[str] = (),
 ) -> Delta:
@@ -100,7 +100,7 @@
     return Delta(held.version, held.digest, version, digest & DIGEST_MASK, upserts, removals)
 
 
-def snapshot(version: Version, wanted: Iterable[EngineRecord]) -> Snapshot:
+def snapshot(version: Version, wanted: Iterable[Record]) -> Snapshot:
     """All the records wanted for a front at `version`."""
     records = tuple(wanted)
     return Snapshot(version, digest_of(records), records)
--- a/thistlelever/distributor/catalog.py
+++ b/thistlelever/distributor/catalog.py
@@ -8,7 +8,7 @@
 
 from thistlelever.distribution.history import History
 from thistlelever.distribution.messages import Delta, Snapshot, Update
-from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.records import DocumentRecord, EngineRecord, Record, engines_of
 from thistlelever.distribution.replica import Outcome, Replica
 from thistlelever.distribution.versions import Version
 from thistlelever.subsetting import EngineRing, SubsetTerms
@@ -30,6 +30,8 @@
         self.replica = Replica(strict=True)
         self.history = History(history)
         self.ring = EngineRing(terms)
+        # The documents, which every front holds.
+        self.documents: dict[str, DocumentRecord] = {}
         self.on_change: list[Callable[[Update, Change], None]] = []
 
     @property
@@ -40,7 +42,7 @@
     def records(self, engines: tuple[str, ...]) -> list[EngineRecord]:
         """The records of these engines, of those that there are."""
         held = self.replica.records
-        return [held[engine] for engine in engines if engine in held]
+        return list(engines_of(held[engine] for engine in engines if engine in held))
 
     def receive(
         self, update: Update, take: Callable[[Replica, Update], Outcome] = Replica.receive
@@ -56,7 +58,7 @@
             self.applied(update, before)
         return outcome
 
-    def records_before(self, update: Update) -> dict[str, EngineRecord]:
+    def records_before(self, update: Update) -> dict[str, Record]:
         """What is held now of the engines that an update names; of a snapshot, all that is held."""
         held = self.replica.records
         if isinstance(update, Snapshot):
@@ -64,25 +66,33 @@
         named = [record.id for record in update.upserts] + [removal.id for removal in update.removals]
         return {engine: held[engine] for engine in named if engine in held}
 
-    def applied(self, update: Update, before: dict[str, EngineRecord]) -> None:
+    def applied(self, update: Update, before: dict[str, Record]) -> None:
         """Bring the ring up to date with an update that the replica has applied, and tell who listens."""
         held = self.replica.records
         named = (*before, *(record.id for record in upserts_of(update)))
         engines = frozenset(engine for engine in named if before.get(engine) != held.get(engine))
         subsets_differ = False
-        for engine in sorted(engines):
-            old, new = before.get(engine), held.get(engine)
-            if new is None:
-                self.ring.discard(engine)
-            else:
-                self.ring.put(new)
-            subsets_differ |= old is None or new is None or ring_facts(old) != ring_facts(new)
+        for name in sorted(engines):
+            subsets_differ |= self.follow(name, before.get(name), held.get(name))
         change = Change(engines, subsets_differ)
         for listener in self.on_change:
             listener(update, change)
 
-
-def upserts_of(update: Update) -> tuple[EngineRecord, ...]:
+    def follow(self, name: str, old: Record | None, new: Record | None) -> bool:
+        """Bring ring and documents up to date with one record; whether subsets may differ."""
+        if isinstance(old or new, DocumentRecord):
+            self.documents.pop(name, None)
+            if new is not None:
+                self.documents[name] = new
+            return False
+        if new is None:
+            self.ring.discard(name)
+        else:
+            self.ring.put(new)
+        return old is None or new is None or ring_facts(old) != ring_facts(new)
+
+
+def upserts_of(update: Update) -> tuple[Record, ...]:
     """The records that an update brings."""
     return update.records if isinstance(update, Snapshot) else update.upserts
 
--- a/thistlelever/distributor/handlers.py
+++ b/thistlelever/distributor/handlers.py
@@ -12,7 +12,7 @@
 from thistlelever.distribution import codec
 from thistlelever.distribution.claim import promise
 from thistlelever.distribution.publisher import PublishRefusedError
-from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.records import EngineRecord, Record, document, engines_of
 from thistlelever.distribution.versions import Version, parse
 from thistlelever.distributor.claiming import ANNOUNCE_PATH, HIGHEST_PATH, PROMISE_PATH, ClaimFailedError
 from thistlelever.distributor.follower import FOLLOW_PATH
@@ -55,14 +55,26 @@
 
 
 class PublishBody(Struct, frozen=True, forbid_unknown_fields=True):
-    """A change (`upserts`, `removals`), or a whole list (`engines`). `expected` is the version that it was
-    made for."""
+    """A change (`upserts`, `removals`, `documents`), or a whole list (`engines`). `expected` is the version
+    that it was made for."""
 
     upserts: tuple[EngineBody, ...] = ()
     removals: tuple[str, ...] = ()
     engines: tuple[EngineBody, ...] | None = None
+    # Documents by name, as text; None removes one.
+    documents: dict[str, str | None] = {}
     expected: VersionText | None = None
 
+    def upserted(self) -> list[Record]:
+        """The records that a change brings."""
+        documents = [document(name, text) for name, text in self.documents.items() if text is not None]
+        return [*(engine.record() for engine in self.upserts), *documents]
+
+    def removed(self) -> list[str]:
+        """The ids that a change removes."""
+        documents = [document(name, "").id for name, text in self.documents.items() if text is None]
+        return [*self.removals, *documents]
+
 
 class PromoteBody(Struct, frozen=True, forbid_unknown_fields=True):
     """A promotion. The new term is higher than that of `above`, which fronts may hold though all distributors
@@ -222,8 +234,7 @@
             body = msgspec.json.decode(self.request.body, type=PublishBody)
             expected = parse(body.expected) if body.expected else None
             if body.engines is None:
-                records = [engine.record() for engine in body.upserts]
-                version = role.publish(records, body.removals, expected)
+                version = role.publish(body.upserted(), body.removed(), expected)
             else:
                 version = role.replace_all([engine.record() for engine in body.engines], expected)
         except msgspec.DecodeError as error:
@@ -271,11 +282,13 @@
     def get(self) -> None:
         """Tell it as JSON."""
         replica = self.distributor.catalog.replica
-        engines = [record._asdict() for record in replica.records.values()]
+        engines = [record._asdict() for record in engines_of(replica.records.values())]
         for engine in engines:
             del engine["in_subset"]
         self.set_header("Content-Type", "application/json")
-        self.finish(msgspec.json.encode({"version": str(replica.version), "engines": engines}))
+        documents = {record.name: record.content for record in self.distributor.catalog.documents.values()}
+        body = {"version": str(replica.version), "engines": engines, "documents": documents}
+        self.finish(msgspec.json.encode(body))
 
 
 def application(distributor: Distributor) -> Application:
--- a/thistlelever/distributor/publishing.py
+++ b/thistlelever/distributor/publishing.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from thistlelever.distribution import codec
 from thistlelever.distribution.claim import majority
 from thistlelever.distribution.messages import Delta
 from thistlelever.distribution.publisher import Publisher, PublishRefusedError
-from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.records import DocumentRecord, Record, documents_of
 from thistlelever.distribution.versions import NO_VERSION, Version
 from thistlelever.distributor.catalog import Catalog
 from thistlelever.distributor.claiming import ANNOUNCE_PATH, ClaimFailedError, ask_others, claim_term
@@ -22,12 +22,23 @@
 # Between two attempts to claim the role at a start.
 CLAIM_PAUSE = 1.0
 
+# Raises `ValueError`, with the path of the fault, for a text that can't be the document.
+DocumentCheck = Callable[[str], None]
+
 
 class PublisherRole:
     """`publisher` is set while this distributor has the role."""
 
-    def __init__(self, catalog: Catalog, follower: Follower, log: Log, memory: PromiseMemory) -> None:
-        """Without the role until `claim`."""
+    def __init__(
+        self,
+        catalog: Catalog,
+        follower: Follower,
+        log: Log,
+        memory: PromiseMemory,
+        checks: Mapping[str, DocumentCheck],
+    ) -> None:
+        """Without the role until `claim`. `checks` has one for each document that may be published."""
+        self.checks = checks
         self.catalog, self.follower, self.log = catalog, follower, log
         self.memory = memory
         self.publisher: Publisher | None = None
@@ -82,16 +93,29 @@
             self.moved.set()
 
     def publish(
-        self, upserts: Sequence[EngineRecord], removals: Sequence[str], expected: Version | None
+        self, upserts: Sequence[Record], removals: Sequence[str], expected: Version | None
     ) -> Version:
         """Put a change in force; `PublishRefusedError` leaves the old version."""
         publisher = self.required()
+        for record in documents_of(upserts):
+            self.check_document(record)
         named = [record.id for record in upserts] + list(removals)
         held = self.catalog.replica.records
         before = {engine: held[engine] for engine in named if engine in held}
         return self.committed(publisher.publish(upserts, removals, expected), before)
 
-    def replace_all(self, records: Sequence[EngineRecord], expected: Version | None) -> Version:
+    def check_document(self, record: DocumentRecord) -> None:
+        """Refuse a document that its check finds fault with, or that there is no check for."""
+        check = self.checks.get(record.name)
+        if check is None:
+            known = ", ".join(sorted(self.checks)) or "none"
+            raise PublishRefusedError(f"documents.{record.name}: one of those known here ({known}) expected")
+        try:
+            check(record.content)
+        except ValueError as error:
+            raise PublishRefusedError(f"documents.{record.name}: {error}") from None
+
+    def replace_all(self, records: Sequence[Record], expected: Version | None) -> Version:
         """Put a whole list in force, as a change against the present one."""
         publisher = self.required()
         before = dict(self.catalog.replica.records)
@@ -104,7 +128,7 @@
             raise PublishRefusedError(f"role: this distributor does not publish; distributor {publisher} may")
         return self.publisher
 
-    def committed(self, delta: Delta | None, before: dict[str, EngineRecord]) -> Version:
+    def committed(self, delta: Delta | None, before: dict[str, Record]) -> Version:
         """Tell who listens of a change that is in force; the version."""
         if delta is not None:
             self.catalog.applied(delta, before)
--- a/thistlelever/distributor/service.py
+++ b/thistlelever/distributor/service.py
@@ -5,8 +5,10 @@
 import asyncio
 import signal
 from collections import Counter
+from collections.abc import Mapping
 from contextlib import suppress
 from time import process_time
+from types import MappingProxyType
 
 from tornado.httpserver import HTTPServer
 
@@ -17,7 +19,7 @@
 from thistlelever.distributor.content_writer import ContentWriter
 from thistlelever.distributor.follower import Follower, Peers
 from thistlelever.distributor.promises import PromiseMemory
-from thistlelever.distributor.publishing import PublisherRole
+from thistlelever.distributor.publishing import DocumentCheck, PublisherRole
 from thistlelever.distributor.sessions import Sessions
 from thistlelever.distributor.store import ContentStore
 from thistlelever.ground import clock
@@ -28,12 +30,15 @@
 # Counters are written to the log this often, where they have changed.
 COUNTS_EVERY = 60.0
 BACKLOG = 1_024
+NO_CHECKS: Mapping[str, DocumentCheck] = MappingProxyType({})
 
 
 class Distributor:
     """All parts of one distributor."""
 
-    def __init__(self, config: DistributorConfig, log: Log) -> None:
+    def __init__(
+        self, config: DistributorConfig, log: Log, checks: Mapping[str, DocumentCheck] = NO_CHECKS
+    ) -> None:
         """Put together, with what is on disk; nothing listens before `open`."""
         self.config, self.log = config, log
         subset = config.subset
@@ -48,7 +53,7 @@
         addresses = tuple(address(text) for text in config.distributors)
         peers = Peers(config.index, addresses, config.heartbeat_s)
         self.follower = Follower(self.catalog, peers, self.counts, log)
-        self.role = PublisherRole(self.catalog, self.follower, log, self.memory)
+        self.role = PublisherRole(self.catalog, self.follower, log, self.memory, checks)
         admission = SnapshotAdmission(config.snapshots_per_s, config.index, clock.now())
         self.sessions = Sessions(self.catalog, admission, self.counts)
         # Followers whose long poll waits for the next version.
@@ -165,7 +170,8 @@
             "version": str(replica.version),
             "digest": f"{replica.digest:032x}",
             "floor": str(replica.floor),
-            "engines": len(replica.records),
+            "engines": len(replica.records) - len(self.catalog.documents),
+            "documents": sorted(record.name for record in self.catalog.documents.values()),
             "age_s": round(follower.age(), 3) if replica.version > NO_VERSION else None,
             "publisher": follower.publisher(),
             "following": follower.following,
@@ -180,6 +186,7 @@
         return 2 * self.config.heartbeat_s
 
 
-async def serve(config: DistributorConfig, log: Log) -> int:
-    """Run one distributor until SIGTERM; the exit code."""
-    return await Distributor(config, log).run()
+async def serve(config: DistributorConfig, log: Log, checks: Mapping[str, DocumentCheck]) -> int:
+    """Run one distributor until SIGTERM; the exit code. `checks` are those of the documents that it lets
+    through, by name."""
+    return await Distributor(config, log, checks).run()
--- a/thistlelever/distributor/sessions.py
+++ b/thistlelever/distributor/sessions.py
@@ -9,7 +9,7 @@
 
 from thistlelever.distribution import codec
 from thistlelever.distribution.messages import Delta, Update
-from thistlelever.distribution.records import EngineRecord
+from thistlelever.distribution.records import DOCUMENT_PREFIX, Record
 from thistlelever.distribution.versions import NO_VERSION, Version
 from thistlelever.distribution.reconnect import difference_from_digests
 from thistlelever.distribution.views import ToldViews, difference, snapshot
@@ -162,13 +162,14 @@
         digests = {record.id: record.digest for record in request.held}
         return difference_from_digests(held_by(request), digests, version, wanted, exists, session.retained)
 
-    def wanted(self, session: Session) -> list[EngineRecord]:
-        """The records that the front is to hold: its subset, and what it retains."""
+    def wanted(self, session: Session) -> list[Record]:
+        """The records that the front is to hold: its subset, what it retains, and all documents."""
         self.renew_subset(session)
         inside = frozenset(session.subset.ids)
         outside = tuple(engine for engine in session.retained if engine not in inside)
         records = self.catalog.records(session.subset.ids)
-        return records + [record._replace(in_subset=False) for record in self.catalog.records(outside)]
+        records += [record._replace(in_subset=False) for record in self.catalog.records(outside)]
+        return [*records, *self.catalog.documents.values()]
 
     def renew_subset(self, session: Session) -> None:
         """Bring a front's subset up to date with the ring. How many fronts share its engines is worked out
@@ -221,6 +222,7 @@
         """Wake the watches that these changes concern."""
         engines = frozenset[str]().union(*(change.engines for change in changes))
         change = Change(engines, any(change.subsets_differ for change in changes))
+        documents = any(name.startswith(DOCUMENT_PREFIX) for name in engines)
         began = perf_counter()
         # Who does not wait looks anew when it next asks. Risk: fronts that went elsewhere, worked out at each
         # change, cost so much that those that are here go elsewhere too.
@@ -229,7 +231,7 @@
                 await asyncio.sleep(0)
                 began = perf_counter()
             before = session.subset.ids
-            if session.concerns(change):
+            if documents or session.concerns(change):
                 session.wake()
             elif change.subsets_differ:
                 self.renew_subset(session)
--- a/thistlelever/distributor/store.py
+++ b/thistlelever/distributor/store.py
@@ -8,11 +8,19 @@
 import msgspec
 
 from thistlelever.distribution.messages import Delta, Snapshot, Update
-from thistlelever.distribution.records import EngineRecord, digest_of
+from thistlelever.distribution.records import (
+    DocumentRecord,
+    EngineRecord,
+    Record,
+    digest_of,
+    documents_of,
+    engines_of,
+)
 from thistlelever.distribution.versions import NO_VERSION, Version
 
 SCHEMA = (
     "create table if not exists engines (id text primary key, record blob not null) without rowid",
+    "create table if not exists documents (id text primary key, content text not null) without rowid",
     "create table if not exists head (place integer primary key check (place = 0), version blob not null)",
     "create table if not exists floor (place integer primary key check (place = 0), version blob not null)",
 )
@@ -52,7 +60,9 @@
             if head is None:
                 return None
             rows = self.connection.execute("select record from engines order by id")
-            records = tuple(_record(row[0]) for row in rows)
+            records: tuple[Record, ...] = tuple(_record(row[0]) for row in rows)
+            rows = self.connection.execute("select id, content from documents order by id")
+            records += tuple(DocumentRecord(*row) for row in rows)
             term, number, digest = _head(head)
         except (apsw.Error, msgspec.DecodeError) as error:
             raise StoreError(f"{self.path}: damaged: {error}") from None
@@ -65,15 +75,19 @@
         try:
             with self.connection, closing(self.connection.cursor()) as cursor:
                 if isinstance(update, Delta):
-                    cursor.executemany("delete from engines where id = ?", [(r.id,) for r in update.removals])
+                    removed = [(removal.id,) for removal in update.removals]
+                    cursor.executemany("delete from engines where id = ?", removed)
+                    cursor.executemany("delete from documents where id = ?", removed)
                     records = update.upserts
                 else:
                     cursor.execute("delete from engines")
+                    cursor.execute("delete from documents")
                     records = update.records
                 cursor.executemany(
                     "insert or replace into engines values (?, ?)",
-                    [(record.id, _encode(record)) for record in records],
+                    [(record.id, _encode(record)) for record in engines_of(records)],
                 )
+                cursor.executemany("insert or replace into documents values (?, ?)", documents_of(records))
                 head = _encode((*update.version, update.digest.to_bytes(16, "big")))
                 cursor.execute("insert or replace into head values (0, ?)", (head,))
         except apsw.Error as error:
--- a/thistlelever/lifecycle/distribution.py
+++ b/thistlelever/lifecycle/distribution.py
@@ -10,10 +10,12 @@
 from thistlelever.carrier.desk import Desk
 from thistlelever.carrier.subscribed_list import KnownNames, SubscribedList
 from thistlelever.carrier.subscription import Subscription, SubscriptionTerms
+from thistlelever.distribution.records import engines_of
 from thistlelever.distribution.versions import unpacked
 from thistlelever.ground import interface as it
-from thistlelever.ground.operator import Distribution, address
+from thistlelever.ground.operator import Distribution, Operator, address
 from thistlelever.ground.papers import Entry, Papers
+from thistlelever.lifecycle.distributed_configuration import DistributedConfiguration
 from thistlelever.store.roll import Roll
 from thistlelever.subsetting import FrontPlace, Requirement
 
@@ -31,7 +33,7 @@
         desk: Desk,
     ) -> None:
         """Nothing is asked before `open`."""
-        self.roll, self.start_within = roll, section.start_within_s
+        self.roll, self.desk, self.start_within = roll, desk, section.start_within_s
         terms = SubscriptionTerms(
             tuple(address(text) for text in section.distributors),
             section.heartbeat_s,
@@ -47,6 +49,9 @@
         )
         names = KnownNames(papers.zones, papers.kinds)
         self.list = SubscribedList(self.subscription, roll, forget, desk, names)
+        self.configuration = DistributedConfiguration(self.subscription.replica)
+        # Set when the configuration is to be read again.
+        self.renew: asyncio.Event | None = None
         self.first = asyncio.Event()
         self.subscription.listener, self.subscription.log = self.changed, desk.log
         self.task: asyncio.Task[None] | None = None
@@ -60,10 +65,21 @@
         """Hand a change on."""
         self.list.changed(listing)
         self.first.set()
+        if self.renew and self.configuration.differs():
+            self.renew.set()
 
     def hold(self, serial: int, entries: list[Entry]) -> None:
         """The list of a configuration that was read again; its serials are not the distributors' versions."""
 
+    def overlay(self, operator: Operator) -> Operator:
+        """The operator file with the sections that distributors tell; `Unreadable` where these can't be
+        used."""
+        before = self.configuration.in_force
+        found = self.configuration.overlay(operator)
+        if self.configuration.in_force != before:
+            self.desk.log("configuration in force", version=str(self.configuration.in_force_since))
+        return found
+
     def accept_from(self, serial: int) -> None:
         """A former life of this front held that version: nothing older is taken."""
         self.subscription.replica.floor = unpacked(serial)
@@ -105,15 +121,16 @@
             "age_s": round(age, 3) if isfinite(age) else None,
             "distributor": "{}:{}".format(*connected) if connected else None,
             "last_error": subscription.last_error,
-            "engines": sum(record.in_subset for record in replica.records.values()),
+            "engines": sum(record.in_subset for record in engines_of(replica.records.values())),
             "retained": list(self.list.retained()),
             "fronts": self.roll.sharing,
+            "configuration": self.configuration.show(),
             "counts": dict(sorted(subscription.counts.items())),
         }
 
     def engines(self) -> dict:
         """Each engine that is held, as the decisions are told it."""
-        records = sorted(self.subscription.replica.records.values())
+        records = sorted(engines_of(self.subscription.replica.records.values()))
         return {"version": str(self.subscription.replica.version), "engines": [r._asdict() for r in records]}
 
 
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -98,6 +98,7 @@
             self.dispatcher.speech = lambda entry: side.engines if side.speaks(entry) else over_http
         self.admin: Administration | None = None
         self.stop, self.renew = asyncio.Event(), asyncio.Event()
+        self.inquiry.renew = self.renew
         self.tasks: list[asyncio.Task] = []
 
     def discovery(self, operator: Operator | None) -> Inquiry | SubscribedDiscovery:
@@ -253,7 +254,7 @@
                 continue
             try:
                 new = self.read_again()
-                operator = self.operator_again() if self.operator_again else None
+                operator = self.inquiry.overlay(self.operator_again()) if self.operator_again else None
                 if operator and operator.budgets:
                     from thistlelever.lifecycle.budgets import plan
 
