Scale rig: hollow fronts by the hundred, distributors, and faults from the seed

Steady state, a zone lost and back, bursts, loss, answers of others, distributors killed, stopped and cut off, the publisher lost, fronts cut off, asleep and restarted; then each front's log against the rig's own book.

--- /dev/null
+++ b/rigs/scale_before.py
@@ -0,0 +1,48 @@
+"""Today's way at the same size, for comparison: the whole list in one DNS answer, asked for steadily."""
+
+from time import perf_counter
+
+from rigs.scale_front import HollowPlace, empty_front
+from thistlelever.carrier.directory import NAME, PACE, Inquiry
+from thistlelever.ground import interface as it
+from thistlelever.standins.directory import dns_answer
+from thistlelever.wire import dns
+
+# The longest payload of a UDP datagram over IPv4.
+LONGEST_DATAGRAM = 65_507
+TIMES = 3
+
+
+def before(catalog, zones, fronts):
+    """What the same list costs a front by DNS; None where that way breaks."""
+    entries = {
+        record.id: (int(record.address.rpartition(":")[2]), record.draining, record.zone)
+        for record in catalog.records.values()
+    }
+    answer = dns_answer(1, 1, entries)
+    an_engine = len(answer) / max(len(entries), 1)
+    fits = len(answer) <= LONGEST_DATAGRAM
+    return {
+        "list_bytes": len(answer),
+        "control_bytes_s": round(len(answer) / PACE),
+        "fits_a_datagram": fits,
+        "engines_in_a_datagram": int(LONGEST_DATAGRAM / an_engine),
+        "change_of_one_core_s": round(change_of_one(answer, zones, fronts), 4),
+        "in_force_max_s": PACE if fits else None,
+    }
+
+
+def change_of_one(answer, zones, fronts):
+    """CPU seconds of one front for one changed engine: the list is read and told whole."""
+    place = HollowPlace(name="front-before", zone=zones[0], rank=0, zone_rank=0, seed=1)
+    parts = empty_front(place, zones, fronts)
+    inquiry = Inquiry(parts.roll, lambda engine: None, parts.desk, parts.tally, zones, parts.papers.kinds, 1)
+    spent = []
+    for serial in range(1, 1 + TIMES):
+        began = perf_counter()
+        listing = dns.listing(answer, 1, NAME)
+        listed = [inquiry.entry(found) for found in listing.engines]
+        parts.roll.replace(serial, listed, float(serial))
+        parts.desk.front.handle(float(serial), [it.ListTold(it.ListKind.WHOLE, serial, parts.roll.told())])
+        spent.append(perf_counter() - began)
+    return min(spent[1:])
--- /dev/null
+++ b/rigs/scale_figures.py
@@ -0,0 +1,160 @@
+"""The figures of a run of the scale rig, and the rules that they are judged by."""
+
+from collections import defaultdict
+from math import inf, isinf
+
+from rigs.scale_plot import picture
+from rigs.scale_verdict import (
+    count_mixed,
+    count_went_back,
+    judge_ends,
+    logs_of,
+    share,
+    times_in_force,
+)
+from thistlelever.distribution.versions import parse
+
+# What a front may spend on control, and how long a change may take to be in force: the operators' figures.
+MOST_CONTROL_CORE, MOST_CONTROL_MB, MOST_CONTROL_BYTES_S = 0.049, 32.0, 18_000
+MOST_IN_FORCE_S = 9.0
+# How many connections a front may open in a mass restart, and how many in one second, on average. With
+# backoff and jitter it is about two, as each whole subset that is not admitted costs one more.
+MOST_CONNECTIONS_EACH, MOST_CONNECTIONS_PEAK = 3.5, 2.5
+
+
+def steady_figures(yard, real, empty, first, steady, directory_core):
+    """What a front, a hollow one and a real one, and a distributor cost where nothing is wrong."""
+    before, after, cores, real_cores = steady
+    hollow_core = hollow_cores(yard, before, after, empty[1])
+    hollow_mb = hollow_memory(yard, first, empty[0])
+    seconds = after[0]["at"] - before[0]["at"]
+    bytes_s = [
+        (all_bytes(b) - all_bytes(a)) / seconds
+        for was, now in zip(before, after, strict=True)
+        for a, b in zip(was["counts"], now["counts"], strict=True)
+    ]
+    # The front without distribution asks the directory instead, which is none of what the other does.
+    with_core = sum(real_cores[:-1]) / len(real_cores[:-1]) - (real_cores[-1] - directory_core)
+    with_mb = sum(front.memory_mb() for front in real.fronts) / len(real.fronts) - real.without.memory_mb()
+    return {
+        "hollow_to_real": {"cpu": ratio(hollow_core, with_core), "mb": ratio(hollow_mb, with_mb)},
+        "real_control_core": round(with_core, 6),
+        "real_control_mb": round(with_mb, 2),
+        "control_core": round(hollow_core, 6),
+        # A hollow front shares its modules with others of its process: the dearer of both counts.
+        "control_mb": round(max(hollow_mb, with_mb), 3),
+        "hollow_mb": round(hollow_mb, 3),
+        "control_bytes_s": round(max(bytes_s)),
+        "control_bytes_s_mean": round(sum(bytes_s) / len(bytes_s)),
+        "steady_s": round(seconds, 1),
+        "distributor_core": round(max(cores.values()), 4),
+    }
+
+
+def ratio(hollow, real):
+    return round(hollow / real, 3) if real > 0 else None
+
+
+def hollow_cores(yard, before, after, idle):
+    """CPU of one hollow front, in cores, above that of an idle process; that of the dearest process."""
+    cores = []
+    for hollow, was, now, rest in zip(yard.hollows, before, after, idle, strict=True):
+        busy = (now["cpu"] - was["cpu"]) / (now["at"] - was["at"])
+        cores.append((busy - rest) / len(hollow.fronts))
+    return max(cores[:-1])
+
+
+def hollow_memory(yard, first, empty):
+    """Memory of one hollow front's control, in MB, above an empty front; that of the dearest process."""
+    grown = [
+        (now["memory_mb"] - was) / len(hollow.fronts)
+        for hollow, now, was in zip(yard.hollows, first, empty, strict=True)
+    ]
+    return max(grown[:-1])
+
+
+def all_bytes(counts):
+    return counts["bytes_received"] + counts["bytes_sent"]
+
+
+async def judged(yard, play, real, plot):
+    """The books against each other, after everything is whole again."""
+    await play.whole()
+    await play.settle("the end")
+    await ends_of_distributors(yard, play)
+    collected = await yard.each("collect")
+    holdings = [one for told in await yard.each("holdings") for one in told]
+    answers, returned = await real.answers()
+    logs = logs_of(yard.hollows, collected)
+    mixed, checked, content = count_mixed(logs, play.catalog, yard.subset)
+    times = times_in_force(logs, play.catalog, play.excuses)
+    figures = in_force_figures(times)
+    if plot:
+        picture(times, plot, yard.seed)
+    figures |= judge_ends(holdings, play.catalog, content, logs)
+    figures |= {"went_back": count_went_back(logs), "mixed": mixed, "checked": checked}
+    figures |= {"log_entries_left_out": sum(told["left_out"] for told in collected)}
+    figures |= {"answers": answers, "returned": returned, "changes": len(play.catalog.publications)}
+    figures["unconfirmed"] = play.unconfirmed
+    return play.figures | figures
+
+
+async def ends_of_distributors(yard, play):
+    """Every distributor holds the newest version, with the book's digest."""
+    digest = f"{play.catalog.digest():032x}"
+    for distributor in yard.tier.distributors:
+        status = await distributor.status()
+        if parse(status["version"]) != play.catalog.version or status["digest"] != digest:
+            play.breaks(f"a distributor holds something else at the end: {status['version']}")
+
+
+def in_force_figures(times):
+    """All changes together, and the longest of each step."""
+    seconds = sorted(found for found, _, _ in times)
+    longest = defaultdict(float)
+    for found, step, _ in times:
+        longest[step] = max(longest[step], found)
+    return {
+        "in_force_p50_s": finite(share(seconds, 0.5)),
+        "in_force_p99_s": finite(share(seconds, 0.99)),
+        "in_force_max_s": finite(seconds[-1] if seconds else inf),
+        "in_force_never": sum(map(isinf, seconds)),
+        "in_force_max_by_step_s": {step: finite(found) for step, found in longest.items()},
+    }
+
+
+def finite(seconds):
+    return None if isinf(seconds) else round(seconds, 3)
+
+
+def broken_rules(figures):
+    """Each rule that the figures break, by name."""
+    limits = (
+        ("control_core", MOST_CONTROL_CORE, "a front's CPU for control"),
+        ("control_mb", MOST_CONTROL_MB, "a front's memory for control"),
+        ("control_bytes_s", MOST_CONTROL_BYTES_S, "a front's bytes for control"),
+        ("in_force_max_s", MOST_IN_FORCE_S, "a change in force everywhere"),
+    )
+    broken = [
+        f"{rule} over {limit:g}"
+        for key, limit, rule in limits
+        if figures[key] is None or figures[key] > limit
+    ]
+    zeros = (
+        ("went_back", "a front went back to an older version"),
+        ("mixed", "a front held at a version what is not its content"),
+        ("versions_differ", "versions differ at the end"),
+        ("subsets_differ", "same subset everywhere: a front's engines are not those of its place"),
+        ("lists_differ", "the list that decisions are told is not what the subscription holds"),
+        ("gone_held", "an engine that is gone is still held"),
+        ("log_entries_left_out", "the rig's own log was full"),
+    )
+    broken += [rule for key, rule in zeros if figures[key]]
+    if figures["answers"]["0"] or figures["answers"]["2+"]:
+        broken.append("1: one final answer")
+    if not figures["answers"]["1"]:
+        broken.append("the real fronts answered nothing")
+    each, peak = MOST_CONNECTIONS_EACH * figures["fronts"], MOST_CONNECTIONS_PEAK * figures["fronts"]
+    if figures.get("restart_connections", 0) > each or figures.get("restart_peak_per_s", 0) > peak:
+        broken.append("a mass restart without backoff")
+    return broken
--- /dev/null
+++ b/rigs/scale_front.py
@@ -0,0 +1,89 @@
+"""A hollow front's parts, put together as `serve` puts them together: decisions, list, subscription. The one
+place of the scale rig that knows the product's own constructors."""
+
+import os
+from typing import NamedTuple
+
+from thistlelever.admission.decide import Front
+from thistlelever.carrier.desk import Desk
+from thistlelever.carrier.subscribed_list import KnownNames, SubscribedList
+from thistlelever.carrier.subscription import Subscription, SubscriptionTerms
+from thistlelever.ground import papers
+from thistlelever.ground.log import Log
+from thistlelever.ground.tally import Tally
+from thistlelever.standins.papers import SETTINGS, configuration
+from thistlelever.store.batches import Batches
+from thistlelever.store.roll import Roll
+from thistlelever.subsetting import FrontPlace
+
+KINDS = ("std", "large")
+KIND_CORES, KIND_MEMORY_MB = (16, 32), (32768.0, 65536.0)
+LOG_SINK = open(os.devnull, "wb")  # noqa: SIM115 - as long as the process
+
+
+class HollowPlace(NamedTuple):
+    """A front by name, where it stands, and the chance it is given."""
+
+    name: str
+    zone: str
+    rank: int
+    zone_rank: int
+    seed: int
+
+
+class Parts(NamedTuple):
+    """What a front without clients consists of before it hears of any engine."""
+
+    roll: Roll
+    desk: Desk
+    tally: Tally
+    log: Log
+    papers: papers.Papers
+
+
+def settings(zones, zone, fronts):
+    """A front's settings among so many zones and fronts."""
+    family = SETTINGS["FamilyInfo"] | {
+        "KindCores": list(KIND_CORES),
+        "MemoryByKindMb": list(KIND_MEMORY_MB),
+    }
+    return SETTINGS | {
+        "Balancers": fronts,
+        "FailureDomains": list(zones),
+        "MyZone": zone,
+        "Kinds": list(KINDS),
+        "FamilyInfo": family,
+    }
+
+
+PAPERS = {}
+
+
+def papers_of(place, zones, fronts):
+    """A front's configuration; read once for each zone, as hollow fronts share what never changes."""
+    if place.zone not in PAPERS:
+        told = configuration(settings=settings(zones, place.zone, fronts))
+        told["name"] = place.name
+        PAPERS[place.zone] = papers.read(told, {})
+    return PAPERS[place.zone]
+
+
+def empty_front(place, zones, fronts):
+    """A front with its decisions and an empty list."""
+    read = papers_of(place, zones, fronts)
+    tally, log = Tally(), Log(place.name, LOG_SINK)
+    desk = Desk(Front(read.manifest, place.seed), read.manifest.tick, Batches(), tally, log)
+    return Parts(Roll(), desk, tally, log, read)
+
+
+def control_of(parts, place, terms):
+    """A subscription to the distributors and the list that it keeps."""
+    distributors = tuple((host, port) for host, port in terms["distributors"])
+    subscription_terms = SubscriptionTerms(
+        distributors, terms["heartbeat_s"], terms["patience_s"], place.seed
+    )
+    front_place = FrontPlace(place.name, place.zone, place.rank, place.zone_rank)
+    subscription = Subscription(subscription_terms, front_place, (), False, lambda listing: None)
+    names = KnownNames(parts.papers.zones, parts.papers.kinds)
+    SubscribedList(subscription, parts.roll, lambda engine: None, parts.desk, names)
+    return subscription
--- /dev/null
+++ b/rigs/scale_plot.py
@@ -0,0 +1,31 @@
+"""A picture of a run of the scale rig: how long changes took to be in force, step by step."""
+
+from collections import defaultdict
+from math import isinf
+from pathlib import Path
+
+LIMIT_S = 9.0
+
+
+def picture(times, folder, seed):
+    """For each step the share of (change, front) that was in force by a time, with the limit as a line."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    by_step = defaultdict(list)
+    for seconds, step, _ in times:
+        if not isinf(seconds):
+            by_step[step].append(seconds)
+    figure, axes = pyplot.subplots(figsize=(10, 6))
+    for step, found in by_step.items():
+        found.sort()
+        shares = [(place + 1) / len(found) for place in range(len(found))]
+        axes.plot(found, shares, label=step, linewidth=1)
+    axes.axvline(LIMIT_S, color="black", linestyle="--", label="limit")
+    axes.set_xlabel("seconds from the publish call until a front held the change")
+    axes.set_ylabel("share of changes and fronts")
+    axes.legend(fontsize=7, loc="lower right")
+    Path(folder).mkdir(parents=True, exist_ok=True)
+    figure.savefig(Path(folder) / f"scale-{seed}.png", dpi=120, bbox_inches="tight")
--- /dev/null
+++ b/rigs/scale_real.py
@@ -0,0 +1,151 @@
+"""The real fronts of the scale rig: `thistlelever serve` with and without distribution, stand-in engines for
+what they hold, and a few clients."""
+
+import asyncio
+import json
+import signal
+from pathlib import Path
+
+from rigs.fleet import Client
+from rigs.scale_child import Child, cpu_seconds, memory_mb
+from rigs.scale_front import settings
+from thistlelever.standins.directory import Directory
+from thistlelever.standins.http_engine import Engine
+from thistlelever.standins.papers import configuration
+
+CLIENT_EVERY_S, CLIENT_WAIT_MS = 0.05, 2_000
+ENGINES_WITHOUT = 4
+# How many ask the directory where that is measured.
+ASKERS = 10
+
+
+class RealFront:
+    """One `serve`, asked for what it takes of the machine."""
+
+    def __init__(self, place, folder, yard, distributors):
+        self.place, self.folder, self.yard = place, Path(folder), yard
+        self.distributors = distributors
+        self.child, self.directory, self.lives, self.port = None, None, 1, 0
+
+    @property
+    def process(self):
+        return self.child.process if self.child else None
+
+    @property
+    def pid(self):
+        return self.child.pid
+
+    def cpu(self):
+        return cpu_seconds(self.child.pid)
+
+    def memory_mb(self):
+        return memory_mb(self.child.pid)
+
+    def operator(self):
+        if not self.distributors:
+            return {}
+        addresses = [f"{host}:{port}" for host, port in self.distributors]
+        return {
+            "distribution": {
+                "distributors": addresses,
+                "heartbeat_s": self.yard.size.heartbeat_s,
+                "zone_rank": self.place["zone_rank"],
+            }
+        }
+
+    async def start(self, entries):
+        """Up and ready; `entries` are the engines that the directory tells where distribution is off."""
+        loop = asyncio.get_running_loop()
+        _, self.directory = await loop.create_datagram_endpoint(
+            lambda: Directory(asyncio.Event()), local_addr=("127.0.0.1", 0)
+        )
+        self.directory.entries = {
+            name: (int(address.rpartition(":")[2]), False, self.yard.zones[0]) for name, address in entries
+        }
+        told = settings(self.yard.zones, self.place["zone"], len(self.yard.fronts))
+        known = [(name, address, self.yard.zones[0]) for name, address in entries]
+        config = configuration(known, f"127.0.0.1:{self.directory.port}", told)
+        config["settings"]["Rank"] = self.place["rank"]
+        config["name"] = self.place["name"]
+        papers = self.folder / f"{self.place['name']}-{bool(self.distributors)}.json"
+        papers.write_text(json.dumps(config))
+        operator = papers.with_suffix(".operator.json")
+        operator.write_text(json.dumps(self.operator()))
+        words = ("thistlelever", "serve", "--operator", str(operator))
+        self.child = Child(*words, environment={"BALANCER_CONFIG": str(papers)})
+        await self.child.start()
+        ready = next(line for line in self.child.log if line["event"] == "ready")
+        self.port = ready["listen"][1]
+
+    async def close(self):
+        if self.child and self.child.process:
+            self.child.signal(signal.SIGKILL)
+            await self.child.kill()
+        if self.directory:
+            self.directory.transport.close()
+
+
+class RealFronts:
+    """The real fronts with distribution, one without, and the engines that they reach."""
+
+    def __init__(self, yard, folder):
+        self.yard, self.folder = yard, folder
+        self.engines, self.fronts, self.without, self.clients = {}, [], None, []
+
+    async def open_engines(self, names):
+        """A stand-in for each of these engines; the address of each."""
+        for name in names:
+            self.engines[name] = Engine(asyncio.Event())
+            await self.engines[name].start()
+        return {name: f"127.0.0.1:{engine.port}" for name, engine in self.engines.items()}
+
+    async def start(self):
+        """The fronts, after the distributors; measured once all of them are up."""
+        way = await self.yard.way("real", self.yard.relays[0])
+        places = self.yard.real_places
+        self.fronts = [RealFront(place, self.folder, self.yard, way) for place in places]
+        self.without = RealFront(places[0], self.folder, self.yard, None)
+        some = list(self.engines.items())[:ENGINES_WITHOUT]
+        entries = [(name, f"127.0.0.1:{engine.port}") for name, engine in some]
+        await asyncio.gather(*(front.start([]) for front in self.fronts), self.without.start(entries))
+        self.yard.real = [*self.fronts, self.without]
+
+    async def directory_core(self, seconds):
+        """What asking the directory costs the front without distribution, in cores."""
+        asker = Child("rigs.scale_hollow")
+        await asker.start()
+        try:
+            port, zones = self.without.directory.port, self.yard.zones
+            return await asker.ask(
+                "inquire", count=ASKERS, port=port, zones=zones, seconds=max(seconds - 2.0, 1.0)
+            )
+        finally:
+            await asker.kill()
+
+    def traffic(self):
+        """A client at each real front with distribution."""
+        for place, front in enumerate(self.fronts):
+            front.place = place
+        self.clients = [Client(None, front, CLIENT_EVERY_S, CLIENT_WAIT_MS) for front in self.fronts]
+
+    async def answers(self):
+        """How often each query was answered, of those that are over."""
+        now = asyncio.get_running_loop().time()
+        found = [0, 0, 0]
+        for client in self.clients:
+            client.task.cancel()
+        for client in self.clients:
+            for asked in client.asked:
+                if now - asked.at > CLIENT_WAIT_MS / 1e3 + 0.1:
+                    found[min(asked.answers, 2)] += 1
+        returned = sum(asked.what == "returned" for client in self.clients for asked in client.asked)
+        return {"0": found[0], "1": found[1], "2+": found[2]}, returned
+
+    async def close(self):
+        for client in self.clients:
+            client.task.cancel()
+        for front in [*self.fronts, self.without]:
+            if front:
+                await front.close()
+        for engine in self.engines.values():
+            await engine.stop()
--- /dev/null
+++ b/rigs/scale_sabotage.py
@@ -0,0 +1,61 @@
+"""Distributors and hollow fronts with one guard taken out on purpose, for the scale rig that has to say no:
+`python -m rigs.scale_sabotage` in place of `thistlelever` or `rigs.scale_hollow`; SCALE_SABOTAGE names the
+guard."""
+
+import asyncio
+import os
+import sys
+
+import msgspec
+
+from rigs import scale_hollow
+from thistlelever.__main__ import main as command_line
+from thistlelever.distribution.failover import Failover
+from thistlelever.distribution.replica import Replica
+from thistlelever.distribution.versions import NO_VERSION
+from thistlelever.distributor.admission import SnapshotAdmission
+from thistlelever.distributor.sessions import Sessions
+from thistlelever.subsetting import index
+from thistlelever.subsetting.ring import CIRCLE
+
+ENVIRONMENT_KEY = "SCALE_SABOTAGE"
+
+
+def gap():
+    """A delta is applied to whatever is held."""
+    holds_base, digest_after = Replica._holds_base, Replica._digest_after
+    Replica._holds_base = lambda self, delta: not self.strict or holds_base(self, delta)
+    Replica._digest_after = lambda self, delta: digest_after(self, delta) if self.strict else delta.digest
+
+
+def back():
+    """A version that goes back is believed by a front, and a distributor that is behind tells it."""
+    highest, open_session = Replica.highest, Sessions.open
+    Replica.highest = lambda self: highest(self) if self.strict else NO_VERSION
+
+    def open_whatever_is_held(self, request):
+        version = min(request.version, self.catalog.version)
+        return open_session(self, msgspec.structs.replace(request, version=version))
+
+    Sessions.open = open_whatever_is_held
+
+
+def hash_order():
+    """Engines are put on the ring by Python's hashes, which differ from one process to the next."""
+    index.engine_positions = lambda engine: (hash(engine) % CIRCLE, hash(engine[::-1]) % CIRCLE)
+
+
+def no_jitter():
+    """Who failed or was refused comes again at once, all together."""
+    Failover.failed = lambda self, retry_after=0.0: 0.01
+    SnapshotAdmission.chance = lambda self: 0.0
+
+
+GUARDS = {"gap": gap, "back": back, "hash_order": hash_order, "no_jitter": no_jitter}
+
+if __name__ == "__main__":
+    GUARDS[os.environ[ENVIRONMENT_KEY]]()
+    if sys.argv[1:]:
+        command_line()
+    else:
+        asyncio.run(scale_hollow.main())
--- /dev/null
+++ b/rigs/scale_steps.py
@@ -0,0 +1,273 @@
+"""The steps of the scale rig: steady state, then each fault. Each leaves everything that it broke whole."""
+
+import asyncio
+import signal
+from time import monotonic
+
+from rigs.scale_book import STARTED
+from rigs.scale_play import CALL_FAILED, Play
+from thistlelever.distribution.versions import parse
+
+# The operators' 5,000 restarts a day are 0.17 changes a second; here it is faster.
+STEADY_EVERY_S = 1.0
+BURST_CHANGES, BURST_EVERY_S = 20, 0.1
+LOSS_SHARE = 0.05
+LOSS_CHANGES, LOSS_EVERY_S = 6, 0.5
+MISROUTED_SHARE, MISROUTED_CHANGES = 0.2, 12
+# A stopped distributor comes back so long after its fronts have surely gone elsewhere.
+STOPPED_S = 1.0
+CUT_S = 2.0
+# How long a sleeper sleeps at least, and how many changes are published meanwhile.
+ASLEEP_CHANGES = 15
+# The moment between a change sent and a process killed.
+MIDDLE_S = 0.002
+# What a publisher that is broken meanwhile may take to answer all the same.
+ANSWER_WITHIN_S = 0.5
+
+
+class Steps(Play):
+    """Everything that may befall a yard, each under its name."""
+
+    async def steady(self, seconds):
+        """What it costs where nothing is wrong: measured before and after."""
+        before, spent, began = await self.yard.measure(), self.yard.distributor_cpu(), monotonic()
+        real_before = [(front.cpu(), monotonic()) for front in self.yard.real]
+        await self.changes(int(seconds / STEADY_EVERY_S), STEADY_EVERY_S, "steady state")
+        after, took = await self.yard.measure(), monotonic() - began
+        real_after = [(front.cpu(), monotonic()) for front in self.yard.real]
+        cores = {index: (cpu - spent[index]) / took for index, cpu in self.yard.distributor_cpu().items()}
+        real = [(b[0] - a[0]) / (b[1] - a[1]) for a, b in zip(real_before, real_after, strict=True)]
+        await self.finish_restart("steady state")
+        await self.settle("steady state")
+        return before, after, cores, real
+
+    async def zone_lost(self):
+        """All engines of a zone in one change, and back in one."""
+        zones = self.yard.zones
+        zone = zones[self.chance.below(len(zones), "zone lost")]
+        lost = self.catalog.of_zone(zone)
+        await self.publish((), [record.id for record in lost], "zone lost")
+        await self.settle("zone lost")
+        back = [record._replace(started=record.started + 60.0) for record in lost]
+        await self.publish(back, (), "zone back")
+        await self.settle("zone back")
+
+    async def burst(self):
+        """Changes faster than they spread."""
+        await self.changes(BURST_CHANGES, BURST_EVERY_S, "burst")
+        await self.finish_restart("burst")
+        await self.settle("burst")
+
+    async def restore(self, *distributors):
+        """Start again what was killed, while the run goes on; `whole` waits for it."""
+        self.repairs += [asyncio.create_task(one.start()) for one in distributors]
+
+    async def whole(self):
+        """Until all distributors are up and hold what is published."""
+        await asyncio.gather(*self.repairs)
+        self.repairs.clear()
+        await self.tier.follow(self.catalog.version)
+
+    def other_distributor(self, what):
+        """One that is neither the publisher nor the one that is cut off at times."""
+        others = [one for one in self.tier.distributors[:-1] if one is not self.tier.publisher]
+        return others[self.chance.below(len(others), what)]
+
+    async def distributor_killed(self):
+        """In the middle of a change; it starts again later, from its disk."""
+        await self.whole()
+        victim = self.other_distributor("killed")
+        change = asyncio.create_task(self.changes(3, 0.05, "distributor killed"))
+        await asyncio.sleep(MIDDLE_S)
+        await victim.kill()
+        await change
+        await self.settle("distributor killed")
+        await self.restore(victim)
+
+    async def distributor_stopped(self):
+        """In the middle of a change: its connections stay, and say nothing."""
+        await self.whole()
+        victim = self.other_distributor("stopped")
+        change = asyncio.create_task(self.changes(3, 0.05, "distributor stopped"))
+        await asyncio.sleep(MIDDLE_S)
+        victim.signal(signal.SIGSTOP)
+        await change
+        await asyncio.sleep(self.yard.size.heartbeat_s + STOPPED_S)
+        await self.changes(1, 0.0, "distributor stopped")
+        victim.signal(signal.SIGCONT)
+        await self.finish_restart("distributor stopped")
+        await self.settle("distributor stopped")
+
+    async def in_flight(self, publisher, step):
+        """A change under way while its publisher is broken; what became of it, and the change."""
+        change = self.next_change(step)
+        sent_at, expected = monotonic(), self.catalog.version
+        task = asyncio.create_task(publisher.publish(expected, *change))
+        await asyncio.sleep(MIDDLE_S * self.chance.share("in flight", step) * 2)
+        return change, sent_at, task
+
+    async def broken_publisher(self, step, break_it):
+        """The publisher breaks with a change under way, and another takes its role."""
+        await self.whole()
+        former, heir = self.tier.publisher, self.other_distributor(f"{step} heir")
+        change, sent_at, task = await self.in_flight(former, step)
+        await break_it(former)
+        unknown = change
+        try:
+            version, confirmed = await asyncio.wait_for(task, ANSWER_WITHIN_S)
+        except CALL_FAILED:
+            confirmed = False
+        if confirmed:
+            self.catalog.take(version, sent_at, *change, step)
+            unknown = None
+        else:
+            self.catalog.may_be(next_version(self.catalog.version), *change)
+        await self.promote(heir, unknown, step)
+        await self.finish_restart(step)
+        await self.changes(3, 0.05, step)
+        return former
+
+    async def publisher_killed(self):
+        former = await self.broken_publisher("publisher killed", lambda one: one.kill())
+        await self.settle("publisher killed")
+        await self.restore(former)
+
+    async def publisher_stopped(self):
+        """It wakes and still believes that it may publish: nothing of that may be acknowledged."""
+
+        async def stop(distributor):
+            distributor.signal(signal.SIGSTOP)
+
+        step, version = "publisher stopped", self.catalog.version
+        former = await self.broken_publisher(step, stop)
+        former.signal(signal.SIGCONT)
+        upserts = [self.catalog.one(step)._replace(draining=True)]
+        self.note_rival(version, upserts)
+        try:
+            _, confirmed = await former.publish(None, upserts, ())
+        except CALL_FAILED:
+            confirmed = False
+        if confirmed:
+            self.breaks("two publishers: one whose term was over acknowledged a change")
+        await self.settle(step)
+
+    def note_rival(self, version, upserts):
+        """What the former publisher may make of a change, behind or beside the one that was under way."""
+        following = next_version(version)
+        under_way = list(self.catalog.unacknowledged[following])
+        self.catalog.may_be(following, upserts, ())
+        for first_upserts, first_removals in under_way:
+            removals = [one for one in first_removals if one != upserts[0].id]
+            self.catalog.may_be(next_version(following), (*first_upserts, *upserts), removals)
+        self.catalog.may_be(next_version(following), upserts, ())
+
+    async def loss(self):
+        """Of what distributors answer a share is lost: reset, or silence."""
+        await self.yard.each_relay("lose", share=LOSS_SHARE)
+        await self.changes(LOSS_CHANGES, LOSS_EVERY_S, "loss")
+        await self.finish_restart("loss")
+        await self.settle("loss")
+        await self.yard.each_relay("lose", share=0.0)
+
+    async def misrouted(self):
+        """Of the answers a share is another front's delta."""
+        await self.yard.each_relay("misroute", share=MISROUTED_SHARE)
+        await self.changes(MISROUTED_CHANGES, BURST_EVERY_S, "misrouted")
+        await self.yard.each_relay("misroute", share=0.0)
+        await self.settle("misrouted")
+
+    async def restarted(self, names, step):
+        """These fronts at once; how long each took to its first list."""
+        since = monotonic()
+        await self.yard.each("restart", names=names)
+        self.excuse(names, since)
+        await self.settle(step)
+        took = [seconds for told in await self.yard.each("ready_after", names=names) for seconds in told]
+        return [IN_FORCE_FAILED if seconds is None else seconds for seconds in took]
+
+    async def zone_restarted(self):
+        zone = self.yard.zones[self.chance.below(len(self.yard.zones), "zone restarted")]
+        names = [front["name"] for front in self.yard.hollow_fronts if front["zone"] == zone]
+        await self.publish(*self.next_change("zone restarted"), "zone restarted")
+        await self.restarted(names, "zone restarted")
+        await self.finish_restart("zone restarted")
+
+    async def all_restarted(self):
+        """Every hollow front at once; how hard they come at the distributors."""
+        names = [front["name"] for front in self.yard.hollow_fronts]
+        since = monotonic()
+        took = sorted(await self.restarted(names, "all restarted"))
+        counts = await self.yard.each_relay("counts", since=since, till=monotonic())
+        self.figures["restart_ready_p90_s"] = round(took[int(len(took) * 0.9)], 3)
+        self.figures["restart_connections"] = sum(one["opened"] for one in counts)
+        self.figures["restart_peak_per_s"] = sum(one["peak_per_s"] for one in counts)
+
+    async def asleep(self):
+        """Fronts that sleep for longer than changes are kept, and wake up far behind."""
+        sleepers = self.yard.sleepers
+        since = monotonic()
+        sleepers.child.signal(signal.SIGSTOP)
+        await self.changes(ASLEEP_CHANGES, 0.0, "fronts asleep")
+        await self.finish_restart("fronts asleep")
+        await self.settle("fronts asleep", but=(sleepers,))
+        sleepers.child.signal(signal.SIGCONT)
+        self.excuse(sleepers.names, since)
+        await self.settle("fronts woken")
+
+    async def held_by(self, hollow):
+        """Some engine that some front of that process holds."""
+        holdings = await hollow.child.ask("holdings")
+        holding = holdings[self.chance.below(len(holdings), "cut off front")]
+        names = [engine for engine in holding["engines"] if engine in self.catalog.records]
+        return self.catalog.records[names[self.chance.below(len(names), "cut off engine")]]
+
+    async def cut_off(self):
+        """Fronts cut off from every distributor while an engine goes and its address is another's."""
+        hollow = self.yard.hollows[0]
+        since = monotonic()
+        await hollow.relay.ask("cut", group=hollow.name)
+        engine = await self.held_by(hollow)
+        await self.publish([engine._replace(draining=True)], (), "cut off")
+        await self.publish((), [engine.id], "cut off")
+        heir = engine._replace(id=f"{engine.id}-heir", cell=engine.cell + 1, started=STARTED * 1.01)
+        await self.publish([heir], (), "cut off")
+        await asyncio.sleep(CUT_S)
+        await hollow.relay.ask("heal", group=hollow.name)
+        self.excuse(hollow.names, since)
+        await self.settle("cut off")
+        holdings = await hollow.child.ask("holdings")
+        if any(engine.id in holding["engines"] or not holding["listed_as_held"] for holding in holdings):
+            self.breaks("an engine whose address is another's is held after word of it")
+
+    async def island(self):
+        """A distributor hears of no change, and another's fronts come to it with newer versions."""
+        await self.whole()
+        relay, victim = self.yard.relays[0], self.other_distributor("island")
+        island = self.tier.distributors[-1]
+        if island is self.tier.publisher:
+            return
+        await relay.ask("cut", group="island")
+        await self.changes(3, 0.05, "distributor cut off")
+        await asyncio.sleep(0.5)
+        await victim.kill()
+        await asyncio.sleep(CUT_S)
+        await relay.ask("heal", group="island")
+        await self.finish_restart("distributor cut off")
+        await self.settle("distributor cut off")
+        await self.restore(victim)
+
+
+# Of a front that never became ready.
+IN_FORCE_FAILED = 99.0
+
+
+def next_version(version):
+    """The version that a publisher makes after one of its own."""
+    return version._replace(number=version.number + 1)
+
+
+async def versions_of(tier):
+    """What each living distributor holds."""
+    living = [one for one in tier.distributors if one.child.lives]
+    statuses = await asyncio.gather(*(one.status() for one in living))
+    return [(parse(status["version"]), status["digest"]) for status in statuses]
--- /dev/null
+++ b/rigs/scale_tier.py
@@ -0,0 +1,169 @@
+"""The distributors of the scale rig: their processes, and what is asked of them over HTTP."""
+
+import asyncio
+import json
+import signal
+from pathlib import Path
+from time import monotonic
+
+from rigs.fleet import free_port
+from rigs.scale_child import Child
+from thistlelever.distribution.versions import parse
+
+ASK_WITHIN = 5.0
+OK, ACCEPTED = 200, 202
+PUBLISH_WITHIN = 8.0
+
+
+class RefusedError(Exception):
+    """A distributor said no: its HTTP status and its words."""
+
+    def __init__(self, status, error):
+        super().__init__(f"{status}: {error}")
+        self.status, self.error = status, error
+
+
+async def call(port, method, path, value=None, within=ASK_WITHIN):
+    """One HTTP request of its own connection; the answer's JSON."""
+    body = b"" if value is None else json.dumps(value).encode()
+    head = f"{method} {path} HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n"
+    head += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n"
+    async with asyncio.timeout(within):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=2**26)
+        try:
+            writer.write(head.encode() + body)
+            raw = await reader.read()
+        finally:
+            writer.close()
+    headers, _, content = raw.partition(b"\r\n\r\n")
+    if not headers:
+        raise ConnectionError("no answer")
+    status = int(headers.split(b" ", 2)[1])
+    if b"transfer-encoding: chunked" in headers.lower():
+        content = unchunked(content)
+    answer = json.loads(content) if content else {}
+    if status not in (OK, ACCEPTED):
+        raise RefusedError(status, answer.get("error", ""))
+    return answer
+
+
+def unchunked(content):
+    found = b""
+    while content:
+        size, _, content = content.partition(b"\r\n")
+        length = int(size, 16)
+        found, content = found + content[:length], content[length + 2 :]
+        if not length:
+            break
+    return found
+
+
+class Distributor:
+    """One place of the tier and its process while it lives."""
+
+    def __init__(self, tier, index):
+        self.tier, self.index = tier, index
+        self.port = free_port(1)
+        self.child, self.publisher = None, False
+        # Where it reaches the others: a relay for one that is to be cut off from them.
+        self.peer_ports = None
+
+    def configuration(self, publisher):
+        ports = self.peer_ports or [other.port for other in self.tier.distributors]
+        return {
+            "name": f"d{self.index}",
+            "index": self.index,
+            "listen": f"127.0.0.1:{self.port}",
+            "distributors": [f"127.0.0.1:{port}" for port in ports],
+            "publisher": publisher,
+            "store": str(self.tier.folder / f"store-{self.index}"),
+            **self.tier.terms,
+        }
+
+    async def start(self, publisher=False):
+        path = self.tier.folder / f"distributor-{self.index}.json"
+        path.write_text(json.dumps(self.configuration(publisher)))
+        environment = self.tier.environment | {"PYTHONHASHSEED": str(self.index + 1)}
+        self.child = Child(
+            self.tier.program, "distributor", "serve", "--config", str(path), environment=environment
+        )
+        await self.child.start()
+
+    def signal(self, number):
+        self.child.signal(number)
+
+    async def kill(self):
+        await self.child.kill()
+
+    async def status(self):
+        return await call(self.port, "GET", "/v1/status")
+
+    async def publish(self, expected, upserts, removals):
+        """The version that was made of it, and whether a majority held it by the answer."""
+        change = {
+            "expected": str(expected) if expected else None,
+            "upserts": [words(record) for record in upserts],
+            "removals": list(removals),
+        }
+        answer = await call(self.port, "POST", "/v1/publish", change, PUBLISH_WITHIN)
+        return parse(answer["version"]), answer.get("confirmed", True)
+
+    async def publish_whole(self, expected, records):
+        whole = {
+            "expected": str(expected) if expected else None,
+            "engines": [words(record) for record in records],
+        }
+        answer = await call(self.port, "POST", "/v1/publish", whole, 60.0)
+        return parse(answer["version"])
+
+    async def promote(self):
+        return await call(self.port, "POST", "/v1/promote", {})
+
+
+def words(record):
+    """A record as it is published."""
+    told = record._asdict()
+    del told["in_subset"]
+    return told
+
+
+class Tier:
+    """All distributors; one of them is the publisher."""
+
+    def __init__(self, folder, count, terms, program, environment):
+        self.folder, self.terms, self.program = Path(folder), terms, program
+        self.environment = environment
+        self.distributors = [Distributor(self, index) for index in range(count)]
+        self.publisher = self.distributors[0]
+
+    async def start(self):
+        """The publisher last: it claims its term once a majority answers."""
+        await asyncio.gather(*(one.start() for one in self.distributors[1:]))
+        await self.publisher.start(publisher=True)
+        await self.until(self.publisher, lambda status: status["role"] == "publisher")
+
+    async def until(self, distributor, holds, within=10.0):
+        """Until its status is so; the status."""
+        till = monotonic() + within
+        while True:
+            try:
+                status = await distributor.status()
+                if holds(status):
+                    return status
+            except (OSError, TimeoutError, RefusedError, ConnectionError):
+                pass
+            if monotonic() > till:
+                raise TimeoutError(f"d{distributor.index} never came to what was waited for")
+            await asyncio.sleep(0.05)
+
+    async def follow(self, version, within=10.0):
+        """Until every distributor that lives holds that version."""
+        for distributor in self.distributors:
+            if distributor.child.lives:
+                await self.until(distributor, lambda s: parse(s["version"]) >= version, within)
+
+    async def close(self):
+        for distributor in self.distributors:
+            if distributor.child:
+                distributor.signal(signal.SIGCONT)
+                await distributor.kill()
--- /dev/null
+++ b/rigs/scale_verdict.py
@@ -0,0 +1,171 @@
+"""The scale rig's verdict: what the fronts held against the book of what was published."""
+
+from bisect import bisect_right
+from math import inf
+
+from thistlelever.distribution.records import digest_of
+from thistlelever.distribution.versions import NO_VERSION, unpacked
+from thistlelever.subsetting import EngineRing, FrontPlace, SubsetTerms
+
+# Of many fronts every so many-th has each of its versions checked, the others those that changed what they
+# hold.
+CHECK_ALL_UP_TO = 400
+SAMPLE_EVERY = 16
+
+
+class Held:
+    """What one front held since when: in order, as (life, version, moment, digest)."""
+
+    def __init__(self, place):
+        self.place, self.entries = place, []
+        self.excuses = []
+
+
+def logs_of(hollows, collected):
+    """Each front's log by its name."""
+    logs = {}
+    for hollow, told in zip(hollows, collected, strict=True):
+        for front in hollow.fronts:
+            logs[front["name"]] = Held(FrontPlace(**front))
+        columns = (told[key] for key in ("fronts", "lives", "versions", "moments", "digest_numbers"))
+        for number, life, version, moment, digest in zip(*columns, strict=True):
+            held = logs[hollow.fronts[number]["name"]]
+            held.entries.append((life, unpacked(version), moment, int(told["digests"][digest], 16)))
+    return logs
+
+
+def count_went_back(logs):
+    """How often a front went to a lower version within one life."""
+    back = 0
+    for held in logs.values():
+        highest = {}
+        for life, version, _, _ in held.entries:
+            back += version < highest.get(life, NO_VERSION)
+            highest[life] = max(version, highest.get(life, NO_VERSION))
+    return back
+
+
+class Content:
+    """The whole content at one version after the other, and what a front must hold of it."""
+
+    def __init__(self, subset):
+        self.ring = EngineRing(SubsetTerms(**subset))
+        self.records = {}
+
+    def apply(self, upserts, removals):
+        """One change; what undoes it."""
+        touched = [record.id for record in upserts] + list(removals)
+        before = [self.records[engine] for engine in touched if engine in self.records]
+        added = [engine for engine in touched if engine not in self.records]
+        for engine in removals:
+            self.records.pop(engine, None)
+            self.ring.discard(engine)
+        for record in upserts:
+            self.records[record.id] = record
+            self.ring.put(record)
+        return before, added
+
+    def subset(self, place):
+        return self.ring.ids(place, (), False)
+
+    def digest(self, place):
+        return digest_of(self.records[engine] for engine in self.subset(place))
+
+
+def entries_by_version(logs):
+    """Who held what at each version, without what says nothing new of a front that is not in the sample."""
+    found = {}
+    for number, held in enumerate(logs.values()):
+        every = len(logs) <= CHECK_ALL_UP_TO or number % SAMPLE_EVERY == 0
+        before = None
+        for life, version, _, digest in held.entries:
+            if every or (life, digest) != before:
+                found.setdefault(version, set()).add((held.place, digest))
+            before = life, digest
+    return found
+
+
+def count_mixed(logs, catalog, subset):
+    """How often a front held at a version what is not that version's content for its place; versions that
+    nobody published count too. Also the content at the end."""
+    content, entries, mixed, checked = Content(subset), entries_by_version(logs), 0, 0
+    published = {publication.version: publication for publication in catalog.publications}
+    terms = {version.term for version in published}
+    for version in sorted(set(entries) | set(published)):
+        held = entries.get(version, ())
+        checked += len(held)
+        if version in published:
+            content.apply(published[version].upserts, published[version].removals)
+            mixed += sum(content.digest(place) != digest for place, digest in held)
+        else:
+            changes = list(catalog.unacknowledged.get(version, ()))
+            if version.term not in terms:
+                # The first version of a term that was claimed and never came to a publication.
+                changes.append(((), ()))
+            mixed += unexplained(content, changes, held)
+    return mixed, checked, content
+
+
+def unexplained(content, changes, held):
+    """How many hold under a version without acknowledgement what none of the changes would give."""
+    left = set(held)
+    for upserts, removals in changes:
+        before, added = content.apply(upserts, removals)
+        left = {(place, digest) for place, digest in left if content.digest(place) != digest}
+        content.apply(before, added)
+    return len(left)
+
+
+def times_in_force(logs, catalog, excuses):
+    """Of each measured change and each front: how long from the call until the front held it or a newer one;
+    as (seconds, step, front)."""
+    first = catalog.publications[0].version
+    for excuse in excuses:
+        for name in excuse.fronts:
+            logs[name].excuses.append(excuse)
+    found = []
+    measured = [p for p in catalog.publications if p.measured and p.version > first]
+    for name, held in logs.items():
+        highest, moments = [], []
+        for _, version, moment, _ in held.entries:
+            if not highest or version > highest[-1]:
+                highest.append(version)
+                moments.append(moment)
+        for publication in measured:
+            at = bisect_right(highest, publication.version)
+            at -= at > 0 and highest[at - 1] == publication.version
+            seconds = clock(moments[at], publication, held) if at < len(moments) else inf
+            found.append((seconds, publication.step, name))
+    return found
+
+
+def clock(moment, publication, held):
+    """How long it took, from the end of what the front could not hear through."""
+    start = publication.sent_at
+    for excuse in held.excuses:
+        if excuse.since <= moment and excuse.till > start and moment >= excuse.till:
+            start = excuse.till
+    return max(moment - start, 0.0)
+
+
+def judge_ends(holdings, catalog, content, logs):
+    """What each front holds at the end: differing ones by kind, and how often each engine is held."""
+    version, load = str(catalog.version), dict.fromkeys(catalog.records, 0)
+    found = {"versions_differ": 0, "subsets_differ": 0, "lists_differ": 0, "gone_held": 0}
+    for holding in holdings:
+        place = logs[holding["name"]].place
+        found["versions_differ"] += holding["version"] != version
+        found["subsets_differ"] += int(holding["digest"], 16) != content.digest(place)
+        found["lists_differ"] += not holding["listed_as_held"]
+        found["gone_held"] += sum(engine not in catalog.records for engine in holding["engines"])
+        for engine in holding["engines"]:
+            if engine in load:
+                load[engine] += 1
+    mean = sum(load.values()) / max(len(load), 1)
+    found["load_max_over_mean"] = round(max(load.values()) / mean, 3) if mean else None
+    return found
+
+
+def share(values, part):
+    """The value that so large a part of the sorted values is below."""
+    return values[min(int(len(values) * part), len(values) - 1)] if values else inf
--- /dev/null
+++ b/rigs/scale_yard.py
@@ -0,0 +1,224 @@
+"""The yard of the scale rig: distributors, hollow fronts, real fronts and relays, each a process."""
+
+import asyncio
+import signal
+from time import monotonic
+from typing import NamedTuple
+
+from rigs.scale_child import Child, cpu_seconds, memory_mb
+from rigs.scale_tier import Tier
+
+PATIENCE_S = 0.5
+# Whole subsets that a distributor tells a second, for as many fronts as one has at the full size; as large a
+# part for fewer.
+SNAPSHOTS_PER_S, FRONTS_A_DISTRIBUTOR, LEAST_SNAPSHOTS_PER_S = 50, 133, 2
+# Changes that distributors keep.
+HISTORY = 12
+# A front holds so many engines; of few engines it holds a part, as otherwise each change concerns each front.
+SUBSET = {"engines": 96, "home_share": 0.5, "least": 4}
+SUBSET_SHARE = 0.05
+# One hollow process in which few fronts are put to sleep.
+SLEEPERS_SHARE = 0.05
+SAMPLE_EVERY = 0.5
+# What a measurement of an idle process takes.
+IDLE_S = 1.5
+
+
+class Size(NamedTuple):
+    """How large a run is."""
+
+    fronts: int
+    engines: int
+    distributors: int
+    hollow_processes: int
+    zones: int
+    relays: int
+    heartbeat_s: float = 2.0
+
+
+SMALL = Size(fronts=300, engines=2_000, distributors=4, hollow_processes=2, zones=8, relays=1)
+FULL = Size(fronts=3_200, engines=22_000, distributors=24, hollow_processes=8, zones=23, relays=2)
+REAL_FRONTS = 2
+
+
+class Programs(NamedTuple):
+    """The modules that are run as distributors and as hollow fronts, and what their environment adds."""
+
+    distributor: str = "thistlelever"
+    hollow: str = "rigs.scale_hollow"
+    environment: dict[str, str] = {}
+
+
+def snapshots_per_s(size):
+    """A rate at which a mass start takes as long as at the full size."""
+    rate = round(SNAPSHOTS_PER_S * size.fronts / size.distributors / FRONTS_A_DISTRIBUTOR)
+    return max(rate, LEAST_SNAPSHOTS_PER_S)
+
+
+class HollowProcess:
+    """One process of hollow fronts; reaches the distributors through relays of its own group."""
+
+    def __init__(self, name, fronts, relay):
+        self.name, self.fronts, self.relay = name, fronts, relay
+        self.child = None
+
+    @property
+    def names(self):
+        return [front["name"] for front in self.fronts]
+
+
+class Yard:
+    """All processes of one run: `async with Yard(...) as yard`."""
+
+    def __init__(self, seed, size, folder, programs):
+        self.seed, self.size, self.programs = seed, size, programs
+        self.zones = [f"zone-{number:02d}" for number in range(size.zones)]
+        self.fronts = [self.front(rank) for rank in range(size.fronts + REAL_FRONTS)]
+        self.subset = SUBSET | {
+            "engines": min(SUBSET["engines"], int(size.engines * SUBSET_SHARE)),
+            "fronts": len(self.fronts),
+            "zone_fronts": -(-len(self.fronts) // size.zones),
+        }
+        terms = {
+            "heartbeat_s": size.heartbeat_s,
+            "snapshots_per_s": snapshots_per_s(size),
+            "history": HISTORY,
+            "subset": self.subset,
+        }
+        self.tier = Tier(folder, size.distributors, terms, programs.distributor, programs.environment)
+        self.relays, self.hollows, self.real = [], [], []
+        self.peak_mb, self.most_processes, self.sampling = 0.0, 0, None
+
+    def front(self, rank):
+        """A front's name and place; ranks go round the zones."""
+        return {
+            "name": f"front-{rank:05d}",
+            "zone": self.zones[rank % len(self.zones)],
+            "rank": rank,
+            "zone_rank": rank // len(self.zones),
+        }
+
+    @property
+    def hollow_fronts(self):
+        return self.fronts[: self.size.fronts]
+
+    @property
+    def real_places(self):
+        return self.fronts[self.size.fronts :]
+
+    async def __aenter__(self):
+        self.sampling = asyncio.create_task(self.sample())
+        self.relays = [Child("rigs.scale_relay") for _ in range(self.size.relays)]
+        self.divide()
+        for hollow in self.hollows:
+            hollow.child = Child(self.programs.hollow, environment=self.programs.environment)
+        starts = [child.start() for child in self.children()]
+        await asyncio.gather(*starts)
+        await self.open_island()
+        await self.tier.start()
+        return self
+
+    def divide(self):
+        """Hollow fronts over processes; the last few into one that is put to sleep."""
+        sleepers = max(2, int(self.size.fronts * SLEEPERS_SHARE))
+        awake = self.hollow_fronts[:-sleepers]
+        count = self.size.hollow_processes
+        shares = [awake[number::count] for number in range(count)] + [self.hollow_fronts[-sleepers:]]
+        self.hollows = [
+            HollowProcess(f"hollow-{number}", fronts, self.relays[number % len(self.relays)])
+            for number, fronts in enumerate(shares)
+        ]
+
+    def children(self):
+        return self.relays + [hollow.child for hollow in self.hollows]
+
+    @property
+    def sleepers(self):
+        return self.hollows[-1]
+
+    async def open_island(self):
+        """The last distributor reaches the others by relays, so that it can be cut off from them."""
+        island = self.tier.distributors[-1]
+        targets = [("127.0.0.1", other.port) for other in self.tier.distributors[:-1]]
+        ports = await self.relays[0].ask("open", seed=self.seed, group="island", targets=targets)
+        island.peer_ports = [*ports, island.port]
+
+    async def way(self, group, relay):
+        """A relay of that group to each distributor."""
+        targets = [("127.0.0.1", one.port) for one in self.tier.distributors]
+        ports = await relay.ask("open", seed=self.seed, group=group, targets=targets)
+        return [["127.0.0.1", port] for port in ports]
+
+    async def make(self):
+        """Empty hollow fronts in every process, and what an idle process takes: (memory, CPU a second)."""
+        before = []
+        for hollow in self.hollows:
+            terms = {
+                "distributors": await self.way(hollow.name, hollow.relay),
+                "heartbeat_s": self.size.heartbeat_s,
+                "patience_s": PATIENCE_S,
+            }
+            before.append(
+                await hollow.child.ask(
+                    "make",
+                    fronts=hollow.fronts,
+                    zones=self.zones,
+                    fronts_in_all=len(self.fronts),
+                    seed=self.seed,
+                    terms=terms,
+                )
+            )
+        await asyncio.sleep(IDLE_S)
+        after = await self.measure()
+        idle = [(b["cpu"] - a["cpu"]) / (b["at"] - a["at"]) for a, b in zip(before, after, strict=True)]
+        return [measured["memory_mb"] for measured in after], idle
+
+    async def each(self, command, **fields):
+        """The same asked of every hollow process."""
+        return await asyncio.gather(*(hollow.child.ask(command, **fields) for hollow in self.hollows))
+
+    async def measure(self):
+        return await self.each("measure")
+
+    async def each_relay(self, command, **fields):
+        """The same asked for the group of every hollow process."""
+        asked = (hollow.relay.ask(command, group=hollow.name, **fields) for hollow in self.hollows)
+        return await asyncio.gather(*asked)
+
+    async def settle(self, version, within, but=()):
+        """Until every hollow front holds that version; how long it took, or None."""
+        began = monotonic()
+        awake = [hollow for hollow in self.hollows if hollow not in but]
+        while monotonic() < began + within:
+            found = await asyncio.gather(*(hollow.child.ask("lowest") for hollow in awake))
+            if all(one["lowest"] >= version.packed() for one in found):
+                return monotonic() - began
+            await asyncio.sleep(0.1)
+        return None
+
+    def pids(self):
+        children = self.children() + [one.child for one in self.tier.distributors if one.child]
+        children += [one for one in self.real if one.process]
+        return [child.pid for child in children if child.process and child.lives]
+
+    def distributor_cpu(self):
+        """CPU seconds of each distributor that lives, by index."""
+        living = [one for one in self.tier.distributors if one.child and one.child.lives]
+        return {one.index: cpu_seconds(one.child.pid) for one in living}
+
+    async def sample(self):
+        """The memory of all processes together, and how many there are."""
+        while True:
+            pids = self.pids()
+            own = memory_mb("self")
+            self.peak_mb = max(self.peak_mb, own + sum(map(memory_mb, pids)))
+            self.most_processes = max(self.most_processes, 1 + len(pids))
+            await asyncio.sleep(SAMPLE_EVERY)
+
+    async def __aexit__(self, *why):
+        self.sampling.cancel()
+        for child in self.children():
+            if child and child.process:
+                child.signal(signal.SIGCONT)
+                await child.kill()
+        await self.tier.close()
