--- a/thistlelever/distribution/claim.py
+++ b/thistlelever/distribution/claim.py
@@ -70,6 +70,7 @@
     False for one that may have forgotten promises: its own answer doesn't count then."""
 
     def __init__(self, index: int, distributors: int, *, remembers: bool = True) -> None:
+        """The claim of one place among so many; `ValueError` for a place or a number that can't be."""
         if not 1 <= distributors <= TERMS_PER_ROUND:
             raise ValueError(f"1 to {TERMS_PER_ROUND} distributors expected, found {distributors}")
         _check_index(index, distributors)
--- a/thistlelever/distribution/history.py
+++ b/thistlelever/distribution/history.py
@@ -18,6 +18,7 @@
     """The last `most_changes` changes, in order, together of at most `most_records` upserts and removals."""
 
     def __init__(self, most_changes: int, most_records: int = MOST_RECORDS_KEPT) -> None:
+        """An empty history with these bounds."""
         if most_changes < 1 or most_records < 1:
             raise ValueError("a history keeps at least one change of one record")
         self._most_changes = most_changes
@@ -31,6 +32,7 @@
         self._newest: tuple[Version, int] | None = None
 
     def __len__(self) -> int:
+        """How many changes are kept."""
         return len(self._changes)
 
     @property
--- a/thistlelever/distribution/publisher.py
+++ b/thistlelever/distribution/publisher.py
@@ -46,6 +46,7 @@
     """
 
     def __init__(self, replica: Replica, history: History, term: int) -> None:
+        """`ValueError` where a higher term than `term` was seen or promised."""
         if replica.highest() > Version(term, 0):
             raise ValueError(f"a term above that of {replica.highest()} expected, found {term}")
         self.replica = replica
--- a/thistlelever/distribution/reconnect.py
+++ b/thistlelever/distribution/reconnect.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Collection, Mapping
+from typing import NamedTuple
 
 from thistlelever.distribution.messages import Delta, Removal
 from thistlelever.distribution.records import DIGEST_BITS, Record, digest_of, record_digest
@@ -21,23 +22,30 @@
     return record_digest(record).to_bytes(DIGEST_BITS // 8, "big")[:SHORT_DIGEST_BYTES]
 
 
+class HeldDigests(NamedTuple):
+    """What a front holds: version and digest of all, and the short digest of each record by its id."""
+
+    version: Version
+    digest: int
+    records: Mapping[str, bytes]
+
+
 def difference_from_digests(
-    base: tuple[Version, int],
-    held: Mapping[str, bytes],
+    held: HeldDigests,
     version: Version,
     wanted: Collection[Record],
     exists: Callable[[str], bool],
     retained: tuple[str, ...],
 ) -> Delta:
-    """The delta from what a front holds (`base`: version and digest; `held`: short digests by engine) to the
-    records wanted for it at `version`. An engine that it retains and that exists no more is told as gone."""
+    """The delta from what a front holds to the records wanted for it at `version`. An engine that it
+    retains and that exists no more is told as gone."""
     wanted_ids = {record.id for record in wanted}
-    upserts = tuple(record for record in wanted if held.get(record.id) != short_digest(record))
-    left = [engine for engine in held if engine not in wanted_ids]
+    upserts = tuple(record for record in wanted if held.records.get(record.id) != short_digest(record))
+    left = [engine for engine in held.records if engine not in wanted_ids]
     left += [
         engine
         for engine in dict.fromkeys(retained)
-        if engine not in held and engine not in wanted_ids and not exists(engine)
+        if engine not in held.records and engine not in wanted_ids and not exists(engine)
     ]
     removals = tuple(Removal(engine, gone=not exists(engine)) for engine in left)
-    return Delta(*base, version, digest_of(wanted), upserts, removals)
+    return Delta(held.version, held.digest, version, digest_of(wanted), upserts, removals)
--- a/thistlelever/distribution/replica.py
+++ b/thistlelever/distribution/replica.py
@@ -45,6 +45,7 @@
     """
 
     def __init__(self, *, strict: bool = True, floor: Version = NO_VERSION) -> None:
+        """An empty replica."""
         self.strict = strict
         self.floor = floor
         self.version = NO_VERSION
--- a/thistlelever/distribution/versions.py
+++ b/thistlelever/distribution/versions.py
@@ -19,6 +19,7 @@
     number: int
 
     def __str__(self) -> str:
+        """`TERM.NUMBER`, as `parse` reads it."""
         return f"{self.term}.{self.number}"
 
     def packed(self) -> int:
--- a/thistlelever/distribution/views.py
+++ b/thistlelever/distribution/views.py
@@ -52,6 +52,7 @@
     nobody knows whether it arrived. With both, a lost answer costs no snapshot."""
 
     def __init__(self) -> None:
+        """Nothing was told yet."""
         self._acknowledged: FrontView | None = None
         self._told: FrontView | None = None
 
--- a/thistlelever/distributor/sessions.py
+++ b/thistlelever/distributor/sessions.py
@@ -11,7 +11,7 @@
 from thistlelever.distribution.messages import Delta, Update
 from thistlelever.distribution.records import DOCUMENT_PREFIX, Record
 from thistlelever.distribution.versions import NO_VERSION, Version
-from thistlelever.distribution.reconnect import difference_from_digests
+from thistlelever.distribution.reconnect import HeldDigests, difference_from_digests
 from thistlelever.distribution.views import ToldViews, difference, snapshot
 from thistlelever.distributor.admission import SnapshotAdmission
 from thistlelever.distributor.catalog import Catalog, Change
@@ -160,7 +160,8 @@
         if request.held is None:
             return snapshot(version, wanted)
         digests = {record.id: record.digest for record in request.held}
-        return difference_from_digests(held_by(request), digests, version, wanted, exists, session.retained)
+        told = HeldDigests(*held_by(request), digests)
+        return difference_from_digests(told, version, wanted, exists, session.retained)
 
     def wanted(self, session: Session) -> list[Record]:
         """The records that the front is to hold: its subset, what it retains, and all documents."""
--- a/thistlelever/subsetting/index.py
+++ b/thistlelever/subsetting/index.py
@@ -15,6 +15,7 @@
     for each requirement that was asked for."""
 
     def __init__(self) -> None:
+        """No engines."""
         # Rises with each change that can alter a subset. Other changes of a record alter none.
         self.revision = 0
         # How many engines are in a cell with others.
--- a/thistlelever/subsetting/reach.py
+++ b/thistlelever/subsetting/reach.py
@@ -25,6 +25,7 @@
         fronts: FrontPositions,
         home_fronts: FrontPositions,
     ) -> None:
+        """Of these engines, arcs and requirements; `fronts` and `home_fronts` are where fronts lie."""
         self._index, self._widths = index, widths
         self._fronts, self._home_fronts = fronts, home_fronts
         self._ready = index.matching(ANYTHING)
--- a/thistlelever/subsetting/ring.py
+++ b/thistlelever/subsetting/ring.py
@@ -21,10 +21,12 @@
     """Engine ids in the order of their positions; of equal positions, in the order of ids."""
 
     def __init__(self) -> None:
+        """No engines."""
         self.positions: list[int] = []
         self.ids: list[str] = []
 
     def __len__(self) -> int:
+        """How many engines are on the ring."""
         return len(self.ids)
 
     def add(self, position: int, engine_id: str) -> None:
@@ -88,6 +90,7 @@
     evenly; one rank more moves none of the others."""
 
     def __init__(self, step: int, fronts: int) -> None:
+        """The positions of ranks 0 to `fronts` - 1."""
         self.step = step
         self.sorted = sorted(self.position(rank) for rank in range(fronts))
 
--- a/thistlelever/subsetting/subsets.py
+++ b/thistlelever/subsetting/subsets.py
@@ -33,6 +33,7 @@
     """
 
     def __init__(self, terms: SubsetTerms) -> None:
+        """No engines yet."""
         self.terms = terms
         self._index = EngineIndex()
         self._fronts = FrontPositions(GOLDEN_STEP, terms.fronts)
@@ -43,6 +44,7 @@
         self._reaches: dict[tuple[tuple[Requirement, ...], bool], Reach] = {}
 
     def __len__(self) -> int:
+        """How many engines there are."""
         return len(self._index.records)
 
     @property
--- a/thistlelever/subsetting/terms.py
+++ b/thistlelever/subsetting/terms.py
@@ -9,19 +9,24 @@
     """What subsets depend on of an engine's record (`distribution.records.EngineRecord` has it all)."""
 
     @property
-    def id(self) -> str: ...
+    def id(self) -> str:
+        """Its name."""
 
     @property
-    def zone(self) -> str: ...
+    def zone(self) -> str:
+        """The zone that it is in."""
 
     @property
-    def cell(self) -> int: ...
+    def cell(self) -> int:
+        """Which engines of its zone drop each other's repeats."""
 
     @property
-    def kind(self) -> str: ...
+    def kind(self) -> str:
+        """The kind of machine."""
 
     @property
-    def draining(self) -> bool: ...
+    def draining(self) -> bool:
+        """Whether it takes nothing new."""
 
 
 class FrontPlace(NamedTuple):
--- a/thistlelever/subsetting/widths.py
+++ b/thistlelever/subsetting/widths.py
@@ -14,6 +14,7 @@
     """The widths of all arcs, at one revision of the index. They follow from how many engines there are."""
 
     def __init__(self, index: EngineIndex, terms: SubsetTerms, whole_cells: bool) -> None:
+        """The widths for the engines of `index` as it is now."""
         self.terms, self._engines = terms, len(index.records)
         # How many engines both arcs hold on average: with their partners they are `terms.engines`.
         self._wanted = terms.engines
