--- /dev/null
+++ b/rigs/publisher_loss.py
@@ -0,0 +1,144 @@
+"""Distributors whose publisher is killed or stopped again and again: how long until a change is confirmed by
+the next one, without a person.
+
+`python -m rigs.publisher_loss --seed 1 [--distributors 7] [--losses 6]`. Real processes on loopback. A loss
+is over when a publish at any other distributor is answered 200: a majority holds it.
+"""
+
+import asyncio
+import json
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+from time import monotonic
+
+import click
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from rigs.fleet import ROOT, free_port
+from rigs.verdict import Chance, close
+
+ENGINES, ELECTION_AFTER_S, LONGEST_LOSS_S, CALM_S = 2_000, 5.0, 12.0, 4.0
+START_WITHIN_S, TRY_EVERY_S = 20.0, 0.05
+
+
+def engine(number, started=0.0):
+    """An engine as it is published."""
+    return {
+        "id": f"engine-{number:05}",
+        "zone": f"zone-{number % 23:02}",
+        "kind": "std",
+        "address": f"127.{64 + (number >> 14)}.{number >> 7 & 127}.{1 + (number & 127)}:9",
+        "started": started,
+    }
+
+
+class Tier:
+    """The distributor processes."""
+
+    def __init__(self, count, folder):
+        self.ports = [free_port(socket.SOCK_STREAM) for _ in range(count)]
+        self.folder, self.processes = Path(folder), {}
+
+    async def start(self, index):
+        """One distributor, with its own store."""
+        addresses = [f"127.0.0.1:{port}" for port in self.ports]
+        config = self.folder / f"{index}.json"
+        facts = {"name": f"d{index}", "index": index, "listen": addresses[index], "distributors": addresses}
+        facts |= {"publisher": index == 0, "store": str(self.folder / f"{index}.db")}
+        facts |= {"election_after_s": ELECTION_AFTER_S, "subset": {"fronts": 1}}
+        config.write_text(json.dumps(facts))
+        words = [sys.executable, "-m", "thistlelever", "distributor", "serve", "--config", str(config)]
+        with open(self.folder / f"{index}.log", "ab") as log:
+            self.processes[index] = await asyncio.create_subprocess_exec(*words, cwd=ROOT, stdout=log)
+
+    async def call(self, index, method, path, body=None):
+        """Status and answer; status 0 where there is none."""
+        data = None if body is None else json.dumps(body)
+        url = f"http://127.0.0.1:{self.ports[index]}{path}"
+        request = HTTPRequest(url, method, body=data, request_timeout=4.0)
+        try:
+            reply = await AsyncHTTPClient().fetch(request, raise_error=False)
+            return reply.code, json.loads(reply.body)
+        except (OSError, ValueError):
+            return 0, {}
+
+    async def published(self, body, away=None, within=START_WITHIN_S):
+        """Publish at whichever distributor confirms it; its place, and None where none does in time."""
+        till = monotonic() + within
+        while monotonic() < till:
+            for index in (place for place in self.processes if place != away):
+                status, _ = await self.call(index, "POST", "/v1/publish", body)
+                if status == 200:
+                    return index
+            await asyncio.sleep(TRY_EVERY_S)
+        return None
+
+    async def close(self):
+        """End every process; how many ended otherwise than by our word."""
+        for process in self.processes.values():
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        codes = [await process.wait() for process in self.processes.values()]
+        return sum(code != 0 for code in codes)
+
+
+async def lose(tier, chance, number, publisher):
+    """Kill or stop the publisher; who publishes next and how long that took, or None."""
+    kind = "stopped" if chance.share("stopped", number) < 0.5 else "killed"
+    began = monotonic()
+    tier.processes[publisher].send_signal(signal.SIGSTOP if kind == "stopped" else signal.SIGKILL)
+    change = {"upserts": [engine(number, float(number + 1))]}
+    following = await tier.published(change, publisher, 2 * LONGEST_LOSS_S)
+    took = monotonic() - began
+    if kind == "killed":
+        await tier.processes[publisher].wait()
+        await tier.start(publisher)
+    else:
+        tier.processes[publisher].send_signal(signal.SIGCONT)
+    return {"kind": kind, "lost": publisher, "next": following, "seconds": round(took, 2)}
+
+
+async def played(seed, distributors, losses):
+    chance, story, broken = Chance(seed), [], []
+    with tempfile.TemporaryDirectory() as folder:
+        tier = Tier(distributors, folder)
+        for index in range(distributors):
+            await tier.start(index)
+        publisher = await tier.published({"engines": [engine(number) for number in range(ENGINES)]})
+        for number in range(losses):
+            await asyncio.sleep(CALM_S)
+            story.append(await lose(tier, chance, number, publisher))
+            if story[-1]["next"] is None:
+                broken.append("nobody publishes")
+                break
+            publisher = story[-1]["next"]
+        await asyncio.sleep(CALM_S)
+        reports = [(await tier.call(index, "GET", "/v1/status"))[1] for index in range(distributors)]
+        crashed = await tier.close()
+    longest = max(loss["seconds"] for loss in story)
+    if longest > LONGEST_LOSS_S:
+        broken.append(f"a loss of more than {LONGEST_LOSS_S:g} s")
+    if len({(report.get("version"), report.get("digest")) for report in reports}) != 1:
+        broken.append("distributors differ after healing")
+    if sum(report.get("role") == "publisher" for report in reports) != 1:
+        broken.append("not one publisher at the end")
+    if crashed:
+        broken.append("a distributor crashed")
+    return broken, {"distributors": distributors, "longest_s": longest, "losses": story}
+
+
+@click.command()
+@click.option("--seed", default=1)
+@click.option("--distributors", default=7)
+@click.option("--losses", default=6)
+def main(seed, distributors, losses):
+    """Play it and print the verdict."""
+    broken, figures = asyncio.run(played(seed, distributors, losses))
+    close("publisher_loss", seed, broken, figures)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_distributor.py
+++ b/tests/test_distributor.py
@@ -5,7 +5,9 @@
 import pytest
 from distributor_stage import HEARTBEAT, Tier, engine, tier
 
-from thistlelever.distribution.versions import parse
+from thistlelever.carrier.distributor_connection import DistributorError
+from thistlelever.distribution.election import Election
+from thistlelever.distribution.versions import NO_VERSION, Version, parse
 from thistlelever.distributor.admission import SnapshotAdmission
 from thistlelever.distributor.store import ContentStore, StoreError
 
@@ -376,3 +378,61 @@
             assert 0.7 <= min(parts) < 0.73 and 0.97 < max(parts) < 1.0 and len(set(parts)) == 200
 
     play(scenario())
+
+
+def test_a_lost_publisher_is_replaced_without_a_person(tmp_path):
+    async def scenario():
+        async with tier(5, engines=6, stores=tmp_path, election_after_s=1.0) as stage:
+            front = stage.subscribe()
+            await stage.until(lambda: front.replica.records)
+            term = stage.running[0].catalog.version.term
+            await stage.until(lambda: len({d.catalog.version for d in stage.running.values()}) == 1)
+            began = asyncio.get_running_loop().time()
+            await stage.stop(0)
+            await stage.until(lambda: any(d.role.publisher for d in stage.running.values()))
+            assert asyncio.get_running_loop().time() - began >= 0.6
+            (index,) = [place for place, d in stage.running.items() if d.role.publisher]
+            assert stage.running[index].catalog.version.term > term
+            version = await stage.publish(index, removals=["engine-00001"])
+            await stage.until_version(version, front)
+            # The former one comes back, and follows.
+            await stage.start(0)
+            await stage.until(lambda: stage.running[0].catalog.version == parse(version))
+            await asyncio.sleep(2.0)
+            assert [place for place, d in stage.running.items() if d.role.publisher] == [index]
+
+    play(scenario())
+
+
+def test_who_alone_does_not_hear_the_publisher_does_not_replace_it(tmp_path):
+    async def scenario():
+        async with tier(3, engines=6, stores=tmp_path, election_after_s=1.0) as stage:
+            lonely = stage.running[2]
+            lonely.follower.heard_at -= 100.0
+            # It reaches the others' claims, and its own questions for news fail.
+            lonely.follower.ask = lonely.follower.follow = unreachable
+            lonely.follower.poll.cancel()
+            await stage.until(lambda: any(event == "publisher lost" for _, event, _ in stage.events))
+            await asyncio.sleep(2.5)
+            assert stage.running[0].role.publisher and not lonely.role.publisher
+            assert any("hears the publisher" in told.get("why", "") for _, _, told in stage.events)
+
+    play(scenario())
+
+
+async def unreachable(*words):
+    """A way to another distributor that is broken."""
+    raise DistributorError("unreachable")
+
+
+def test_distributors_claim_one_after_the_other_and_none_where_there_never_was_a_publisher():
+    highest = Version(64 + 1, 7)
+    elections = [Election(index, 4, 5.0) for index in range(4)]
+    due = [[e.is_due(0.0, 5.0 + late, highest) for e in elections] for late in (0.1, 0.5, 0.9, 1.3)]
+    assert due[0] == [False, False, True, False]
+    assert due[1] == [False, False, True, True]
+    assert due[3] == [True, True, True, True]
+    assert not any(e.is_due(0.0, 1e9, NO_VERSION) for e in elections)
+    elections[2].failed(10.0)
+    assert not elections[2].is_due(10.9, 9.0, highest) and elections[2].is_due(12.1, 9.0, highest)
+    assert elections[0].heard_by_another([9.0, 4.9]) and not elections[0].heard_by_another([9.0, 5.1])
--- a/thistlelever/distribution/codec.py
+++ b/thistlelever/distribution/codec.py
@@ -100,6 +100,8 @@
 
     held: Version
     highest: Version
+    # How many seconds ago the content was known to be the newest.
+    age: float
     granted: bool = True
 
 
--- a/thistlelever/distributor/claiming.py
+++ b/thistlelever/distributor/claiming.py
@@ -7,6 +7,7 @@
 from thistlelever.carrier.distributor_connection import Address, DistributorConnection, DistributorError
 from thistlelever.distribution import codec
 from thistlelever.distribution.claim import Claim, catch_up, promise
+from thistlelever.distribution.election import Election
 from thistlelever.distribution.replica import Outcome
 from thistlelever.distribution.versions import Version
 from thistlelever.distributor.follower import Follower
@@ -45,15 +46,20 @@
     return {place: answer for place, answer in zip(others, answers, strict=True) if answer is not None}
 
 
-async def claim_term(follower: Follower, above: Version, memory: PromiseMemory) -> int:
+async def claim_term(
+    follower: Follower, above: Version, memory: PromiseMemory, election: Election | None
+) -> int:
     """Claim the role: returns a term higher than that of `above` once a majority has promised it and this
     distributor holds the newest content that the majority holds; `ClaimFailedError` otherwise. `memory`
-    keeps its own promise."""
+    keeps its own promise. With `election` nothing is claimed while another distributor hears the
+    publisher."""
     index, distributors, replica = follower.index, follower.distributors, follower.catalog.replica
     claim = Claim(index, len(distributors), remembers=memory.remembers())
     claim.learned(max(follower.highest_seen, above))
     claim.heard(index, replica.highest())
     answers = await ask_others(distributors, index, HIGHEST_PATH, codec.HighestRequest(index))
+    if election and election.heard_by_another([answer.age for answer in answers.values()]):
+        raise ClaimFailedError("another distributor hears the publisher")
     for place, answer in answers.items():
         claim.heard(place, answer.highest)
     term = claim.term()
--- a/thistlelever/distributor/config.py
+++ b/thistlelever/distributor/config.py
@@ -11,6 +11,10 @@
 Seconds = Annotated[float, Meta(gt=0, le=3_600)]
 
 
+# A follower hears of its publisher once a heartbeat, and of its loss a patience later.
+LEAST_HEARTBEATS = 2.5
+
+
 class ConfigError(Exception):
     """The configuration can't be used; the text names the key."""
 
@@ -39,6 +43,8 @@
     publisher: bool = False
     store: str | None = None
     heartbeat_s: Seconds = 2.0
+    # A publisher that nobody has heard for so long is replaced by itself; None: by an operator.
+    election_after_s: Seconds | None = None
     # Fronts that are told their whole subset, or that name all that they hold, a second.
     snapshots_per_s: Annotated[float, Meta(ge=1, le=10_000)] = 50.0
     # Changes that are kept so that others can catch up by a delta.
@@ -65,6 +71,9 @@
         raise ConfigError(f"no JSON: {error}") from None
     if config.index >= len(config.distributors):
         raise ConfigError(f"index: a place among {len(config.distributors)} distributors expected")
+    least = LEAST_HEARTBEATS * config.heartbeat_s
+    if config.election_after_s is not None and config.election_after_s < least:
+        raise ConfigError(f"election_after_s: {least:g} at least expected, {LEAST_HEARTBEATS:g} heartbeats")
     return config
 
 
--- a/thistlelever/distributor/handlers.py
+++ b/thistlelever/distributor/handlers.py
@@ -181,7 +181,7 @@
         """What is held and what was seen here."""
         replica, follower = self.distributor.catalog.replica, self.distributor.follower
         highest = max(replica.highest(), follower.highest_seen)
-        return codec.VersionReply(replica.version, highest, granted)
+        return codec.VersionReply(replica.version, highest, follower.age(), granted)
 
 
 class AnnounceHandler(VersionHandler):
--- a/thistlelever/distributor/publishing.py
+++ b/thistlelever/distributor/publishing.py
@@ -7,6 +7,7 @@
 
 from thistlelever.distribution import codec
 from thistlelever.distribution.claim import majority
+from thistlelever.distribution.election import Election
 from thistlelever.distribution.messages import Delta
 from thistlelever.distribution.publisher import Publisher, PublishRefusedError
 from thistlelever.distribution.records import DocumentRecord, Record, documents_of
@@ -15,12 +16,15 @@
 from thistlelever.distributor.claiming import ANNOUNCE_PATH, ClaimFailedError, ask_others, claim_term
 from thistlelever.distributor.follower import Follower
 from thistlelever.distributor.promises import PromiseMemory
+from thistlelever.ground import clock
 from thistlelever.ground.log import Log
 
 # How long a publish waits for a majority to hold its version.
 CONFIRM_WITHIN = 2.0
 # Between two attempts to claim the role at a start.
 CLAIM_PAUSE = 1.0
+# The loss of the publisher is looked for this often, in heartbeats.
+ELECTION_LOOK = 0.1
 
 # Raises `ValueError`, with the path of the fault, for a text that can't be the document.
 DocumentCheck = Callable[[str], None]
@@ -47,13 +51,13 @@
         self.moved = asyncio.Event()
         self.claiming = asyncio.Lock()
 
-    async def claim(self, above: Version = NO_VERSION) -> int:
+    async def claim(self, above: Version = NO_VERSION, election: Election | None = None) -> int:
         """Take the role over: the new term, higher than that of `above`. `ClaimFailedError` where that is not
         possible."""
         async with self.claiming:
             if self.publisher and self.publisher.term > above.term:
                 return self.publisher.term
-            term = await claim_term(self.follower, above, self.memory)
+            term = await claim_term(self.follower, above, self.memory, election)
             catalog = self.catalog
             try:
                 self.publisher = Publisher(catalog.replica, catalog.history, term)
@@ -67,14 +71,31 @@
             self.log("publishes", term=term, version=str(catalog.version))
             return term
 
-    async def claim_at_start(self) -> None:
-        """Claim until a majority answers."""
+    async def claim_at_start(self, election: Election | None) -> None:
+        """Claim until a majority answers; with `election` only while nobody hears another publisher."""
         while self.publisher is None:
             try:
-                await self.claim()
+                await self.claim(election=election)
             except ClaimFailedError as error:
                 self.log("claim failed", why=str(error))
                 await asyncio.sleep(CLAIM_PAUSE)
+                if election and self.follower.age() <= election.after:
+                    return
+
+    async def elect(self, election: Election) -> None:
+        """Claim whenever the publisher is lost, until cancelled."""
+        while True:
+            await asyncio.sleep(self.follower.heartbeat * ELECTION_LOOK)
+            follower = self.follower
+            highest = max(follower.highest_seen, self.catalog.replica.highest())
+            if self.publisher or not election.is_due(clock.now(), follower.age(), highest):
+                continue
+            try:
+                self.log("publisher lost", age=round(follower.age(), 3), highest=str(highest))
+                await self.claim(election=election)
+            except ClaimFailedError as error:
+                election.failed(clock.now())
+                self.log("claim failed", why=str(error))
 
     def observe(self, version: Version) -> None:
         """Somebody has shown a version: the role is lost to a higher term."""
--- a/thistlelever/distributor/service.py
+++ b/thistlelever/distributor/service.py
@@ -12,6 +12,7 @@
 
 from tornado.httpserver import HTTPServer
 
+from thistlelever.distribution.election import Election
 from thistlelever.distribution.versions import NO_VERSION
 from thistlelever.distributor.admission import SnapshotAdmission
 from thistlelever.distributor.catalog import Catalog, Change
@@ -101,11 +102,21 @@
         ]
         if self.writer:
             works.append(self.writer.run())
+        election = self.election()
+        if election:
+            works.append(self.role.elect(election))
         if self.config.publisher:
-            works.append(self.role.claim_at_start())
+            works.append(self.role.claim_at_start(election))
         self.tasks = [loop.create_task(self.watched(work)) for work in works]
         self.log("ready", listen=self.config.listen, version=str(self.catalog.version))
 
+    def election(self) -> Election | None:
+        """When this distributor claims the role by itself; None where an operator has to say so."""
+        config = self.config
+        if config.election_after_s is None:
+            return None
+        return Election(config.index, len(config.distributors), config.election_after_s)
+
     async def watched(self, work) -> None:
         """A part that fails takes the process with it: one that half works is not told apart from a whole
         one."""
