A silent way to the directory is left again: an attribute had taken the place of Inquiry.renew

Cause: set Inquiry.renew, which is the method that opens a new socket, to the front's reload event; unanswered() then raised TypeError in a timer, and the directory was asked by the silent socket for good.

--- a/thistlelever/carrier/directory.py
+++ b/thistlelever/carrier/directory.py
@@ -59,8 +59,8 @@
         self.transports: list[asyncio.DatagramTransport] = []
         self.last, self.misses, self.heard_at = b"", 0, 0.0
         self.address: tuple[str, int] | None = None
-        # Set where the configuration is to be read again; nothing that comes by DNS asks for that.
-        self.renew: asyncio.Event | None = None
+        # Called where the configuration is to be read again; nothing that comes by DNS asks for that.
+        self.on_new_configuration: Callable[[], None] = lambda: None
         self.silent, self.renewal = 0, None
 
     async def open(self, address: tuple[str, int]) -> None:
--- a/thistlelever/lifecycle/distribution.py
+++ b/thistlelever/lifecycle/distribution.py
@@ -50,8 +50,8 @@
         names = KnownNames(papers.zones, papers.kinds)
         self.list = SubscribedList(self.subscription, roll, forget, desk, names)
         self.configuration = DistributedConfiguration(self.subscription.replica)
-        # Set when the configuration is to be read again.
-        self.renew: asyncio.Event | None = None
+        # Called when the configuration is to be read again.
+        self.on_new_configuration: Callable[[], None] = lambda: None
         self.first = asyncio.Event()
         self.subscription.listener, self.subscription.log = self.changed, desk.log
         self.task: asyncio.Task[None] | None = None
@@ -65,8 +65,8 @@
         """Hand a change on."""
         self.list.changed(listing)
         self.first.set()
-        if self.renew and self.configuration.differs():
-            self.renew.set()
+        if self.configuration.differs():
+            self.on_new_configuration()
 
     def hold(self, serial: int, entries: list[Entry]) -> None:
         """The list of a configuration that was read again; its serials are not the distributors' versions."""
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -98,7 +98,7 @@
             self.dispatcher.speech = lambda entry: side.engines if side.speaks(entry) else over_http
         self.admin: Administration | None = None
         self.stop, self.renew = asyncio.Event(), asyncio.Event()
-        self.inquiry.renew = self.renew
+        self.inquiry.on_new_configuration = self.renew.set
         self.tasks: list[asyncio.Task] = []
 
     def discovery(self, operator: Operator | None) -> Inquiry | SubscribedDiscovery:
