A test of the last requests at SIGTERM has the service's own time to stop

test_sigterm_right_behind_accepts... failed once in a run of the suite at load 30 (721 others passed): the stage cuts the time in which a stopping front answers from 3 s to less, and 40 queries through one engine took longer there. It asks what it asked; it is given the service's 3 s, as its neighbours are.

--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -183,6 +183,7 @@
 @moment("engine a\nfront")
 async def test_sigterm_right_behind_accepts_with_requests_in_the_sockets(stage, monkeypatch):
     """More connections than are taken in one turn of the loop, none of them seen before the signal."""
+    monkeypatch.setattr(run, "LONGEST_LIMIT", 3.0)
     socks = [connect(stage, stage.submission(100 + n, "lookup")) for n in range(clients.TAKEN_A_TURN + 8)]
     os.kill(os.getpid(), signal.SIGTERM)
     assert all("result" in (answer or ()) for answer in await asyncio.gather(*map(answer_on, socks)))
