Scale rig: ports that outgoing connections do not take; a start that fails leaves no process behind

One of 24 distributors found its port taken at the full size, and the rig waited 40 s and left the others running.

--- a/rigs/scale_child.py
+++ b/rigs/scale_child.py
@@ -69,8 +69,12 @@
             limit=LONGEST_LINE,
         )
         self.reader = asyncio.create_task(self.read(self.process))
+        ready = asyncio.create_task(self.ready.wait())
         async with asyncio.timeout(START_WITHIN):
-            await self.ready.wait()
+            await asyncio.wait((ready, self.reader), return_when=asyncio.FIRST_COMPLETED)
+        if not ready.done():
+            ready.cancel()
+            raise ChildFailedError(f"{self.words} ended before it was ready")
 
     async def read(self, process):
         while line := await process.stdout.readline():
--- a/rigs/scale_tier.py
+++ b/rigs/scale_tier.py
@@ -2,17 +2,19 @@
 
 import asyncio
 import json
+import os
 import signal
+import socket
 from pathlib import Path
 from time import monotonic
 
-from rigs.fleet import free_port
 from rigs.scale_child import Child
 from thistlelever.distribution.versions import parse
 
 ASK_WITHIN = 5.0
 OK, ACCEPTED = 200, 202
 PUBLISH_WITHIN = 8.0
+FIRST_LISTEN_PORT, LISTEN_PORTS = 12_000, 20_000
 
 
 class RefusedError(Exception):
@@ -58,12 +60,26 @@
     return found
 
 
+def listen_port(number):
+    """A free port below those that the system gives to outgoing connections, which might take it between two
+    lives of a distributor."""
+    for attempt in range(LISTEN_PORTS):
+        port = FIRST_LISTEN_PORT + (os.getpid() * 64 + number + attempt * 64) % LISTEN_PORTS
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
+    raise OSError("no port to listen at")
+
+
 class Distributor:
     """One place of the tier and its process while it lives."""
 
     def __init__(self, tier, index):
         self.tier, self.index = tier, index
-        self.port = free_port(1)
+        self.port = listen_port(index)
         self.child, self.publisher = None, False
         # Where it reaches the others: a relay for one that is to be cut off from them.
         self.peer_ports = None
--- a/rigs/scale_yard.py
+++ b/rigs/scale_yard.py
@@ -114,6 +114,14 @@
         return self.fronts[self.size.fronts :]
 
     async def __aenter__(self):
+        try:
+            return await self.open()
+        except BaseException:
+            await self.__aexit__()
+            raise
+
+    async def open(self):
+        """Every process up, and a publisher."""
         # Relays have both ends of all connections of hundreds of fronts; children inherit the limit.
         _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
         resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
