--- a/thistlelever/lifecycle/takeover.py
+++ b/thistlelever/lifecycle/takeover.py
@@ -78,13 +78,13 @@
         """What membership holds a front in that life for. Another life at its address: that one is gone."""
         if address == self.members.me.address:
             return Standing.ALIVE if life == self.members.me.life else Standing.GONE
-        member = self.members.members.get(self.members.at.get(address, ""))
+        member = self.members.table.at_address(address)
         if member is None or member.life > life or member.state in GONE:
             return Standing.GONE
         return Standing.SUSPECTED if member.state is State.SUSPECTED else Standing.ALIVE
 
     def alive(self, address: Address) -> bool:
-        member = self.members.members.get(self.members.at.get(address, ""))
+        member = self.members.table.at_address(address)
         return member is not None and member.lives
 
     def alone(self) -> bool:
