--- a/tests/test_rigs.py
+++ b/tests/test_rigs.py
@@ -10,13 +10,13 @@
 ROOT = Path(__file__).parents[1]
 
 
-def played(name, *words):
+def played(name, *words, within=240):
     said = subprocess.run(
         [sys.executable, "-m", f"rigs.{name}", *words],
         cwd=ROOT,
         capture_output=True,
         text=True,
-        timeout=240,
+        timeout=within,
         check=False,
     )
     assert said.stdout, said.stderr[-2000:]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,35 +1,16 @@
 """The scale rig small, as CI plays it; and that it names the rule that is broken where a guard of the product
 is taken out on purpose."""
 
-import json
-import subprocess
-import sys
-from pathlib import Path
-
 import pytest
 
-ROOT = Path(__file__).parents[1]
+from test_rigs import played
+
 # Half the usual heartbeat, as most of the time goes by waiting for one.
 SMALL = ("--fronts", "60", "--engines", "400", "--heartbeat", "1")
 
 
-def played(*words):
-    said = subprocess.run(
-        [sys.executable, "-m", "rigs.scale", *words],
-        cwd=ROOT,
-        capture_output=True,
-        text=True,
-        timeout=240,
-        check=False,
-    )
-    assert said.stdout, said.stderr[-2000:]
-    last = json.loads(said.stdout.splitlines()[-1])
-    assert last["holds"] == (said.returncode == 0)
-    return last
-
-
 def test_scale_holds_small():
-    last = played("--seed", "1", *SMALL)
+    last = played("scale", "--seed", "1", *SMALL)
     assert last["holds"], last
     assert last["went_back"] == last["mixed"] == last["versions_differ"] == 0
     assert last["checked"] > 1_000 and last["answers"]["1"] > 100
@@ -45,5 +26,5 @@
     ],
 )
 def test_scale_says_no(guard, rule):
-    last = played("--seed", "2", *SMALL, "--sabotage", guard)
+    last = played("scale", "--seed", "2", *SMALL, "--sabotage", guard)
     assert not last["holds"] and any(broken.startswith(rule) for broken in last["broken_rules"]), last
--- a/thistlelever/carrier/distributor_connection.py
+++ b/thistlelever/carrier/distributor_connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from http import HTTPStatus
 from typing import TypeVar
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -20,7 +21,6 @@
 # What is read from the socket at once, where much comes.
 READ_CHUNK_BYTES = 65_536
 CONTENT_TYPE = "application/msgpack"
-OK, CONFLICT, UNAVAILABLE = 200, 409, 503
 
 
 class DistributorError(Exception):
@@ -91,11 +91,11 @@
             self.inflow.filled(count)
             self.bytes_received += count
             reply = http.reply(self.inflow)
-        if reply.status == UNAVAILABLE:
+        if reply.status == HTTPStatus.SERVICE_UNAVAILABLE:
             raise DistributorBusyError(reply.number(b"retry-after") or 0.0)
-        if reply.status == CONFLICT:
+        if reply.status == HTTPStatus.CONFLICT:
             raise DistributorBehindError("it holds an older version")
-        if reply.status != OK:
+        if reply.status != HTTPStatus.OK:
             raise DistributorError(f"status {reply.status}")
         return reply
 
--- a/thistlelever/cli/distributor.py
+++ b/thistlelever/cli/distributor.py
@@ -6,6 +6,7 @@
 import http.client
 import logging
 import sys
+from http import HTTPStatus
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -19,7 +20,6 @@
 
 FRONT_COLUMNS = ("name", "version", "seen_s", "engines")
 CALL_TIMEOUT_S = 15.0
-OK, ACCEPTED = 200, 202
 
 config_option = click.option(
     "--config", "config_path", type=click.Path(), required=True, help="The distributor's configuration."
@@ -163,6 +163,6 @@
         exit_with_error(f"{at}: {error}")
     finally:
         connection.close()
-    if reply.status not in (OK, ACCEPTED):
+    if reply.status not in (HTTPStatus.OK, HTTPStatus.ACCEPTED):
         exit_with_error(answer.get("error", f"status {reply.status}"), EXIT_FAILURE)
     return answer
--- a/thistlelever/distribution/reconnect.py
+++ b/thistlelever/distribution/reconnect.py
@@ -9,9 +9,10 @@
 from collections.abc import Callable, Collection, Mapping
 from typing import NamedTuple
 
-from thistlelever.distribution.messages import Delta, Removal
+from thistlelever.distribution.messages import Delta
 from thistlelever.distribution.records import DIGEST_BITS, Record, digest_of, record_digest
 from thistlelever.distribution.versions import Version
+from thistlelever.distribution.views import removals_of
 
 # Enough to tell two states of one engine apart; a digest of all that is held is compared in the end.
 SHORT_DIGEST_BYTES = 8
@@ -41,11 +42,5 @@
     retains and that exists no more is told as gone."""
     wanted_ids = {record.id for record in wanted}
     upserts = tuple(record for record in wanted if held.records.get(record.id) != short_digest(record))
-    left = [engine for engine in held.records if engine not in wanted_ids]
-    left += [
-        engine
-        for engine in dict.fromkeys(retained)
-        if engine not in held.records and engine not in wanted_ids and not exists(engine)
-    ]
-    removals = tuple(Removal(engine, gone=not exists(engine)) for engine in left)
+    removals = removals_of(held.records, wanted_ids, exists, retained)
     return Delta(held.version, held.digest, version, digest_of(wanted), upserts, removals)
--- a/thistlelever/distribution/views.py
+++ b/thistlelever/distribution/views.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
 from thistlelever.distribution.messages import Delta, Removal, Snapshot, Update
@@ -87,20 +87,30 @@
     exists no longer is told as gone, also if the front holds no record of it any more.
     """
     wanted_by_id = {record.id: record for record in wanted}
+    removals = removals_of(held.records, wanted_by_id, exists, retained)
     upserts = tuple(record for record in wanted_by_id.values() if held.records.get(record.id) != record)
-    left = [engine_id for engine_id in held.records if engine_id not in wanted_by_id]
-    lost = [
-        engine_id
-        for engine_id in dict.fromkeys(retained)
-        if engine_id not in held.records and engine_id not in wanted_by_id and not exists(engine_id)
-    ]
-    removals = tuple(Removal(engine_id, gone=not exists(engine_id)) for engine_id in left + lost)
     replaced = [held.records[record.id] for record in upserts if record.id in held.records]
-    removed = [held.records[engine_id] for engine_id in left]
+    removed = [held.records[removal.id] for removal in removals if removal.id in held.records]
     digest = held.digest + digest_of(upserts) - digest_of(replaced) - digest_of(removed)
     return Delta(held.version, held.digest, version, digest & DIGEST_MASK, upserts, removals)
 
 
+def removals_of(
+    held: Collection[str],
+    wanted: Collection[str],
+    exists: Callable[[str], bool],
+    retained: Iterable[str],
+) -> tuple[Removal, ...]:
+    """What a front that holds the ids `held` is to hold no longer, and what it retains that is gone."""
+    left = [record_id for record_id in held if record_id not in wanted]
+    lost = [
+        record_id
+        for record_id in dict.fromkeys(retained)
+        if record_id not in held and record_id not in wanted and not exists(record_id)
+    ]
+    return tuple(Removal(record_id, gone=not exists(record_id)) for record_id in left + lost)
+
+
 def snapshot(version: Version, wanted: Iterable[Record]) -> Snapshot:
     """All the records wanted for a front at `version`."""
     records = tuple(wanted)
--- a/thistlelever/distributor/catalog.py
+++ b/thistlelever/distributor/catalog.py
@@ -3,7 +3,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from thistlelever.distribution.history import History
@@ -41,8 +41,7 @@
 
     def records(self, engines: tuple[str, ...]) -> list[EngineRecord]:
         """The records of these engines, of those that there are."""
-        held = self.replica.records
-        return list(engines_of(held[engine] for engine in engines if engine in held))
+        return list(engines_of(self.held(engines).values()))
 
     def receive(
         self, update: Update, take: Callable[[Replica, Update], Outcome] = Replica.receive
@@ -60,11 +59,15 @@
 
     def records_before(self, update: Update) -> dict[str, Record]:
         """What is held now of the engines that an update names; of a snapshot, all that is held."""
-        held = self.replica.records
         if isinstance(update, Snapshot):
-            return held
-        named = [record.id for record in update.upserts] + [removal.id for removal in update.removals]
-        return {engine: held[engine] for engine in named if engine in held}
+            return self.replica.records
+        names = [record.id for record in update.upserts] + [removal.id for removal in update.removals]
+        return self.held(names)
+
+    def held(self, names: Iterable[str]) -> dict[str, Record]:
+        """The records of these ids, of those that there are."""
+        records = self.replica.records
+        return {name: records[name] for name in names if name in records}
 
     def applied(self, update: Update, before: dict[str, Record]) -> None:
         """Bring the ring up to date with an update that the replica has applied, and tell who listens."""
--- a/thistlelever/distributor/config.py
+++ b/thistlelever/distributor/config.py
@@ -7,7 +7,8 @@
 import msgspec
 from msgspec import Meta, Struct
 
-AddressText = Annotated[str, Meta(pattern=r"^[0-9.]+:[0-9]{1,5}$", description="IPv4 address and port")]
+from thistlelever.ground.operator import Address, fault
+
 Seconds = Annotated[float, Meta(gt=0, le=3_600)]
 
 
@@ -37,8 +38,8 @@
 
     name: Annotated[str, Meta(min_length=1, max_length=128)]
     index: Annotated[int, Meta(ge=0, le=63)]
-    listen: AddressText
-    distributors: Annotated[tuple[AddressText, ...], Meta(min_length=1, max_length=64)]
+    listen: Address
+    distributors: Annotated[tuple[Address, ...], Meta(min_length=1, max_length=64)]
     subset: SubsetSection
     publisher: bool = False
     store: str | None = None
@@ -65,8 +66,7 @@
     try:
         config = msgspec.json.decode(data, type=DistributorConfig)
     except msgspec.ValidationError as error:
-        what, _, key = str(error).partition(" - at ")
-        raise ConfigError(f"{key.strip('`').removeprefix('$.') or 'the whole'}: {what}") from None
+        raise ConfigError(fault(error)) from None
     except msgspec.DecodeError as error:
         raise ConfigError(f"no JSON: {error}") from None
     if config.index >= len(config.distributors):
@@ -75,9 +75,3 @@
     if config.election_after_s is not None and config.election_after_s < least:
         raise ConfigError(f"election_after_s: {least:g} at least expected, {LEAST_HEARTBEATS:g} heartbeats")
     return config
-
-
-def address(text: str) -> tuple[str, int]:
-    """`HOST:PORT` as a pair."""
-    host, _, port = text.rpartition(":")
-    return host, int(port)
--- a/thistlelever/distributor/handlers.py
+++ b/thistlelever/distributor/handlers.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from http import HTTPStatus
 from typing import Annotated
 
 import msgspec
 from msgspec import Meta, Struct
 from tornado.web import Application, RequestHandler
 
+from thistlelever.carrier.subscription import WATCH_PATH
 from thistlelever.distribution import codec
 from thistlelever.distribution.claim import promise
 from thistlelever.distribution.publisher import PublishRefusedError
@@ -20,11 +22,6 @@
 from thistlelever.distributor.sessions import BehindError, BusyError, Session
 from thistlelever.distributor.store import StoreError
 
-WATCH_PATH = "/v1/watch"
-BAD_REQUEST, CONFLICT, UNAVAILABLE = 400, 409, 503
-ACCEPTED = 202
-
-
 VersionText = Annotated[str, Meta(pattern=r"^[0-9]{1,12}\.[0-9]{1,12}$")]
 
 
@@ -108,7 +105,7 @@
             return codec.decode(self.request.body, kind)
         except codec.ProtocolError as error:
             self.distributor.counts["requests out of form"] += 1
-            self.refuse(BAD_REQUEST, str(error))
+            self.refuse(HTTPStatus.BAD_REQUEST, str(error))
             return None
 
     def log_exception(self, kind, error, trace) -> None:
@@ -139,10 +136,10 @@
             update, fronts = await distributor.sessions.watch(self.session, request)
         except BusyError as error:
             self.set_header("Retry-After", f"{error.retry_after:.3f}")
-            self.refuse(UNAVAILABLE, str(error))
+            self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, str(error))
             return
         except BehindError as error:
-            self.refuse(CONFLICT, str(error))
+            self.refuse(HTTPStatus.CONFLICT, str(error))
             return
         body = None if update is None else codec.body_of(update)
         self.answer(codec.Reply(body, distributor.follower.age(), fronts))
@@ -160,7 +157,7 @@
         distributor.role.observe(max(request.version, request.floor))
         distributor.role.holds(request.index, request.version)
         if request.version > replica.version:
-            self.refuse(CONFLICT, f"{replica.version} is held here")
+            self.refuse(HTTPStatus.CONFLICT, f"{replica.version} is held here")
             return
         if request.version == replica.version and request.wait > 0:
             newer = asyncio.ensure_future(distributor.newer.wait())
@@ -238,16 +235,16 @@
             else:
                 version = role.replace_all([engine.record() for engine in body.engines], expected)
         except msgspec.DecodeError as error:
-            self.refuse(BAD_REQUEST, f"no change: {error}")
+            self.refuse(HTTPStatus.BAD_REQUEST, f"no change: {error}")
             return
         except PublishRefusedError as error:
             present = self.distributor.catalog.version
             self.distributor.log("publish refused", why=str(error), version=str(present))
-            self.refuse(CONFLICT, str(error), version=str(present))
+            self.refuse(HTTPStatus.CONFLICT, str(error), version=str(present))
             return
         confirmed = await role.confirmed(version)
         if not confirmed:
-            self.set_status(ACCEPTED)
+            self.set_status(HTTPStatus.ACCEPTED)
         self.finish({"version": str(version), "confirmed": confirmed})
 
 
@@ -260,10 +257,10 @@
             body = msgspec.json.decode(self.request.body, type=PromoteBody)
             term = await self.distributor.role.claim(parse(body.above))
         except msgspec.DecodeError as error:
-            self.refuse(BAD_REQUEST, f"no promotion: {error}")
+            self.refuse(HTTPStatus.BAD_REQUEST, f"no promotion: {error}")
             return
         except ClaimFailedError as error:
-            self.refuse(CONFLICT, str(error))
+            self.refuse(HTTPStatus.CONFLICT, str(error))
             return
         self.finish({"term": term, "version": str(self.distributor.catalog.version)})
 
--- a/thistlelever/distributor/publishing.py
+++ b/thistlelever/distributor/publishing.py
@@ -120,9 +120,7 @@
         publisher = self.required()
         for record in documents_of(upserts):
             self.check_document(record)
-        named = [record.id for record in upserts] + list(removals)
-        held = self.catalog.replica.records
-        before = {engine: held[engine] for engine in named if engine in held}
+        before = self.catalog.held([*(record.id for record in upserts), *removals])
         return self.committed(publisher.publish(upserts, removals, expected), before)
 
     def check_document(self, record: DocumentRecord) -> None:
--- a/thistlelever/distributor/service.py
+++ b/thistlelever/distributor/service.py
@@ -16,7 +16,7 @@
 from thistlelever.distribution.versions import NO_VERSION
 from thistlelever.distributor.admission import SnapshotAdmission
 from thistlelever.distributor.catalog import Catalog, Change
-from thistlelever.distributor.config import DistributorConfig, address
+from thistlelever.distributor.config import DistributorConfig
 from thistlelever.distributor.content_writer import ContentWriter
 from thistlelever.distributor.follower import Follower, Peers
 from thistlelever.distributor.promises import PromiseMemory
@@ -25,6 +25,7 @@
 from thistlelever.distributor.store import ContentStore
 from thistlelever.ground import clock
 from thistlelever.ground.log import Log
+from thistlelever.ground.operator import address
 from thistlelever.subsetting import SubsetTerms
 
 SWEEP_EVERY = 5.0
--- a/thistlelever/distributor/sessions.py
+++ b/thistlelever/distributor/sessions.py
@@ -8,10 +8,10 @@
 from zlib import crc32
 
 from thistlelever.distribution import codec
-from thistlelever.distribution.messages import Delta, Update
+from thistlelever.distribution.messages import Delta, Snapshot, Update
+from thistlelever.distribution.reconnect import HeldDigests, difference_from_digests
 from thistlelever.distribution.records import DOCUMENT_PREFIX, Record
 from thistlelever.distribution.versions import NO_VERSION, Version
-from thistlelever.distribution.reconnect import HeldDigests, difference_from_digests
 from thistlelever.distribution.views import ToldViews, difference, snapshot
 from thistlelever.distributor.admission import SnapshotAdmission
 from thistlelever.distributor.catalog import Catalog, Change
@@ -124,10 +124,11 @@
         when its time is up; and how many fronts may send to any one of its engines."""
         till = clock.now() + min(request.wait, LONGEST_WAIT) * self.part_of_wait(session)
         while True:
-            update = self.update(session, request)
+            wanted = self.wanted(session)
+            update = self.update(session, request, wanted)
             left = till - clock.now()
             if is_news(update) or left <= 0:
-                return self.told(session, update, request), session.subset.fronts
+                return self.told(session, request, update, wanted), session.subset.fronts
             session.stir = asyncio.get_running_loop().create_future()
             await asyncio.wait((session.stir,), timeout=left)
 
@@ -149,10 +150,9 @@
         session.seen_at = clock.now()
         return session
 
-    def update(self, session: Session, request: codec.WatchRequest) -> Update:
-        """What the front is to be told now."""
+    def update(self, session: Session, request: codec.WatchRequest, wanted: list[Record]) -> Update:
+        """What brings the front to the records wanted."""
         catalog, version = self.catalog, self.catalog.version
-        wanted = self.wanted(session)
         exists = catalog.replica.records.__contains__
         held = session.views.acknowledged(*held_by(request))
         if held is not None:
@@ -194,7 +194,9 @@
             self.counts["snapshots refused"] += 1
             raise BusyError(retry_after)
 
-    def told(self, session: Session, update: Update, request: codec.WatchRequest) -> Update | None:
+    def told(
+        self, session: Session, request: codec.WatchRequest, update: Update, wanted: list[Record]
+    ) -> Update | None:
         """Remember what goes out; `BusyError` for a whole subset that is not admitted."""
         whole = not isinstance(update, Delta) or len(update.upserts) > LARGE_UPDATE
         if whole and request.held is None:
@@ -203,11 +205,7 @@
             self.counts["heartbeats"] += 1
             return None
         self.counts["snapshots" if whole else "deltas"] += 1
-        if whole or session.views.acknowledged(*held_by(request)) is None:
-            session.views = ToldViews()
-            session.views.told(snapshot(update.version, self.wanted(session)))
-        else:
-            session.views.told(update)
+        session.views.told(Snapshot(update.version, update.digest, tuple(wanted)))
         return update
 
     async def run(self) -> None:
--- a/thistlelever/ground/operator.py
+++ b/thistlelever/ground/operator.py
@@ -190,9 +190,7 @@
     try:
         operator = msgspec.json.decode(data, type=Operator)
     except msgspec.ValidationError as why:
-        what, _, path = str(why).partition(" - at ")
-        key = path.strip("`").replace("$.", "").replace("$", "") or "the whole"
-        raise Unreadable(f"operator file: {key}: {what}") from None
+        raise Unreadable(f"operator file: {fault(why)}") from None
     except msgspec.DecodeError as why:
         raise Unreadable(f"operator file: no JSON: {why}") from None
     for section, modules in EXTRAS.items():
@@ -209,6 +207,13 @@
     return operator
 
 
+def fault(error: msgspec.ValidationError) -> str:
+    """What does not fit the types, behind the path of its key."""
+    what, _, path = str(error).partition(" - at ")
+    key = path.strip("`").replace("$.", "").replace("$", "") or "the whole"
+    return f"{key}: {what}"
+
+
 def installed(module: str) -> bool:
     try:
         return find_spec(module) is not None
