A death by hearsay is one more accuser: a healed cut's old word kills nobody

Cause: each half of a cut holds the other dead; when it heals, that word arrives with the incarnation that the member still has, and was believed at once by whoever had no answer for 0.2 s. In the traces 13 to 105 ms lie between the far side's word and the refutation. Change: the word accuses, and the front probes the member itself; a true death still comes by the suspicion's end.

--- a/thistlelever/membership/merge.py
+++ b/thistlelever/membership/merge.py
@@ -11,6 +11,7 @@
 from thistlelever.wire.peers import Message, Rumour, State, address_of, tag
 
 BY_GOSSIP = "rumour"
+BY_DEATH_RUMOUR = "rumour of its death"
 BY_ITSELF = "itself"
 
 
@@ -76,17 +77,15 @@
         """Believe the update in place of what was believed."""
         if newer:
             self.table.renew(now, member, address_of(update.address), update.incarnation, update.life)
-        answered_lately = now - member.answered_at < (
-            2 * self.config.probe_timeout + self.config.indirect_timeout
-        )
         if update.state is State.SUSPECTED:
             if newer:
                 self.table.set_state(now, member, State.ALIVE, by, BY_GOSSIP)
             self.suspicions.accuse(now, member, update.accuser, by, BY_GOSSIP)
-        elif update.state is State.DEAD and answered_lately:
-            # Departs from SWIM: a death by hearsay of one that answered just now is a suspicion.
-            self.counts["deaths not believed"] += 1
-            self.suspicions.accuse(now, member, tag(by), by, "rumour of its death")
+        elif update.state is State.DEAD and member.lives:
+            # Departs from SWIM: a death by hearsay is one more accuser. Who passes it on may be of the other
+            # side of a cut that has just healed, where the member was out of reach and could refute nothing.
+            self.counts["deaths by hearsay"] += 1
+            self.suspicions.accuse_and_probe(now, member, tag(by), by, BY_DEATH_RUMOUR)
         else:
             self.table.set_state(now, member, update.state, by, BY_GOSSIP)
             self.gossip.add(member.record())
--- a/thistlelever/membership/prober.py
+++ b/thistlelever/membership/prober.py
@@ -55,12 +55,16 @@
         for probe in self.probes.values():
             probe.due += seconds
 
+    def probed(self) -> set[str]:
+        """The names of members that this front waits for an answer from, for its own sake."""
+        return {probe.name for probe in self.probes.values() if probe.asker is None}
+
     def begin_round(self, now: float) -> None:
         """Probe two members: the next in the ring and the next of the shuffled order.
 
         Nobody is probed twice at once.
         """
-        probed = {probe.name for probe in self.probes.values() if probe.asker is None}
+        probed = self.probed()
         order, members = self.table.order, self.table.members
         names = (
             order.next_in_ring(probed, self.table.suspected),
--- a/thistlelever/membership/suspicion.py
+++ b/thistlelever/membership/suspicion.py
@@ -50,6 +50,12 @@
             # the refutation to get out, and one more accuser where there is none.
             self.prober.probe(now, member)
 
+    def accuse_and_probe(self, now: float, member: Member, accuser: int, by: str, path: str) -> None:
+        """One more accuser, and this front sees for itself: its ping tells the member what to refute."""
+        self.accuse(now, member, accuser, by, path)
+        if member.name not in self.prober.probed():
+            self.prober.probe(now, member)
+
     def duration(self, member: Member) -> float:
         """How long it has to refute.
 
