Rigs and tests listen at an address of their own process; a start that ends says so at once

Cause: a port at 127.0.0.1 was chosen, freed, and bound by the front later; outgoing connections of any process draw from the same range. The start then waited for a line of a process that had ended. Now each rig has an address of 127.64.0.0/10 by its process number, and a start ends with NotStartedError, the exit code and the last log lines. No time limit changed.

--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -21,6 +21,7 @@
 from pathlib import Path
 from time import time
 
+from rigs.loopback import HOST, free_port
 from thistlelever.lifecycle import admin
 from thistlelever.standins.directory import Directory
 from thistlelever.standins.http_engine import Engine
@@ -29,6 +30,8 @@
 
 ROOT = Path(__file__).parents[1]
 START_WITHIN = 20.0
+# Of a process that ends before it is ready, so many of its last log lines are told.
+LAST_LINES = 5
 
 
 class Wire:
@@ -100,12 +103,16 @@
             raw.close()
 
 
+class NotStartedError(Exception):
+    """A front's process ended before it was ready, or took too long."""
+
+
 class Front:
     """One name of the tier, and its process while it lives."""
 
     def __init__(self, fleet, place):
         self.fleet, self.place, self.name = fleet, place, f"front-{place}"
-        self.real = ("127.0.0.1", free_port(socket.SOCK_DGRAM))
+        self.real = (HOST, free_port(socket.SOCK_DGRAM))
         self.known_as = fleet.wire.add(self.real)
         self.port = free_port(socket.SOCK_STREAM)
         self.socket = f"{fleet.folder}/{place}.sock"
@@ -132,7 +139,7 @@
         peers = ["{}:{}".format(*front.known_as) for front in self.fleet.fronts]
         return config | {
             "name": self.name,
-            "listen": f"127.0.0.1:{self.port}",
+            "listen": f"{HOST}:{self.port}",
             "seed": f"{self.place + 1:x}{self.lives:x}",
             "peers": peers,
             "peer_listen": "{}:{}".format(*self.real),
@@ -160,9 +167,23 @@
             *words, cwd=ROOT, env=env, stdout=asyncio.subprocess.PIPE, limit=2**20
         )
         self.ready = asyncio.Event()
+        before = len(self.lines)
         self.reading = asyncio.create_task(self.read(self.process))
-        async with asyncio.timeout(START_WITHIN):
-            await self.ready.wait()
+        await self.until_ready(before)
+
+    async def until_ready(self, before):
+        """Until its log says `ready`; `NotStartedError` with what it said where it ends or takes too long."""
+        ready = asyncio.create_task(self.ready.wait())
+        ended = asyncio.create_task(self.process.wait())
+        try:
+            await asyncio.wait((ready, ended), timeout=START_WITHIN, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            ready.cancel()
+            ended.cancel()
+        if not self.ready.is_set():
+            code = self.process.returncode
+            why = "not ready in time" if code is None else f"ended with {code}"
+            raise NotStartedError(f"{self.name}: {why}: {self.lines[before:][-LAST_LINES:]}")
 
     async def read(self, process):
         while line := await process.stdout.readline():
@@ -220,7 +241,7 @@
         loop = asyncio.get_running_loop()
         while True:
             try:
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.front.port)
+                reader, writer = await asyncio.open_connection(HOST, self.front.port)
             except OSError:
                 await asyncio.sleep(0.05)
                 continue
@@ -302,6 +323,11 @@
 
     async def start(self):
         """Engines first, then all fronts at once."""
+        await self.open()
+        await asyncio.gather(*(front.start() for front in self.fronts))
+
+    async def open(self):
+        """The engines, and each front's place and ways; no front's process yet."""
         # Both ends of all that twenty fronts have to engines and clients are in this process.
         _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
         resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
@@ -316,7 +342,6 @@
         self.fronts = [Front(self, place) for place in range(self.many)]
         for front in self.fronts:
             await front.open()
-        await asyncio.gather(*(front.start() for front in self.fronts))
 
     async def __aexit__(self, *why):
         for client in self.clients:
@@ -396,17 +421,3 @@
 def no_files():
     """In the process that is started: whatever it writes to a file fails."""
     resource.setrlimit(resource.RLIMIT_FSIZE, (0, 0))
-
-
-PORTS = defaultdict(set)
-
-
-def free_port(kind):
-    """A port that was free a moment ago, told once: a front that starts again binds it again."""
-    while True:
-        with socket.socket(socket.AF_INET, kind) as raw:
-            raw.bind(("127.0.0.1", 0))
-            port = raw.getsockname()[1]
-        if port not in PORTS[kind]:
-            PORTS[kind].add(port)
-            return port
--- a/rigs/publisher_loss.py
+++ b/rigs/publisher_loss.py
@@ -17,7 +17,8 @@
 import click
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from rigs.fleet import ROOT, free_port
+from rigs.fleet import ROOT
+from rigs.loopback import HOST, free_port
 from rigs.verdict import Chance, close
 
 ENGINES, ELECTION_AFTER_S, LONGEST_LOSS_S, CALM_S = 2_000, 5.0, 12.0, 4.0
@@ -44,7 +45,7 @@
 
     async def start(self, index):
         """One distributor, with its own store."""
-        addresses = [f"127.0.0.1:{port}" for port in self.ports]
+        addresses = [f"{HOST}:{port}" for port in self.ports]
         config = self.folder / f"{index}.json"
         facts = {"name": f"d{index}", "index": index, "listen": addresses[index], "distributors": addresses}
         facts |= {"publisher": index == 0, "store": str(self.folder / f"{index}.db")}
@@ -57,7 +58,7 @@
     async def call(self, index, method, path, body=None):
         """Status and answer; status 0 where there is none."""
         data = None if body is None else json.dumps(body)
-        url = f"http://127.0.0.1:{self.ports[index]}{path}"
+        url = f"http://{HOST}:{self.ports[index]}{path}"
         request = HTTPRequest(url, method, body=data, request_timeout=4.0)
         try:
             reply = await AsyncHTTPClient().fetch(request, raise_error=False)
--- a/tests/distributor_stage.py
+++ b/tests/distributor_stage.py
@@ -7,6 +7,7 @@
 
 from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
+from rigs.loopback import HOST, free_port
 from thistlelever.carrier.subscription import Subscription, SubscriptionTerms
 from thistlelever.distributor import config as configuration
 from thistlelever.distributor.service import Distributor
@@ -17,17 +18,6 @@
 WITHIN = 8.0
 
 
-def free_ports(count):
-    """Ports that were free a moment ago."""
-    sockets = [socket.socket() for _ in range(count)]
-    for raw in sockets:
-        raw.bind(("127.0.0.1", 0))
-    ports = [raw.getsockname()[1] for raw in sockets]
-    for raw in sockets:
-        raw.close()
-    return ports
-
-
 def engine(number, **fields):
     """An engine as it is published; its address follows from its number."""
     facts = {"id": f"engine-{number:05}", "zone": f"zone-{number % 3}", "kind": "std"}
@@ -40,21 +30,21 @@
     def __init__(self, count, stores=None, **sections):
         # Where each distributor keeps its content; None: nowhere.
         self.stores = stores
-        self.ports = free_ports(count)
+        self.ports = [free_port(socket.SOCK_STREAM) for _ in range(count)]
         self.sections = {"heartbeat_s": HEARTBEAT, "subset": {"fronts": 12, "engines": 6}} | sections
         self.running, self.tasks, self.events, self.subscriptions = {}, {}, [], []
 
     @property
     def addresses(self):
-        return tuple(("127.0.0.1", port) for port in self.ports)
+        return tuple((HOST, port) for port in self.ports)
 
     async def start(self, index, **sections):
         """Start one distributor; index 0 publishes unless it is said otherwise."""
         facts = {
             "name": f"distributor-{index}",
             "index": index,
-            "listen": f"127.0.0.1:{self.ports[index]}",
-            "distributors": [f"127.0.0.1:{port}" for port in self.ports],
+            "listen": f"{HOST}:{self.ports[index]}",
+            "distributors": [f"{HOST}:{port}" for port in self.ports],
             "publisher": index == 0,
         }
         if self.stores:
@@ -71,7 +61,7 @@
     async def call(self, index, method, path, body=None):
         """One call as an operator makes it: status and answer."""
         data = None if body is None else json.dumps(body)
-        request = HTTPRequest(f"http://127.0.0.1:{self.ports[index]}{path}", method, body=data)
+        request = HTTPRequest(f"http://{HOST}:{self.ports[index]}{path}", method, body=data)
         reply = await AsyncHTTPClient().fetch(request, raise_error=False)
         return reply.code, json.loads(reply.body)
 
--- a/tests/test_distributor_commands.py
+++ b/tests/test_distributor_commands.py
@@ -1,12 +1,15 @@
 """The commands that run and ask distributors, as an operator uses them, and what they exit with."""
 
 import json
+import socket
 import subprocess
 import sys
 from pathlib import Path
 
 import pytest
-from distributor_stage import engine, free_ports
+from distributor_stage import engine
+
+from rigs.loopback import HOST, free_port
 
 EXAMPLE = Path(__file__).parents[1] / "deploy" / "distributor.example.json"
 
@@ -25,7 +28,7 @@
 @pytest.fixture
 def distributor(tmp_path):
     """One distributor process that publishes, by its address."""
-    address = f"127.0.0.1:{free_ports(1)[0]}"
+    address = f"{HOST}:{free_port(socket.SOCK_STREAM)}"
     config = tmp_path / "distributor.json"
     facts = {"name": "d", "index": 0, "listen": address, "distributors": [address], "publisher": True}
     config.write_text(json.dumps(facts | {"subset": {"fronts": 1}, "store": str(tmp_path / "content.db")}))
@@ -62,7 +65,7 @@
 
 
 def test_nobody_there_and_no_json_exit_2(tmp_path):
-    address = f"127.0.0.1:{free_ports(1)[0]}"
+    address = f"{HOST}:{free_port(socket.SOCK_STREAM)}"
     assert run("status", "--at", address).returncode == 2
     assert run("publish", "--at", address, "-", source="{").returncode == 2
 
--- a/tests/test_subscribed_front.py
+++ b/tests/test_subscribed_front.py
@@ -9,6 +9,7 @@
 from distributor_stage import HEARTBEAT, PATIENCE, tier
 from stage import Stage, brisk
 
+from rigs.loopback import HOST
 from thistlelever.carrier.subscribed_list import KnownNames, SubscribedList
 from thistlelever.carrier.subscription import Listing
 from thistlelever.distribution.messages import Delta, Removal
@@ -117,7 +118,7 @@
         super().__init__()
         self.distributors = distributors
         self.sections["distribution"] = {
-            "distributors": [f"127.0.0.1:{port}" for port in distributors.ports],
+            "distributors": [f"{HOST}:{port}" for port in distributors.ports],
             "heartbeat_s": HEARTBEAT,
             "patience_s": PATIENCE,
         }
