A death by hearsay waits no longer than a suspicion with all accusers, from its beginning

Hearsay now ends a suspicion that is as old as one with all accusers, but not within twice a suspicion's time after the member's own last answer.

--- a/thistlelever/membership/merge.py
+++ b/thistlelever/membership/merge.py
@@ -85,7 +85,7 @@
             # Departs from SWIM: a death by hearsay is one more accuser. Who passes it on may be of the other
             # side of a cut that has just healed, where the member was out of reach and could refute nothing.
             self.counts["deaths by hearsay"] += 1
-            self.suspicions.accuse_and_probe(now, member, tag(by), by, BY_DEATH_RUMOUR)
+            self.suspicions.hear_of_death(now, member, tag(by), by, BY_DEATH_RUMOUR)
         else:
             self.table.set_state(now, member, update.state, by, BY_GOSSIP)
             self.gossip.add(member.record())
--- a/thistlelever/membership/suspicion.py
+++ b/thistlelever/membership/suspicion.py
@@ -12,6 +12,8 @@
 
 # A member that was suspected and refuted it lately is given longer, up to so many times.
 MAX_REFUTATION_FACTOR = 4
+# A death by hearsay is believed at the earliest so many suspicions after the member's last answer.
+ANSWERED_FACTOR = 2
 
 
 class Suspicions:
@@ -50,23 +52,35 @@
             # the refutation to get out, and one more accuser where there is none.
             self.prober.probe(now, member)
 
-    def accuse_and_probe(self, now: float, member: Member, accuser: int, by: str, path: str) -> None:
-        """One more accuser, and this front sees for itself: its ping tells the member what to refute."""
+    def hear_of_death(self, now: float, member: Member, accuser: int, by: str, path: str) -> None:
+        """One more accuser, and this front sees for itself: its ping tells the member what to refute.
+
+        From the beginning of this front's own suspicion it has as long as with all accusers, as whoever says
+        that it is dead has waited for the rest; and longer where it answered this front a moment ago.
+        """
         self.accuse(now, member, accuser, by, path)
+        confirmed = member.since + self.base_duration(self.config.accusers)
+        unanswered = member.answered_at + ANSWERED_FACTOR * self.base_duration(1)
+        member.deadline = min(member.deadline, max(confirmed, unanswered))
         if member.name not in self.prober.probed():
             self.prober.probe(now, member)
 
     def duration(self, member: Member) -> float:
-        """How long it has to refute.
+        """How long it has to refute; longer for who refuted lately: a bound on how often one flaps."""
+        return self.base_duration(len(member.accusers)) * min(
+            1 + len(member.refuted_at), MAX_REFUTATION_FACTOR
+        )
+
+    def base_duration(self, accusers: int) -> float:
+        """How long one that did not refute lately has, with so many accusers.
 
         Longer in a larger tier, where word takes longer (SWIM), shorter with each further accuser
-        (Lifeguard), longer for who refuted lately: a bound on how often one flaps.
+        (Lifeguard).
         """
         size_factor = max(1.0, log10(self.table.living_count + 2))
         longest = self.config.suspicion_timeout * size_factor * self.health.patience()
-        accusers = len(member.accusers)
         confirmed = log(accusers) / log(self.config.accusers) if accusers > 1 else 0.0
-        return longest * (1 - confirmed / 2) * min(1 + len(member.refuted_at), MAX_REFUTATION_FACTOR)
+        return longest * (1 - confirmed / 2)
 
     def expire(self, now: float, alone: bool) -> None:
         """Members whose time to refute is over are held dead, unless this front can't tell."""
