A front that may be alone ends no suspicion, however patient it has become

Cause: patience lengthens the silence after which a front knows that it is alone (0.35 to 0.525 s), while a suspicion keeps the 0.4 s with which it began: for 0.1 s a death is believed first. Ruled out: late copies (the front heard the others all along; none answered it). Change: at its end a suspicion waits a round at a time while nobody has answered for 0.35 s. Looked for elsewhere: what is due while alone was put off already; a pause clears all.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -225,8 +225,8 @@
     The log of `rigs.membership --seed 6003`, twelve at a time: front-3 is cut off at 567.340 s; at 567.443 it
     suspects front-2 by a probe that failed by chance; at 567.521 it is told of a suspicion of itself, which
     makes it patient; at 567.844 "member dead front-2 by front-3, 1 accusers", 0.401 s after the doubt; at
-    567.940 "nobody answers". It takes 0.35 s without an answer to be alone, up to 0.525 s where it is patient,
-    and the suspicion kept the 0.4 s with which it began.
+    567.940 "nobody answers". It takes 0.35 s without an answer to be alone, up to 0.525 s where it is
+    patient, and the suspicion kept the 0.4 s with which it began.
     """
     net = tier(5, seed, loss=0.2)
     net.run(net.now + seed % 20 / 20)
--- a/thistlelever/membership/local_health.py
+++ b/thistlelever/membership/local_health.py
@@ -41,9 +41,10 @@
     def is_unheard(self, now: float, timeout: float) -> bool:
         """Whether nobody has answered for longer than the timeout.
 
-        Risk: patience grows just while nobody answers, and who is cut off must know it before it holds others
-        dead; it counts up to a bound here.
+        Risk: patience grows just while nobody answers; it counts up to a bound here.
         """
-        if self.unanswered < MIN_UNANSWERED:
-            return False
-        return now - self.answered_at > timeout * min(self.patience(), MAX_ISOLATION_PATIENCE)
+        return self.may_be_unheard(now, timeout * min(self.patience(), MAX_ISOLATION_PATIENCE))
+
+    def may_be_unheard(self, now: float, timeout: float) -> bool:
+        """Whether nobody has answered for the timeout itself, however patient this front is."""
+        return self.unanswered >= MIN_UNANSWERED and now - self.answered_at > timeout
--- a/thistlelever/membership/suspicion.py
+++ b/thistlelever/membership/suspicion.py
@@ -89,6 +89,9 @@
             member = members[name]
             if alone:
                 member.deadline = now + self.duration(member)
+            elif self.health.may_be_unheard(now, self.config.isolation_timeout):
+                # Risk: a suspicion may end before a patient front knows that it is alone.
+                member.deadline = now + self.config.period
             elif member.answered_at > member.since:
                 # Departs from SWIM: nobody takes for dead whom it has itself heard since the suspicion began.
                 self.counts["doubts that an answer put off"] += 1
