Who refuted a suspicion lately is asked up to twice more before the next accusation

Cause: with the link broken each probe hangs on detours of four lossy ways; having refuted made the suspicion longer, and the next accusation no less likely. Ruled out: the machine's delay (answers of 0.202 s, the probe's own time). Change: a further round of detours for each refutation of the last minute, two at most.

--- a/thistlelever/membership/prober.py
+++ b/thistlelever/membership/prober.py
@@ -13,12 +13,22 @@
 
 # How often a probe without an answer is tried again, straight and by way of others, before it has failed.
 MAX_RETRIES = 2
+# Once more for each time that the member refuted a suspicion lately, up to so many times.
+MAX_FURTHER_RETRIES = 2
 # An answer that comes so long after it was given up still says that its sender lives.
 LATE_ANSWER = 1.0
 # Probes in flight beyond which none is begun for others: so many, and so many for each witness.
 MAX_IN_FLIGHT, MAX_IN_FLIGHT_A_WITNESS = 64, 4
 
 
+def max_retries(member: Member) -> int:
+    """How often a probe of this member is tried again before it has failed.
+
+    Risk: over a link that is broken for long all depends on detours, which loss breaks again and again.
+    """
+    return MAX_RETRIES + min(len(member.refuted_at), MAX_FURTHER_RETRIES)
+
+
 class Probe:
     """A ping that is in flight: for this front's own sake, or for another's that asked."""
 
@@ -113,7 +123,7 @@
                 self.answer_asker(probe, Kind.NACK)
             elif member is None or not member.lives:
                 del self.probes[nonce]
-            elif probe.retries < MAX_RETRIES:
+            elif probe.retries < max_retries(member):
                 self.retry(now, nonce, probe, member)
             else:
                 del self.probes[nonce]
@@ -126,7 +136,7 @@
         probe.asked += self.ask_others(nonce, member)
         # And once more straight: of all that fails, a single loss is the likeliest.
         self.outbox.send(member, Kind.PING, nonce)
-        share = 1 if probe.retries == MAX_RETRIES else 2
+        share = 1 if probe.retries == max_retries(member) else 2
         probe.due = now + self.config.indirect_timeout / share * self.health.patience()
 
     def ask_others(self, nonce: int, member: Member) -> int:
