--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -208,7 +208,7 @@
 
     The log of `rigs.membership --seed 6003`, eight at a time, link 4 to 0 cut for 1.74 s: front-4 suspects
     front-0 at 166.620, 166.921, 167.522 and 168.121 s, each time "no answer in 0.202 s, nor to 6 others (2
-    said so)", and front-0 refutes each within 0.18 s. All depends on the others there: at 20% loss the four ways
+    said so)", and front-0 refutes each within 0.18 s. All depends on the others: at 20% loss the four ways
     of a detour fail six times in ten, all of two rounds some four times in a hundred, ten probes or so in
     that time. That it had refuted made the suspicion longer, and the next accusation no less likely.
     """
