After a failed write or sync all that is kept goes to a new file

Cause: the sync that follows a failed one succeeds without what was lost; SQLite drops the errors of its own checkpoints, and the keeper opened the file again and believed it. Ruled out: the cut itself (case 0 holds), failed syncs of the file (copied again). Change: checkpoints are the store's own and their errors seen; ledger/replacement.py writes a new file, ledger/folder.py puts it in place so that a kill is finished or undone.

--- a/tests/test_failed_sync.py
+++ b/tests/test_failed_sync.py
@@ -4,8 +4,8 @@
 them. After a failed sync of its log the store went on with the same file: SQLite drops the errors of the
 take-over that it does by itself, and a failed write closed the file and opened it again. The next sync was
 believed, the pages of the file were written over from a log that was not on the disk, and where the power
-went then the store was "malformed" when it was opened. Each sync of a small life fails here in turn (0: none),
-and the power goes before each later one, with any first part of what was not synced on the disk.
+went then the store was "malformed" when it was opened. Each sync of a small life fails here in turn (0 is
+none), and the power goes before each later one, with any first part of what was not synced on the disk.
 """
 
 import os
@@ -17,9 +17,11 @@
 import pytest
 
 from thistlelever.ledger import file as files
+from thistlelever.ledger import folder, records
 from thistlelever.ledger.file import File
 from thistlelever.ledger.keeper import Keeper
 from thistlelever.ledger.records import Mark, Moment
+from thistlelever.ledger.replacement import replaced
 
 AT = Moment(1e9, 50.0, "boot")
 TURNS, MARKS_A_TURN = 6, 120
@@ -153,3 +155,37 @@
     assert not keeper.failing
     assert turns_of(place) == TURNS
     assert disk.syncs
+
+
+class Killed(BaseException):
+    """Stands for the end of the process."""
+
+
+@pytest.mark.parametrize("step", range(7))
+def test_a_kill_within_the_replacement_is_finished_or_undone_by_the_next_start(tmp_path, monkeypatch, step):
+    path = tmp_path / "state.db"
+    failed = File(str(path))
+    failed.write([("mark", b"old", records.pack(mark(1)))])
+    steps = count()
+
+    def dies(call):
+        def told(*words):
+            if next(steps) == step:
+                raise Killed
+            return call(*words)
+
+        return told
+
+    with monkeypatch.context() as patch:
+        patch.setattr(folder.os, "replace", dies(os.replace))
+        patch.setattr(folder, "sync_folder", dies(folder.sync_folder))
+        try:
+            rows = [("mark", b"old", records.pack(mark(1))), ("mark", b"new", records.pack(mark(2)))]
+            replaced(failed, rows).close()
+        except Killed:
+            failed.abandon()
+    survivor = File(str(path))
+    found = {key for _, key, _ in survivor.read()}
+    assert found in ({b"old"}, {b"old", b"new"}) and not survivor.verify()
+    survivor.close()
+    assert not os.path.exists(str(path) + folder.NEW)
--- a/thistlelever/ledger/file.py
+++ b/thistlelever/ledger/file.py
@@ -12,6 +12,7 @@
 from msgspec import Struct
 
 from thistlelever.ledger import records
+from thistlelever.ledger.folder import finish_replacement
 from thistlelever.ledger.records import Damaged, Newer
 
 # The file's mark (PRAGMA application_id), so that a foreign database is not written to; and its own layout.
@@ -56,18 +57,22 @@
         flags = (
             apsw.SQLITE_OPEN_READONLY if read_only else (apsw.SQLITE_OPEN_READWRITE | apsw.SQLITE_OPEN_CREATE)
         )
-        self.path, self.read_only = path, read_only
+        self.path, self.vfs, self.read_only = path, vfs, read_only
+        # Pages in the log since it was last taken over.
+        self.log_pages = 0
         try:
+            if not read_only:
+                finish_replacement(path)
             self.base = apsw.Connection(path, flags=flags, vfs=vfs)
         except (apsw.Error, OSError) as why:
             raise said(why) from None
         try:
             self.prepare()
         except Failing:
-            self.close()
+            self.abandon()
             raise
         except (apsw.Error, OSError) as why:
-            self.close()
+            self.abandon()
             raise said(why) from None
 
     def prepare(self) -> None:
@@ -87,7 +92,10 @@
             return
         base.pragma("journal_mode", "wal")
         base.pragma("synchronous", "normal")
-        base.pragma("wal_autocheckpoint", LOG_PAGES)
+        # Risk: SQLite drops the errors of checkpoints that it makes by itself, and of the one at its close.
+        base.wal_autocheckpoint(0)
+        base.set_wal_hook(self.note_log)
+        base.config(apsw.SQLITE_DBCONFIG_NO_CKPT_ON_CLOSE, 1)
         base.pragma("journal_size_limit", LOG_PAGES * 4096)
         if mark != OURS or not tables:
             with base:
@@ -126,9 +134,21 @@
                     else:
                         row = kind, key, data
                         self.base.execute("insert or replace into records values (?, ?, ?)", row)
+            if self.log_pages >= LOG_PAGES:
+                self.checkpoint()
         except (apsw.Error, OSError) as why:
             raise said(why) from None
 
+    def note_log(self, base: apsw.Connection, name: str, pages: int) -> int:
+        """SQLite tells how long the log is after each commit."""
+        self.log_pages = pages
+        return apsw.SQLITE_OK
+
+    def checkpoint(self) -> None:
+        """Take the log over into the file and sync both; `apsw.Error` where the disk refuses."""
+        self.base.wal_checkpoint(mode=apsw.SQLITE_CHECKPOINT_TRUNCATE)
+        self.log_pages = 0
+
     def verify(self) -> list[str]:
         """What is wrong with the file and its records; nothing where all is well."""
         try:
@@ -148,15 +168,33 @@
             if not always and self.base.pragma("freelist_count") < FREE_PAGES:
                 return False
             self.base.execute("vacuum")
-            self.base.pragma("wal_checkpoint", "truncate")
+            self.checkpoint()
             return True
         except apsw.Error as why:
             raise said(why) from None
 
-    def close(self) -> None:
+    def finish(self) -> None:
+        """Take the log over and close; `Failing` where the disk refuses, and the file stays open then."""
+        try:
+            if not self.read_only:
+                self.checkpoint()
+                self.base.config(apsw.SQLITE_DBCONFIG_NO_CKPT_ON_CLOSE, 0)
+        except (apsw.Error, OSError) as why:
+            raise said(why) from None
+        self.abandon()
+
+    def abandon(self) -> None:
+        """Close without another word to the disk."""
         with suppress(apsw.Error):
             self.base.close(True)
 
+    def close(self) -> None:
+        """Close for good; what can't be taken over stays in the log."""
+        try:
+            self.finish()
+        except Failing:
+            self.abandon()
+
 
 def size(path: str) -> int:
     """Bytes on disk, the log included."""
--- a/thistlelever/ledger/keeper.py
+++ b/thistlelever/ledger/keeper.py
@@ -6,13 +6,14 @@
 from __future__ import annotations
 
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from time import monotonic
 
 from msgspec import Struct
 
 from thistlelever.ledger import records
 from thistlelever.ledger.file import MOST, Failing, File
+from thistlelever.ledger.replacement import replaced
 
 # Between two writes, and the longest pause after one that failed. What a kill loses is what came since the
 # last write began: `EVERY` and the write itself.
@@ -23,6 +24,12 @@
 Change = tuple[str, bytes]
 
 
+def packed(changes: dict[Change, Struct | None]) -> Iterator[tuple[str, bytes, bytes | None]]:
+    """Changes as the file takes them."""
+    for (kind, key), record in changes.items():
+        yield kind, key, record and records.pack(record)
+
+
 class Keeper:
     """`put` and `drop` from the loop's thread alone; the other thread takes what has changed, whole."""
 
@@ -38,6 +45,8 @@
         self.dirty: dict[Change, Struct | None] = {}
         self.lock, self.wake, self.ended = threading.Lock(), threading.Event(), False
         self.file: File | None = None
+        # Whether a write or a sync of the file failed: what it seems to hold may not be on the disk.
+        self.doubted = False
         self.thread: threading.Thread | None = None
         self.failing, self.damaged = "not open yet", []
         self.writes, self.written, self.longest, self.full = 0, 0, 0.0, 0
@@ -94,7 +103,7 @@
         if self.thread:
             self.thread.join(grace)
         if self.file and not (self.thread and self.thread.is_alive()):
-            self.file.close()
+            self.finish()
 
     # On its own thread.
 
@@ -120,10 +129,12 @@
                 self.file = self.open_file()
                 # Whatever is there now, memory is what holds.
                 changes = self.whole() | changes
-            if changes:
-                self.file.write(
-                    (kind, key, record and records.pack(record)) for (kind, key), record in changes.items()
-                )
+            if self.doubted:
+                changes = self.whole() | changes
+                self.file = replaced(self.file, packed(changes))
+                self.doubted = False
+            elif changes:
+                self.file.write(packed(changes))
                 self.file.compact()
         except Failing as why:
             self.give_back(changes, str(why))
@@ -150,12 +161,24 @@
         """Not written: it waits for the next time, but for what has changed since."""
         with self.lock:
             self.dirty = changes | self.dirty
-        if self.file and not why.startswith(("full", "held")):
+        if self.file and why.startswith("io"):
+            self.doubted = True
+        elif self.file and not why.startswith(("full", "held")):
             # A file that is gone, read-only or spoilt is opened anew.
-            self.file.close()
+            self.file.abandon()
             self.file = None
         self.tell(why)
 
+    def finish(self) -> None:
+        """Close the file; where that fails, once more by a new one."""
+        try:
+            self.file.finish()
+        except Failing as why:
+            self.give_back({}, str(why))
+            self.write()
+            if self.file:
+                self.file.close()
+
     def tell(self, failing: str) -> None:
         if failing.partition(":")[0] != self.failing.partition(":")[0]:
             self.failing = failing
