--- a/.ci/known_red.py
+++ b/.ci/known_red.py
@@ -8,8 +8,8 @@
     tests/test_x.py::test_y, python -m rigs.y --seed 3, the views differ, 36
 
 The test is named as pytest does, or `-` where CI plays none for it; the issue is a number. What was seen of
-a test that fails now and then begins with `intermittent: N of M runs`, and it may pass. Without a list pytest's code
-stands.
+a test that fails now and then begins with `intermittent: N of M runs`, and it may pass. Without a list
+pytest's code stands.
 """
 
 from __future__ import annotations
