--- a/rigs/takeover.py
+++ b/rigs/takeover.py
@@ -20,10 +20,13 @@
 from rigs.sabotaged import WORK_GUARDS
 from rigs.takeover_clients import Clients
 from rigs.takeover_engines import Machines
-from rigs.takeover_judge import judged
+from rigs.takeover_judge import judged, judged_answers
 from rigs.takeover_terms import GIVES_UP, GROUPS, GROWN, KEEP, settings
 from rigs.verdict import Chance, close
 
+# An answer that comes so long after the run is told as a late one.
+LATE_WITHIN = 3.0
+
 
 class Play:
     """What is done to the fleet, in the order and at the counts that the seed gives."""
@@ -236,6 +239,11 @@
             while any(a.over_at is None or not a.outcome for a in clients.requests) or clients.owed():
                 await asyncio.sleep(0.1)
         broken, figures = judged(fleet, play, machines, clients)
+        if figures["unanswered"]:
+            # Whether those answers were late or never came.
+            before = judged_answers(fleet, clients)[0]["0"]
+            await asyncio.sleep(LATE_WITHIN)
+            figures["answered_late"] = before - judged_answers(fleet, clients)[0]["0"]
         if plot:
             picture(play, clients, plot, f"takeover-{seed}{'' if takeover else '-without'}")
         sweeping.cancel()
--- a/rigs/takeover_judge.py
+++ b/rigs/takeover_judge.py
@@ -3,7 +3,10 @@
 import asyncio
 from collections import Counter, defaultdict
 
-from rigs.takeover_terms import DROPS_AFTER, GOAL
+from rigs.takeover_terms import DROPS_AFTER, GOAL, LIMIT
+
+# Of tries without an answer so many are told.
+MOST_TOLD = 8
 
 # The counts of log lines among the figures, by the events that they count.
 COUNTED = {
@@ -39,6 +42,7 @@
     if failed := {event: n for event, n in events.items() if event.endswith("failed")}:
         broken.append(f"fronts failed: {failed}")
     return broken, {
+        "unanswered": unanswered(fleet, play, clients)[:MOST_TOLD],
         "requests": len(clients.requests),
         "outcomes": dict(outcomes),
         "answers": {"0": answers["0"], "2+": answers["2+"]},
@@ -70,6 +74,38 @@
     return answers, outcomes
 
 
+def unanswered(fleet, play, clients):
+    """Each try without an answer whose front lived on, and each request that nobody answered: of which front,
+    when in the run, and what was done to fronts from then till the end of its time."""
+    lives = {(front, front.lives) for front in fleet.fronts if front.lives_on}
+    began = clients.requests[0].at if clients.requests else 0.0
+    found = []
+    for asked in done(clients):
+        silent = [
+            one
+            for one in asked.tries
+            if not one.answers
+            and (asked.outcome == "unheard" or (one.front, one.life) in lives and not one.closed)
+        ]
+        for one in silent:
+            meanwhile = [name for name, since, till in play.done if since < one.at + LIMIT and till > one.at]
+            found.append(
+                {
+                    "group": asked.group,
+                    "mark": asked.mark,
+                    "txn": one.txn,
+                    "front": one.front.name,
+                    "at_s": round(one.at - began, 3),
+                    "closed": one.closed,
+                    "tries": len(asked.tries),
+                    "outcome": asked.outcome,
+                    "given_up_after_s": round(asked.over_at - one.at, 3),
+                    "meanwhile": meanwhile,
+                }
+            )
+    return found
+
+
 def judged_effects(machines, clients):
     """Once-only requests that ran twice, the most runs of one at once, tries that were told harmless though
     they ran, and a line for each request whose results differ."""
