A refutation counts for a minute, also where no other follows

What was seen: by reading; a member that refuted once kept longer suspicions, and now further tries of a probe, until it refuted again. Cause: old refutations were dropped only as a new one came. Change: dropped once a second with what else is long gone. The test is red on the code before.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -189,6 +189,22 @@
     assert not by_woken and not net.false
 
 
+def test_refutations_of_long_ago_make_no_suspicion_longer():
+    """A member that refuted one suspicion kept its later ones twice as long for the rest of the run.
+
+    The page says that a refutation counts for a minute; it was dropped only when the next one came. Found by
+    reading, as the number of tries of a probe came to hang on it too.
+    """
+    net = tier(5)
+    judge, member = net.judges["n0"], net.judges["n0"].members["n1"]
+    ordinary = judge.suspicions.duration(member)
+    judge.suspicions.accuse(net.now, member, 7, "n0", "as the test says")
+    net.run(net.now + 2.0)
+    assert member.refuted_at and judge.suspicions.duration(member) == 2 * ordinary
+    net.run(net.now + 62.0)
+    assert judge.suspicions.duration(member) == ordinary
+
+
 def test_a_broken_link_between_two_is_nobodys_death():
     net = tier(6)
     net.cut = lambda source, target: (source, target) == ("n1", "n2")
--- a/thistlelever/membership/judge.py
+++ b/thistlelever/membership/judge.py
@@ -208,9 +208,10 @@
         self.prober.begin_round(now)
 
     def forget(self, now: float) -> None:
-        """Drop what is known of members that are long gone, and pings that nobody will answer."""
+        """Drop members that are long gone, refutations of long ago, and pings that nobody will answer."""
         for name in self.table.forget(now, self.config.forget_after):
             self.gossip.drop(name)
+        self.table.forget_refutations(now)
         self.prober.drop_late(now)
 
     def probe_failed(self, now: float, member: Member, probe: Probe) -> None:
--- a/thistlelever/membership/table.py
+++ b/thistlelever/membership/table.py
@@ -66,8 +66,7 @@
         if member.lives:
             self.toggle_in_digest(now, member)
         if member.state in (State.SUSPECTED, State.DEAD) and life == member.life:
-            recent = (at for at in member.refuted_at if at > now - REFUTATION_MEMORY)
-            member.refuted_at = (*recent, now)
+            member.refuted_at = (*member.refuted_at, now)
         if life != member.life:
             member.last_number, member.numbers_seen, member.answered_at = 0, 0, NEVER
         self.release_address(member)
@@ -104,6 +103,12 @@
         """Note a change of this front."""
         self.record_change(Change(now, self.local.identity.name, state, None, by, path, late))
 
+    def forget_refutations(self, now: float) -> None:
+        """Drop refutations of long ago: they make nothing longer any more."""
+        for member in self.members.values():
+            if member.refuted_at and member.refuted_at[0] <= now - REFUTATION_MEMORY:
+                member.refuted_at = tuple(at for at in member.refuted_at if at > now - REFUTATION_MEMORY)
+
     def forget(self, now: float, after: float) -> list[str]:
         """Drop members that have been dead or gone for so long; their names."""
         gone = [m for m in self.members.values() if not m.lives and now - m.since > after]
