rigs.takeover shows its own loop's lag, when a line left its client, and connections closed silent

A try whose line leaves 1.5 s after its connection came up meets the front's close of a silent client: seen with 12 rigs at once, sent after 1.85 and 2.22 s. Without these figures that reads as a front that dropped a request. No check changed.

--- a/rigs/takeover.py
+++ b/rigs/takeover.py
@@ -24,6 +24,8 @@
 from rigs.takeover_terms import GIVES_UP, GROUPS, GROWN, KEEP, settings
 from rigs.verdict import Chance, close
 
+# Counts of the fronts that are shown, beside takeover's own: by how they begin.
+COUNTED = ("work ", "silent clients closed", "connections past the bound", "idle clients closed")
 # An answer that comes so long after the run is told as a late one.
 LATE_WITHIN = 3.0
 
@@ -252,7 +254,7 @@
         figures["seconds"] = round(time() - began, 1)
         counts = Counter()
         for said in await asyncio.gather(*(front.ask("counts") for front in fleet.fronts)):
-            counts.update({k: v for k, v in (said or {}).items() if "takeover" in k or k.startswith("work ")})
+            counts.update({k: v for k, v in (said or {}).items() if "takeover" in k or k.startswith(COUNTED)})
         figures["counts"] = dict(sorted(counts.items()))
     return broken, figures
 
--- a/rigs/takeover_clients.py
+++ b/rigs/takeover_clients.py
@@ -10,14 +10,31 @@
 from rigs.takeover_terms import GIVES_UP, GROUPS, LIMIT, MOST_TRIES, PATIENCE
 
 
+# How often the loop's lag is looked at, in seconds.
+LAG_EVERY = 0.02
+
+
 class Try:
     """One submission."""
 
-    __slots__ = ("txn", "front", "life", "at", "answers", "what", "result", "answered_at", "closed")
+    __slots__ = (
+        "txn",
+        "front",
+        "life",
+        "at",
+        "answers",
+        "what",
+        "result",
+        "answered_at",
+        "closed",
+        "sent_after",
+    )
 
     def __init__(self, txn, front, at):
         self.txn, self.front, self.life, self.at = txn, front, front.lives, at
         self.answers, self.what, self.result, self.answered_at, self.closed = 0, "", None, None, False
+        # How long after the try began its line was written; None where there was no connection.
+        self.sent_after = None
 
 
 class Request:
@@ -38,6 +55,9 @@
         self.fleet, self.chance, self.every = fleet, chance, every
         self.requests, self.numbers, self.marks = [], count(1), count(1)
         self.tasks, self.connections = set(), set()
+        # How late the loop was at the most: clients, engines and the network between are one process.
+        self.longest_lag = 0.0
+        self.watching = self.aside(self.watch_lag())
         self.pacing = [asyncio.create_task(self.pace(front)) for front in fleet.fronts]
 
     async def pace(self, front):
@@ -45,6 +65,13 @@
             await asyncio.sleep(self.every * (0.5 + self.chance.share("pace", front.place, number)))
             self.aside(self.request(front, number))
 
+    async def watch_lag(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            due = loop.time() + LAG_EVERY
+            await asyncio.sleep(LAG_EVERY)
+            self.longest_lag = max(self.longest_lag, loop.time() - due)
+
     def aside(self, work):
         task = asyncio.create_task(work)
         self.tasks.add(task)
@@ -115,6 +142,7 @@
             one.closed = True
             return
         self.connections.add(writer)
+        one.sent_after = round(asyncio.get_running_loop().time() - one.at, 3)
         try:
             writer.write(call(asked, one, again))
             while line := await reader.readline():
--- a/rigs/takeover_judge.py
+++ b/rigs/takeover_judge.py
@@ -43,6 +43,7 @@
         broken.append(f"fronts failed: {failed}")
     return broken, {
         "unanswered": unanswered(fleet, play, clients)[:MOST_TOLD],
+        "rig_lag_s": round(clients.longest_lag, 3),
         "requests": len(clients.requests),
         "outcomes": dict(outcomes),
         "answers": {"0": answers["0"], "2+": answers["2+"]},
@@ -97,6 +98,7 @@
                     "front": one.front.name,
                     "at_s": round(one.at - began, 3),
                     "closed": one.closed,
+                    "sent_after_s": one.sent_after,
                     "tries": len(asked.tries),
                     "outcome": asked.outcome,
                     "given_up_after_s": round(asked.over_at - one.at, 3),
