--- a/rigs/scale_real.py
+++ b/rigs/scale_real.py
@@ -25,7 +25,8 @@
     def __init__(self, place, folder, yard, distributors):
         self.place, self.folder, self.yard = place, Path(folder), yard
         self.distributors = distributors
-        self.child, self.directory, self.lives, self.port = None, None, 1, 0
+        self.child, self.directory, self.lives = None, None, 1
+        self.host, self.port = "127.0.0.1", 0
 
     @property
     def process(self):
@@ -75,7 +76,7 @@
         self.child = Child(*words, environment={"BALANCER_CONFIG": str(papers)})
         await self.child.start()
         ready = next(line for line in self.child.log if line["event"] == "ready")
-        self.port = ready["listen"][1]
+        self.host, self.port = ready["listen"]
 
     async def close(self):
         if self.child and self.child.process:
