Read again: a try without an answer is told in one place; rigs ask a front for its host

is_owed and living stand for two copies of the condition in rigs/takeover_judge.py; figures already had the count that rigs.takeover took again; three rigs took the shared address where a front has its own.

--- a/rigs/fleet.py
+++ b/rigs/fleet.py
@@ -71,7 +71,7 @@
         peers = ["{}:{}".format(*front.known_as) for front in self.fleet.fronts]
         return config | {
             "name": self.name,
-            "listen": f"{HOST}:{self.port}",
+            "listen": f"{self.host}:{self.port}",
             "seed": f"{self.place + 1:x}{self.lives:x}",
             "peers": peers,
             "peer_listen": "{}:{}".format(*self.real),
--- a/rigs/takeover.py
+++ b/rigs/takeover.py
@@ -243,9 +243,9 @@
         broken, figures = judged(fleet, play, machines, clients)
         if figures["unanswered"]:
             # Whether those answers were late or never came.
-            before = judged_answers(fleet, clients)[0]["0"]
             await asyncio.sleep(LATE_WITHIN)
-            figures["answered_late"] = before - judged_answers(fleet, clients)[0]["0"]
+            silent = judged_answers(fleet, clients)[0]["0"]
+            figures["answered_late"] = figures["answers"]["0"] - silent
         if plot:
             picture(play, clients, plot, f"takeover-{seed}{'' if takeover else '-without'}")
         sweeping.cancel()
--- a/rigs/takeover_clients.py
+++ b/rigs/takeover_clients.py
@@ -6,7 +6,6 @@
 from contextlib import suppress
 from itertools import count
 
-from rigs.loopback import HOST
 from rigs.takeover_terms import GIVES_UP, GROUPS, LIMIT, MOST_TRIES, PATIENCE
 
 
@@ -137,7 +136,7 @@
     async def submit(self, asked, one, again):
         """One try, until its answer or the end of its connection."""
         try:
-            reader, writer = await asyncio.open_connection(HOST, one.front.port)
+            reader, writer = await asyncio.open_connection(one.front.host, one.front.port)
         except OSError:
             one.closed = True
             return
--- a/rigs/takeover_cost.py
+++ b/rigs/takeover_cost.py
@@ -15,7 +15,6 @@
 import click
 
 from rigs.fleet import Fleet
-from rigs.loopback import HOST
 from rigs.takeover_terms import settings
 from rigs.verdict import Chance, close
 
@@ -42,7 +41,8 @@
     async def play(self, rate, seconds):
         loop = asyncio.get_running_loop()
         pairs = [
-            await asyncio.open_connection(HOST, self.front.port, limit=2**20) for _ in range(CONNECTIONS)
+            await asyncio.open_connection(self.front.host, self.front.port, limit=2**20)
+            for _ in range(CONNECTIONS)
         ]
         hearing = [loop.create_task(self.hear(reader)) for reader, _ in pairs]
         body = b64encode(b"select a from sales_17.orders").decode()
--- a/rigs/takeover_judge.py
+++ b/rigs/takeover_judge.py
@@ -61,15 +61,25 @@
     return [asked for asked in clients.requests if asked.over_at is not None]
 
 
+def living(fleet):
+    """Each front that lives, with the number of its life."""
+    return {(front, front.lives) for front in fleet.fronts if front.lives_on}
+
+
+def is_owed(one, lives):
+    """Whether a try has no answer though its front lived on and its connection stands."""
+    return one.answers == 0 and (one.front, one.life) in lives and not one.closed
+
+
 def judged_answers(fleet, clients):
     """How many tries had no answer though their front lived on, or several; and the requests by outcome."""
     answers, outcomes = Counter(), Counter()
-    lives = {(front, front.lives) for front in fleet.fronts if front.lives_on}
+    lives = living(fleet)
     for asked in done(clients):
         for one in asked.tries:
             if one.answers > 1:
                 answers["2+"] += 1
-            elif one.answers == 0 and (one.front, one.life) in lives and not one.closed:
+            elif is_owed(one, lives):
                 answers["0"] += 1
         outcomes[asked.outcome] += 1
     return answers, outcomes
@@ -78,15 +88,14 @@
 def unanswered(fleet, play, clients):
     """Each try without an answer whose front lived on, and each request that nobody answered: of which front,
     when in the run, and what was done to fronts from then till the end of its time."""
-    lives = {(front, front.lives) for front in fleet.fronts if front.lives_on}
+    lives = living(fleet)
     began = clients.requests[0].at if clients.requests else 0.0
     found = []
     for asked in done(clients):
         silent = [
             one
             for one in asked.tries
-            if not one.answers
-            and (asked.outcome == "unheard" or (one.front, one.life) in lives and not one.closed)
+            if is_owed(one, lives) or not one.answers and asked.outcome == "unheard"
         ]
         for one in silent:
             meanwhile = [name for name, since, till in play.done if since < one.at + LIMIT and till > one.at]
--- a/rigs/takeover_steps.py
+++ b/rigs/takeover_steps.py
@@ -16,7 +16,6 @@
 import click
 
 from rigs.fleet import Fleet
-from rigs.loopback import HOST
 from rigs.verdict import Chance, close
 from thistlelever.standins.papers import GROUP, SETTINGS
 from thistlelever.takeover.places import Places
@@ -199,7 +198,7 @@
         if half:
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2_048)
         raw.setblocking(False)
-        await asyncio.get_running_loop().sock_connect(raw, (HOST, front.port))
+        await asyncio.get_running_loop().sock_connect(raw, (front.host, front.port))
         reader, writer = await asyncio.open_connection(sock=raw, limit=2_048 if half else 2**20)
         params = {
             "id": txn,
