Read again: the keeper takes its whole content once; a limit on a log that is truncated is gone

write() built the whole content twice where a doubted file was also opened anew. journal_size_limit does nothing since the store's checkpoints truncate the log.

--- a/thistlelever/ledger/file.py
+++ b/thistlelever/ledger/file.py
@@ -96,7 +96,6 @@
         base.wal_autocheckpoint(0)
         base.set_wal_hook(self.note_log)
         base.config(apsw.SQLITE_DBCONFIG_NO_CKPT_ON_CLOSE, 1)
-        base.pragma("journal_size_limit", LOG_PAGES * 4096)
         if mark != OURS or not tables:
             with base:
                 base.pragma("application_id", OURS)
--- a/thistlelever/ledger/keeper.py
+++ b/thistlelever/ledger/keeper.py
@@ -125,12 +125,13 @@
             return True
         begun = self.writing_since = monotonic()
         try:
-            if self.file is None:
+            reopened = self.file is None
+            if reopened:
                 self.file = self.open_file()
+            if reopened or self.doubted:
                 # Whatever is there now, memory is what holds.
                 changes = self.whole() | changes
             if self.doubted:
-                changes = self.whole() | changes
                 self.file = replaced(self.file, packed(changes))
                 self.doubted = False
             elif changes:
