Test: a warm engine's queries are counted for three seconds, the same share of them asked

Cause: the sample. A cold engine gets 7 to 9, which is its budget; a warm one is drawn among three, and 240 runs counted over one second gave 19 to 33 (middle 24, three of 19), with the engine warm on time and its queries evenly spread in those three. Ruled out: a start believed late (posts go up 2.0 s after the start is told in each run), a slow client (412 sent, as elsewhere). The ratio of the two paces is what it was; it is taken of three seconds: 120 runs gave 68 to 84, where more than 54 are asked for. The check got longer, no looser.

--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -23,6 +23,10 @@
 # The engine that starts in a run is warm after so many seconds, so that a short run sees both, and bears so
 # little until then that it shows.
 WARM_AFTER, COLD_MULTIPLE = 2.0, 0.02
+# Seconds that a cold engine's queries are counted, from the moment its start is told, and a warm one's.
+COLD_COUNTED, WARM_COUNTED = WARM_AFTER - 0.2, 3.0
+# The share of a warm engine's queries a second, at most, that a cold one gets.
+COLD_SHARE = 0.5 / COLD_COUNTED
 # Seconds between two statements, and that one takes.
 CLIENT_PACE, STATEMENT_TAKES = 0.01, 0.02
 
@@ -130,8 +134,8 @@
 
 async def posts_to_a_new_engine(tmp_path, steps, told_by):
     """A run in which an engine starts, told by a clock that differs by `told_by` seconds, after the front's
-    wall clock was stepped: what the new engine got while it was cold and in the second after it was warm,
-    what an old one got in that second, how many answers were no results, and how many queries were sent."""
+    wall clock was stepped: what the new engine got while it was cold and in the seconds after it was warm,
+    what an old one got in those seconds, how many answers were no results, and how many queries were sent."""
     stir = asyncio.Event()
     engines = {name: Engine(stir) for name in ("alder", "birch", "cedar")}
     for each in engines.values():
@@ -157,11 +161,11 @@
         directory.serial = 2
         directory.entries["cedar"] = (engines["cedar"].port, False)
         directory.starts["cedar"] = round((time.time() + told_by) * 1e3)
-        await asyncio.sleep(WARM_AFTER - 0.2)
+        await asyncio.sleep(COLD_COUNTED)
         cold = posts("cedar")
         await asyncio.sleep(0.7)
         before = posts("cedar"), posts("alder")
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(WARM_COUNTED)
         running.cancel()
         late = sum("error" in answer for answer in client.answers)
         found = cold, posts("cedar") - before[0], posts("alder") - before[1], late, client.sent
@@ -183,6 +187,12 @@
     ],
 )
 def test_an_engine_that_starts_after_a_step_is_cold_and_then_warm_as_without_one(tmp_path, steps, told_by):
+    """Failed once in CI on d68045c, in the run without a step: 9 queries while cold, 18 in the one second
+    that was counted then, where more than 18 were asked for. It was the sample: a cold engine gets 7 to 9
+    (its budget), a warm one is drawn by chance among three. 240 runs counted over one second gave 19 to 33,
+    24 in the middle, three of them 19, and in those three the engine was warm on time and its queries went
+    on evenly. So the same share of a warm engine's pace is asked for, of three seconds in place of one."""
+
     async def whole():
         return await asyncio.gather(
             posts_to_a_new_engine(tmp_path, "", 0.0), posts_to_a_new_engine(tmp_path, steps, told_by)
@@ -190,5 +200,5 @@
 
     usual, stepped = asyncio.run(whole())
     assert not usual[3] and not stepped[3], "an answer that is no result"
-    assert 0 < usual[0] < usual[1] / 2, usual
+    assert 0 < usual[0] / COLD_COUNTED < COLD_SHARE * usual[1] / WARM_COUNTED, usual
     assert stepped[0] < 2 * usual[0] and stepped[1] > usual[1] / 2, (usual, stepped)
