The ready line tells where the time of a start went, in seconds and CPU seconds by stage

Need: fronts that did not start in time beside load, seen twice and not traced: nothing told one that got no CPU from one that waits on something. Change: lifecycle/start_times.py counts from the making of the process (/proc/self/stat) through loaded, configured, built, directory, listening and each part of the operator file; one more field of the one line that a start writes. Tests: a stage that waits, one that works, and a front process that is stopped for 0.6 s as it begins, whose stages show it.

--- /dev/null
+++ b/tests/test_start_times.py
@@ -0,0 +1,63 @@
+"""Where the time of a front's start goes, as its ready line tells it."""
+
+import asyncio
+import json
+import signal
+from pathlib import Path
+from time import sleep
+
+import pytest
+from stage import front_process
+
+from thistlelever.lifecycle import start_times
+from thistlelever.lifecycle.start_times import StartTimes
+from thistlelever.standins.papers import configuration
+
+STOPPED_S = 0.6
+LONGEST_START = 20.0
+
+
+def test_a_stage_that_waits_is_told_from_one_that_works():
+    times = StartTimes()
+    times.reached("loaded")
+    sleep(0.2)
+    times.reached("waits")
+    while sum(range(1000)) and start_times.process_time() - times._cpu < 0.2:
+        pass
+    times.reached("works")
+    waits, works = times.stages["waits"], times.stages["works"]
+    assert waits["s"] >= 0.2 and waits["cpu_s"] < 0.1
+    assert works["cpu_s"] >= 0.2
+
+
+def test_a_process_whose_age_is_not_told_counts_from_now(monkeypatch):
+    monkeypatch.setattr(start_times, "Path", lambda name: Path("/nowhere"))
+    assert start_times.process_age() == 0.0
+
+
+async def started(path, stopped_s):
+    """The ready line of a front that is stopped for so long as it begins."""
+    process = await front_process({"BALANCER_CONFIG": str(path)})
+    try:
+        process.send_signal(signal.SIGSTOP)
+        await asyncio.sleep(stopped_s)
+        process.send_signal(signal.SIGCONT)
+        async with asyncio.timeout(LONGEST_START):
+            line = {}
+            while line.get("event") != "ready":
+                line = json.loads(await process.stdout.readline())
+        return line
+    finally:
+        process.kill()
+        await process.wait()
+
+
+@pytest.mark.parametrize("stopped_s", [0.0, STOPPED_S])
+def test_the_ready_line_tells_the_stages_and_a_stop_among_them(tmp_path, stopped_s):
+    path = tmp_path / "front.json"
+    path.write_text(json.dumps(configuration()))
+    stages = asyncio.run(started(path, stopped_s))["start"]
+    assert list(stages) == ["loaded", "configured", "built", "directory", "listening"]
+    seconds, cpu = (sum(stage[key] for stage in stages.values()) for key in ("s", "cpu_s"))
+    # Ticks of 10 ms: the age of a process is known no better.
+    assert cpu > 0 and seconds - cpu >= stopped_s - 0.02
--- a/thistlelever/cli/serve.py
+++ b/thistlelever/cli/serve.py
@@ -28,13 +28,17 @@
     # the one that was read. Held back from here on, it is a reload once the front is up.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
     from thistlelever.lifecycle.run import serve as run
+    from thistlelever.lifecycle.start_times import StartTimes
 
+    start_times = StartTimes()
+    start_times.reached("loaded")
     config = load_config()
     switched_on = load_operator_file(operator, config)
+    start_times.reached("configured")
     log = Log(config.name)
     logging.basicConfig(handlers=[Libraries(log)], level=logging.WARNING)
     reread = (lambda: read_operator_file(operator)) if operator else None
     try:
-        sys.exit(asyncio.run(run(config, log, switched_on, reread)))
+        sys.exit(asyncio.run(run(config, log, switched_on, reread, start_times)))
     except OSError as error:
         exit_with_error(error, EXIT_FAILURE)
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -24,6 +24,7 @@
 from thistlelever.ground.log import Log
 from thistlelever.ground.manifest import Unreadable
 from thistlelever.ground.papers import Papers, load
+from thistlelever.lifecycle.start_times import StartTimes
 from thistlelever.store.batches import Batches
 from thistlelever.store.bounds import bounds
 from thistlelever.store.links import OWN_WANT, Links
@@ -72,6 +73,8 @@
         operator_again: Callable[[], Operator] | None = None,
     ) -> None:
         self.papers, self.log, self.read_again = papers, log, read_again
+        # A process that counts its start from before this puts its own in place of it.
+        self.start_times = StartTimes()
         # The operator file, where there is one: what is switched on beyond the platform's own front.
         self.operator, self.operator_again = operator, operator_again
         self.tally, self.batches, self.roll = Tally(), Batches(), Roll()
@@ -187,6 +190,7 @@
         loop.add_signal_handler(signal.SIGHUP, self.renew.set)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         await self.inquiry.open(self.papers.directory)
+        self.start_times.reached("directory")
         address = self.papers.peer_listen
         if address and not self.membership:
             await patiently(
@@ -195,9 +199,11 @@
         self.desk.tell(it.ListTold(it.ListKind.CACHED, self.roll.serial, self.roll.told()))
         raw = await patiently(lambda: listener(self.papers.listen))
         self.reception.listen(raw)
+        self.start_times.reached("listening")
         further: dict = {}
         for side in self.sides:
             further |= await side.open()
+            self.start_times.reached(type(side).__name__)
         if self.operator and self.operator.admin:
             from thistlelever.lifecycle.admin import Administration
 
@@ -212,6 +218,7 @@
             engines=len(self.roll.entries),
             serial=self.roll.serial,
             links=self.links.most,
+            start=self.start_times.stages,
             **further,
         )
 
@@ -330,12 +337,15 @@
     log: Log,
     operator: Operator | None = None,
     operator_again: Callable[[], Operator] | None = None,
+    start_times: StartTimes | None = None,
 ) -> int:
     """Serve until SIGTERM and all that was taken is answered."""
     office = Office(papers, log, operator=operator, operator_again=operator_again)
+    office.start_times = start_times or office.start_times
     # What was made at the start lives as long as the front: no collection need look at it again.
     gc.collect()
     gc.freeze()
+    office.start_times.reached("built")
     await office.run()
     return 0
 
