--- a/rigs/membership_model.py
+++ b/rigs/membership_model.py
@@ -285,6 +285,8 @@
 @click.option("--bursts", is_flag=True)
 @click.option("--pauses", is_flag=True)
 def main(seed, members, loss, seconds, deaths, bursts, pauses):
+    if deaths >= members - 1:
+        raise click.UsageError("--deaths: two members at least must live to the end")
     found = {"ours": measure(Judge, members, loss, seconds, deaths, seed, bursts, pauses)}
     plain = MembershipConfig(witnesses=0)
     found["swim"] = measure(Swim, members, loss, seconds, deaths, seed, bursts, pauses, plain)
