--- a/rigs/scale_figures.py
+++ b/rigs/scale_figures.py
@@ -7,7 +7,9 @@
 from rigs.scale_verdict import (
     count_mixed,
     count_went_back,
+    finite,
     judge_ends,
+    last_in_force,
     logs_of,
     share,
     times_in_force,
@@ -125,7 +127,7 @@
     logs = logs_of(yard.hollows, collected)
     mixed, checked, content = count_mixed(logs, play.catalog, yard.subset)
     times = times_in_force(logs, play.catalog, play.excuses)
-    figures = in_force_figures(times)
+    figures = in_force_figures(times) | {"last_in_force": last_in_force(times, logs)}
     if plot:
         picture(times, plot, yard.seed)
     figures |= judge_ends(holdings, play.catalog, content, logs)
@@ -148,10 +150,10 @@
 
 def in_force_figures(times):
     """All changes together, and the longest of each step."""
-    seconds = sorted(found for found, _, _ in times)
+    seconds = sorted(one.seconds for one in times)
     longest = defaultdict(float)
-    for found, step, _ in times:
-        longest[step] = max(longest[step], found)
+    for one in times:
+        longest[one.step] = max(longest[one.step], one.seconds)
     return {
         "in_force_p50_s": finite(share(seconds, 0.5)),
         "in_force_p99_s": finite(share(seconds, 0.99)),
@@ -161,10 +163,6 @@
     }
 
 
-def finite(seconds):
-    return None if isinf(seconds) else round(seconds, 3)
-
-
 def broken_rules(figures):
     """Each rule that the figures break, by name."""
     limits = (
--- a/rigs/scale_hollow.py
+++ b/rigs/scale_hollow.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from time import monotonic, process_time
 
+from rigs.loop_lag import LoopLag
 from rigs.scale_child import commands
 from rigs.scale_front import HollowPlace, control_of, empty_front
 from thistlelever.carrier.directory import Inquiry
@@ -151,6 +152,7 @@
 
     def __init__(self):
         self.fronts, self.log = [], VersionLog()
+        self.lag = LoopLag()
         self.zones, self.fronts_in_all, self.terms = (), 0, None
 
     async def make(self, fronts, zones, fronts_in_all, seed, terms):
@@ -220,7 +222,7 @@
         return core
 
     async def collect(self):
-        return self.log.told()
+        return self.log.told() | {"lags": self.lag.kept}
 
     async def holdings(self):
         return [front.holding() for front in self.fronts]
@@ -228,8 +230,10 @@
 
 async def main():
     host = Host()
+    watching = asyncio.create_task(host.lag.watch())
     names = "make freeze subscribe restart ready_after lowest measure inquire collect holdings"
     await commands({name: getattr(host, name) for name in names.split()})
+    watching.cancel()
 
 
 if __name__ == "__main__":
--- a/rigs/scale_plot.py
+++ b/rigs/scale_plot.py
@@ -15,9 +15,9 @@
     from matplotlib import pyplot
 
     by_step = defaultdict(list)
-    for seconds, step, _ in times:
-        if not isinf(seconds):
-            by_step[step].append(seconds)
+    for one in times:
+        if not isinf(one.seconds):
+            by_step[one.step].append(one.seconds)
     figure, axes = pyplot.subplots(figsize=(10, 6))
     for step, found in by_step.items():
         found.sort()
--- a/rigs/scale_verdict.py
+++ b/rigs/scale_verdict.py
@@ -1,10 +1,12 @@
 """The scale rig's verdict: what the fronts held against the book of what was published."""
 
 from bisect import bisect_right
-from math import inf
+from math import inf, isinf
+from typing import NamedTuple
 
+from rigs.loop_lag import lag_between
 from thistlelever.distribution.records import digest_of
-from thistlelever.distribution.versions import NO_VERSION, unpacked
+from thistlelever.distribution.versions import NO_VERSION, Version, unpacked
 from thistlelever.subsetting import EngineRing, FrontPlace, SubsetTerms
 
 # Of many fronts every so many-th has each of its versions checked, the others those that changed what they
@@ -14,19 +16,31 @@
 
 
 class Held:
-    """What one front held since when: in order, as (life, version, moment, digest)."""
+    """What one front held since when: in order, as (life, version, moment, digest); and the lags of the
+    process that it shares with others."""
 
-    def __init__(self, place):
+    def __init__(self, place, process, lags):
         self.place, self.entries = place, []
+        self.process, self.lags = process, lags
         self.excuses = []
 
 
+class InForce(NamedTuple):
+    """How long one change took to be in force at one front, and when it was; infinite where it never was."""
+
+    seconds: float
+    step: str
+    front: str
+    version: Version
+    held_at: float
+
+
 def logs_of(hollows, collected):
     """Each front's log by its name."""
     logs = {}
     for hollow, told in zip(hollows, collected, strict=True):
         for front in hollow.fronts:
-            logs[front["name"]] = Held(FrontPlace(**front))
+            logs[front["name"]] = Held(FrontPlace(**front), hollow.name, told["lags"])
         columns = (told[key] for key in ("fronts", "lives", "versions", "moments", "digest_numbers"))
         for number, life, version, moment, digest in zip(*columns, strict=True):
             held = logs[hollow.fronts[number]["name"]]
@@ -117,8 +131,7 @@
 
 
 def times_in_force(logs, catalog, excuses):
-    """Of each measured change and each front: how long from the call until the front held it or a newer one;
-    as (seconds, step, front)."""
+    """How long each measured change took at each front, from the call until it held that or a newer one."""
     first = catalog.publications[0].version
     for excuse in excuses:
         for name in excuse.fronts:
@@ -134,11 +147,41 @@
         for publication in measured:
             at = bisect_right(highest, publication.version)
             at -= at > 0 and highest[at - 1] == publication.version
-            seconds = clock(moments[at], publication, held) if at < len(moments) else inf
-            found.append((seconds, publication.step, name))
+            held_at = moments[at] if at < len(moments) else inf
+            seconds = inf if isinf(held_at) else clock(held_at, publication, held)
+            found.append(InForce(seconds, publication.step, name, publication.version, held_at))
     return found
 
 
+def last_in_force(times, logs):
+    """Of the change that took longest: the front that was last, when others held it, and how long the process
+    of that front stood still meanwhile. None where no change was measured."""
+    if not times:
+        return None
+    last = max(times, key=lambda one: one.seconds)
+    seconds = sorted(one.seconds for one in times if one.version == last.version)
+    held = logs[last.front]
+    still = 0.0
+    if not isinf(last.seconds):
+        still = lag_between(held.lags, last.held_at - last.seconds, last.held_at)
+    return {
+        "step": last.step,
+        "version": str(last.version),
+        "front": last.front,
+        "process": held.process,
+        "process_lag_s": round(still, 3),
+        "first_s": finite(seconds[0]),
+        "half_s": finite(share(seconds, 0.5)),
+        "ninth_tenth_s": finite(share(seconds, 0.9)),
+        "last_s": finite(last.seconds),
+        "over_half_as_late": sum(one > last.seconds / 2 for one in seconds),
+    }
+
+
+def finite(seconds):
+    return None if isinf(seconds) else round(seconds, 3)
+
+
 def clock(moment, publication, held):
     """How long it took, from the end of what the front could not hear through."""
     start = publication.sent_at
