--- a/thistlelever/flight/door.py
+++ b/thistlelever/flight/door.py
@@ -8,11 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import traceback
 from collections.abc import AsyncIterator, Awaitable, Callable
-from http.cookies import CookieError, SimpleCookie
-from typing import NamedTuple
 
 import grpc
 from grpc import StatusCode, aio
@@ -23,15 +20,20 @@
 from thistlelever.carrier.intake import Intake
 from thistlelever.flight import answers, catalog
 from thistlelever.flight.answers import Refusal, bad, unserved
+from thistlelever.flight.prepared_calls import PreparedCalls
+from thistlelever.flight.requests import expected, headers, query_text
 from thistlelever.flight.seal import Forged, Order, Seal
+from thistlelever.flight.server_options import SERVER_OPTIONS
+from thistlelever.flight.session_calls import SessionCalls
+from thistlelever.flight.taking import CALLED_OFF, Open, Taking
 from thistlelever.ground import clock
 from thistlelever.ground import interface as it
 from thistlelever.ground.log import Log
 from thistlelever.ground.operator import Flight
 from thistlelever.ground.submission import Unfit
 from thistlelever.ground.tally import Tally
-from thistlelever.state.prepared import Prepared, Shelf
-from thistlelever.state.sessions import Session, Sessions, fault, figure
+from thistlelever.state.prepared import Shelf
+from thistlelever.state.sessions import Sessions, figure
 from thistlelever.state.tickets import Tickets, Verdict
 from thistlelever.store.batches import Batch
 from thistlelever.wire import binding
@@ -40,32 +42,14 @@
 from thistlelever.wire.flight import flight_sql_pb2 as sql
 from thistlelever.wire.flight.parcels import Unreadable, Unserved, command, parcel, read, wrapped
 
-# A statement has 190 KB, parameters a little more; what a client sends beyond is refused unread.
-LONGEST_MESSAGE, MOST_PARAMETERS, MOST_ROWS = 1 << 20, 1 << 20, 10_000
+# Bytes and rows that the parameters of one stream may have.
+MOST_PARAMETERS, MOST_ROWS = 1 << 20, 10_000
 # Parameters and commands of a stream that has begun come within this, or it is half open and ends.
 STREAM_WITHIN = 5.0
 # An answer given at the limit still has this long to leave.
 LAST_BYTES = 0.05
 # An error so near the limit is the limit's: the decisions come to it by whole ticks.
 LIMIT_EARLY = 0.01
-# Streams one connection may have open; connections that say nothing end.
-STREAMS_A_CONNECTION = 32
-SERVER = (
-    ("grpc.so_reuseport", 0),
-    ("grpc.max_receive_message_length", LONGEST_MESSAGE),
-    ("grpc.max_concurrent_streams", STREAMS_A_CONNECTION),
-    ("grpc.max_metadata_size", 8_192),
-    ("grpc.absolute_max_metadata_size", 16_384),
-    ("grpc.server_handshake_timeout_ms", 3_000),
-    ("grpc.max_connection_idle_ms", 300_000),
-    ("grpc.http2.bdp_probe", 0),
-    ("grpc.http2.lookahead_bytes", 65_536),
-    ("grpc.keepalive_time_ms", 20_000),
-    ("grpc.keepalive_timeout_ms", 5_000),
-    ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
-    ("grpc.http2.write_buffer_size", 65_536),
-)
-COOKIE = "arrow_flight_session_id"
 # Headers beside those for group and tenant, by the field that they fill; and session options likewise.
 HEADERS = {
     "wait": "x-wait-ms",
@@ -90,14 +74,6 @@
     grpc.unary_stream_rpc_method_handler,
     grpc.stream_stream_rpc_method_handler,
 )
-CALLED_OFF = "called off"
-
-
-class Open(NamedTuple):
-    """A batch that is open at this door, and where its answer is awaited."""
-
-    batch: Batch
-    told: asyncio.Future
 
 
 class Door(grpc.GenericRpcHandler):
@@ -112,6 +88,8 @@
         self.tickets = Tickets(name, self.seal.life, terms.tickets)
         self.shelf = Shelf(terms.prepared, terms.idle_s)
         self.sessions = Sessions(terms.sessions, terms.idle_s)
+        self.prepared = PreparedCalls(self.shelf)
+        self.session_calls = SessionCalls(self.sessions)
         self.open: dict[str, Open] = {}
         self.stopping = False
         self.server: aio.Server | None = None
@@ -129,19 +107,21 @@
             "Handshake": DUPLEX(self.guarded(self.refused("Handshake"))),
         }
         self.actions: dict[str, Callable[[bytes, aio.ServicerContext], Awaitable[bytes | None]]] = {
-            "CreatePreparedStatement": self.create_prepared,
-            "ClosePreparedStatement": self.close_prepared,
+            "CreatePreparedStatement": self.prepared.create,
+            "ClosePreparedStatement": self.prepared.close,
             "CancelFlightInfo": self.cancel_flight_info,
             "CancelQuery": self.cancel_query,
-            "SetSessionOptions": self.set_options,
-            "GetSessionOptions": self.get_options,
-            "CloseSession": self.close_session,
+            "SetSessionOptions": self.session_calls.set_options,
+            "GetSessionOptions": self.session_calls.get_options,
+            "CloseSession": self.session_calls.close_session,
         }
 
     async def listen(self, address: tuple[str, int]) -> None:
         """`OSError` where the port can't be had."""
         connections = ("grpc.max_allowed_incoming_connections", self.terms.descriptors)
-        self.server = aio.server(options=(*SERVER, connections), maximum_concurrent_rpcs=self.terms.streams)
+        self.server = aio.server(
+            options=(*SERVER_OPTIONS, connections), maximum_concurrent_rpcs=self.terms.streams
+        )
         self.server.add_generic_rpc_handlers((self,))
         try:
             self.port = self.server.add_insecure_port(f"{address[0]}:{address[1]}")
@@ -233,31 +213,19 @@
         """The statement of a command, with what is bound to it."""
         match asked:
             case sql.CommandStatementQuery() if query:
-                return self.whole(asked)
+                return query_text(asked)
             case sql.CommandStatementUpdate() if not query:
-                return self.whole(asked)
+                return query_text(asked)
             case sql.CommandPreparedStatementQuery() if query:
-                found = self.prepared(asked.prepared_statement_handle)
+                found = self.prepared.find(asked.prepared_statement_handle)
                 return binding.bound(found.statement, found.rows)
         raise unserved(asked.DESCRIPTOR.name + (" as a query" if query else " as an update"))
 
-    def whole(self, asked) -> bytes:
-        if asked.transaction_id:
-            raise unserved("transactions")
-        return asked.query.encode()
-
-    def prepared(self, handle: bytes) -> Prepared:
-        found = self.shelf.find(handle.decode("latin-1"), clock.now())
-        if found is None:
-            why = "closed, unused for too long, or of another front"
-            raise Refusal(StatusCode.NOT_FOUND, f"no such prepared statement here: {why}")
-        return found
-
     def fields(self, context: aio.ServicerContext) -> tuple[str, dict]:
         """Service group and fields of a submission, by the call's headers, else the session's options, else
         the operator's file."""
         said = headers(context)
-        session, terms = self.session(said), self.terms
+        session, terms = self.session_calls.session(said), self.terms
         options = session.options if session else {}
         group = said.get(terms.group_header) or options.get("group") or terms.group
         if not group:
@@ -367,14 +335,14 @@
         match asked:
             case sql.CommandPreparedStatementQuery():
                 handle = asked.prepared_statement_handle
-                self.prepared(handle)
+                self.prepared.find(handle)
                 if not self.shelf.bind(handle.decode("latin-1"), rows, size, clock.now()):
                     raise Refusal(StatusCode.RESOURCE_EXHAUSTED, "no room for more parameters")
                 said = sql.DoPutPreparedStatementResult(prepared_statement_handle=handle)
                 await context.write(pb.PutResult(app_metadata=said.SerializeToString()).SerializeToString())
                 return
             case sql.CommandPreparedStatementUpdate():
-                found = self.prepared(asked.prepared_statement_handle)
+                found = self.prepared.find(asked.prepared_statement_handle)
                 statement = binding.bound(found.statement, rows or found.rows)
             case _:
                 statement = self.statement(asked, query=False)
@@ -427,20 +395,6 @@
         for kind, what in ACTIONS.items():
             await context.write(pb.ActionType(type=kind, description=what).SerializeToString())
 
-    async def create_prepared(self, body: bytes, context: aio.ServicerContext) -> bytes:
-        asked = expected(body, sql.ActionCreatePreparedStatementRequest)
-        statement = self.whole(asked)
-        if len(statement) > binding.LONGEST:
-            raise bad(f"a statement of {len(statement)} bytes; {binding.LONGEST} at most")
-        handle = os.urandom(16).hex()
-        if not self.shelf.add(handle, statement, clock.now()):
-            raise Refusal(StatusCode.RESOURCE_EXHAUSTED, "no room for more prepared statements; close some")
-        return wrapped(sql.ActionCreatePreparedStatementResult(prepared_statement_handle=handle.encode()))
-
-    async def close_prepared(self, body: bytes, context: aio.ServicerContext) -> None:
-        asked = expected(body, sql.ActionClosePreparedStatementRequest)
-        self.shelf.drop(asked.prepared_statement_handle.decode("latin-1"))
-
     async def cancel_flight_info(self, body: bytes, context: aio.ServicerContext) -> bytes:
         status = self.call_off(read(pb.CancelFlightInfoRequest, body).info)
         return pb.CancelFlightInfoResult(status=status).SerializeToString()
@@ -474,113 +428,3 @@
         if verdict is Verdict.USED:
             return pb.CANCEL_STATUS_NOT_CANCELLABLE
         raise self.ticket_refused(verdict)
-
-    # Sessions.
-
-    def session(self, said: dict[str, str]) -> Session | None:
-        number = cookie(said)
-        return self.sessions.find(number, clock.now()) if number else None
-
-    async def set_options(self, body: bytes, context: aio.ServicerContext) -> bytes:
-        asked, result = read(pb.SetSessionOptionsRequest, body), pb.SetSessionOptionsResult()
-        session = self.session(headers(context))
-        if session is None:
-            number = os.urandom(16).hex()
-            session = self.sessions.open(number, clock.now())
-            if session is None:
-                raise Refusal(StatusCode.RESOURCE_EXHAUSTED, "no room for more sessions")
-            await context.send_initial_metadata((("set-cookie", f"{COOKIE}={number}"),))
-        for name, option in asked.session_options.items():
-            kind = option.WhichOneof("option_value")
-            value = getattr(option, kind) if kind else None
-            # An option without a value is unset; only its name can be wrong then.
-            wrong = fault(name, value)
-            if wrong == "name" or wrong and kind:
-                known = {"name": pb.SetSessionOptionsResult.INVALID_NAME}
-                result.errors[name[:60]].value = known.get(wrong, pb.SetSessionOptionsResult.INVALID_VALUE)
-            elif kind:
-                number = figure(value) if name.endswith(("_ms", "_mb")) else None
-                session.options[name] = value if number is None else number
-            else:
-                session.options.pop(name, None)
-        return result.SerializeToString()
-
-    async def get_options(self, body: bytes, context: aio.ServicerContext) -> bytes:
-        read(pb.GetSessionOptionsRequest, body)
-        session, result = self.session(headers(context)), pb.GetSessionOptionsResult()
-        for name, value in (session.options if session else {}).items():
-            option = result.session_options[name]
-            if type(value) is bool:
-                option.bool_value = value
-            elif type(value) is str:
-                option.string_value = value
-            else:
-                option.double_value = value
-        return result.SerializeToString()
-
-    async def close_session(self, body: bytes, context: aio.ServicerContext) -> bytes:
-        read(pb.CloseSessionRequest, body)
-        number = cookie(headers(context))
-        if not number or not self.sessions.close(number):
-            raise Refusal(StatusCode.NOT_FOUND, "no such session")
-        await context.send_initial_metadata((("set-cookie", f"{COOKIE}=; Max-Age=0"),))
-        return pb.CloseSessionResult(status=pb.CloseSessionResult.CLOSED).SerializeToString()
-
-
-class Taking:
-    """A batch from its taking to the end of its call: the result, or `Refusal`. Whoever leaves early, by a
-    cancel, a lost connection or a fault, leaves the batch: no further dispatch, and what is out is called
-    off."""
-
-    def __init__(self, door: Door, batch: Batch) -> None:
-        self.door, self.batch = door, batch
-
-    async def __aenter__(self) -> End | Begun:
-        door, batch = self.door, self.batch
-        told = asyncio.get_running_loop().create_future()
-
-        def answer(said) -> None:
-            if not told.done():
-                told.set_result(said)
-
-        door.open[batch.asked.txn] = Open(batch, told)
-        door.tally.add("taken")
-        door.courses.start(batch, answer)
-        try:
-            said = await told
-            door.tally.add(type(said).__name__)
-            if type(said) not in (End, Begun):
-                raise door.meaning(said, batch)
-        except BaseException:
-            self.leave()
-            raise
-        return said
-
-    async def __aexit__(self, kind, why, trace) -> None:
-        if kind:
-            self.leave()
-        else:
-            self.door.open.pop(self.batch.asked.txn, None)
-
-    def leave(self) -> None:
-        self.door.open.pop(self.batch.asked.txn, None)
-        self.batch.inbox.put_nowait(LEFT)
-
-
-def headers(context: aio.ServicerContext) -> dict[str, str]:
-    return {key: value for key, value in context.invocation_metadata() or () if type(value) is str}
-
-
-def cookie(said: dict[str, str]) -> str | None:
-    try:
-        jar = SimpleCookie(said.get("cookie", "")[:2_048])
-    except CookieError:
-        return None
-    return jar[COOKIE].value if COOKIE in jar else None
-
-
-def expected(body: bytes, kind: type):
-    asked = command(body)
-    if type(asked) is not kind:
-        raise bad(f"{kind.DESCRIPTOR.name} expected, found {asked.DESCRIPTOR.name}")
-    return asked
--- /dev/null
+++ b/thistlelever/flight/server_options.py
@@ -0,0 +1,21 @@
+"""What the gRPC server of a front allows its clients."""
+
+# Bytes of one message. A statement has 190 KB, parameters a little more; what is longer is refused unread.
+LONGEST_MESSAGE = 1 << 20
+# Streams one connection may have open; connections that say nothing end.
+STREAMS_A_CONNECTION = 32
+SERVER_OPTIONS = (
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", LONGEST_MESSAGE),
+    ("grpc.max_concurrent_streams", STREAMS_A_CONNECTION),
+    ("grpc.max_metadata_size", 8_192),
+    ("grpc.absolute_max_metadata_size", 16_384),
+    ("grpc.server_handshake_timeout_ms", 3_000),
+    ("grpc.max_connection_idle_ms", 300_000),
+    ("grpc.http2.bdp_probe", 0),
+    ("grpc.http2.lookahead_bytes", 65_536),
+    ("grpc.keepalive_time_ms", 20_000),
+    ("grpc.keepalive_timeout_ms", 5_000),
+    ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+    ("grpc.http2.write_buffer_size", 65_536),
+)
