--- a/rigs/takeover_judge.py
+++ b/rigs/takeover_judge.py
@@ -43,7 +43,8 @@
         broken.append(f"fronts failed: {failed}")
     return broken, {
         "unanswered": unanswered(fleet, play, clients)[:MOST_TOLD],
-        "rig_lag_s": round(clients.longest_lag, 3),
+        "rig_lag_s": round(clients.lag.longest, 3),
+        "front_lag_s": longest_front_lag(fleet),
         "requests": len(clients.requests),
         "outcomes": dict(outcomes),
         "answers": {"0": answers["0"], "2+": answers["2+"]},
@@ -56,6 +57,11 @@
     }
 
 
+def longest_front_lag(fleet):
+    """The longest lag of a front's loop by the fronts' own logs, in seconds."""
+    return max((line.get("lag", 0.0) for front in fleet.fronts for line in front.lines), default=0.0)
+
+
 def done(clients):
     """The requests that have come to an outcome."""
     return [asked for asked in clients.requests if asked.over_at is not None]
