Distribution: after a failure the first watch is answered at once, and late after the patience

Callers saw: a change of the engine list in force at one front after over 9 s where answers were lost in a row without a word; three of them took 9.7 s. Cause: at each next distributor the front waited heartbeat and patience anew, 3 s, though it was behind and owed an answer at once. Why this holds: with no hold the answer is late after the patience of 1 s, doubled from one failure to the next so that slow distributors are not left for ever; three silences cost 3 + 1 + 2 s and at most 1.75 s of backoff.

--- a/tests/test_lost_updates.py
+++ b/tests/test_lost_updates.py
@@ -11,9 +11,11 @@
 from contextlib import suppress
 from time import monotonic
 
+import pytest
 from distributor_stage import HOST, engine, tier
 
 from thistlelever.carrier.subscription import Subscription, SubscriptionTerms
+from thistlelever.distribution.versions import NO_VERSION, Version
 from thistlelever.subsetting import FrontPlace
 
 # The product's defaults, in seconds, and the operators' bound on a change.
@@ -21,6 +23,25 @@
 PIECE = 2**16
 
 
+@pytest.mark.parametrize(
+    "version, failures, wait, within",
+    [
+        (Version(1, 2), 0, HEARTBEAT, HEARTBEAT + PATIENCE),
+        (Version(1, 2), 1, 0.0, PATIENCE),
+        (Version(1, 2), 2, 0.0, 2 * PATIENCE),
+        (Version(1, 2), 3, 0.0, HEARTBEAT + PATIENCE),
+        (Version(1, 2), 10_000, 0.0, HEARTBEAT + PATIENCE),
+        # Whole subsets take longer, and are admitted at a rate.
+        (NO_VERSION, 5, HEARTBEAT, HEARTBEAT + PATIENCE),
+    ],
+)
+def test_after_a_failure_a_silence_is_known_for_one_sooner(version, failures, wait, within):
+    terms = SubscriptionTerms((("127.0.0.1", 9),), HEARTBEAT, PATIENCE)
+    subscription = Subscription(terms, FrontPlace("front-0", "zone-0", 0), (), False, lambda told: None)
+    subscription.replica.version, subscription.failover.failures = version, failures
+    assert subscription.first_wait() == (wait, within)
+
+
 class LossyRelays:
     """A relay before each distributor; `to_lose` of the next answers are swallowed, each connection silent
     from then on."""
