--- a/rigs/flight.py
+++ b/rigs/flight.py
@@ -5,9 +5,7 @@
 """
 
 import asyncio
-import json
 import resource
-from base64 import b64decode, b64encode
 from bisect import bisect_left, bisect_right
 from collections import Counter, defaultdict
 from contextlib import suppress
@@ -17,12 +15,25 @@
 import click
 from grpc import aio
 
+from rigs.flight_batches import Asked, result, right
+from rigs.flight_line import LEAVERS, Line
+from rigs.flight_sabotage import SABOTAGE
+from rigs.flight_terms import (
+    FLIGHT_FAULTS,
+    RETRY_FLOOR,
+    DRAIN_GRACE_S,
+    HELD_BYTES,
+    HTTP_FAULTS,
+    DRAIN_SEEN_LATE_S,
+    LIMIT_MS,
+    KEY_REST_S,
+    RETRY_SHARE,
+    MOST_OPEN_BATCHES,
+    RETRY_WINDOW_S,
+    ZONES,
+    settings,
+)
 from rigs.verdict import Chance, close
-from thistlelever.carrier.clients import Session
-from thistlelever.carrier.flight_engines import FlightEngines
-from thistlelever.carrier.flow import Flow
-from thistlelever.carrier.http_engines import HttpEngines
-from thistlelever.ground import interface as it
 from thistlelever.ground import papers
 from thistlelever.ground.operator import Flight, Operator
 from thistlelever.lifecycle.run import Office
@@ -32,153 +43,12 @@
 from thistlelever.standins.flight_client import Refused
 from thistlelever.standins.flight_engine import Engine as FlightEngine
 from thistlelever.standins.http_engine import Engine as HttpEngine
-from thistlelever.standins.papers import GROUP, SETTINGS, configuration
+from thistlelever.standins.papers import configuration
 from thistlelever.standins.relay import Relay
 from thistlelever.wire.flight import columns, parcels
 from thistlelever.wire.flight import flight_pb2 as pb
 from thistlelever.wire.flight import flight_sql_pb2 as sql
 
-# How many batches clients have under way at once, and how large a result is held before it goes on.
-TOGETHER, HELD = 24, 16_384
-REST, GRACE, LATE = 0.1, 0.25, 0.15
-FLOOR, SHARE, WINDOW = 20.0, 0.5, 2.0
-LIMIT_MS, ROWS_LONG = 1_500, 900
-ZONES = {"h-alba": "nord", "h-bruma": "sud", "f-cala": "nord", "f-duna": "sud"}
-# Faults by call, with how often each comes; the rest of calls go as usual.
-HTTP_FAULTS = {
-    "POST": [
-        (2, "full"),
-        (1, "unsent"),
-        (1, "error"),
-        (2, "reset"),
-        (1, "ran reset"),
-        (0.4, "silent"),
-        (93, ""),
-    ],
-    "GET0": [(3, "reset"), (97, "")],
-    "GET1": [(2, "500"), (2, "reset"), (96, "")],
-    "DELETE": [(5, "reset"), (95, "")],
-}
-FLIGHT_FAULTS = {
-    "GetFlightInfo": [
-        (2, "full"),
-        (1, "unsent"),
-        (1, "error"),
-        (1, "lost"),
-        (1, "ran lost"),
-        (0.4, "silent"),
-        (94, ""),
-    ],
-    "DoGet": [
-        (1, "cut 0"),
-        (1, "cut 1"),
-        (1, "cut 2"),
-        (8, "cut 7"),
-        (1, "cut 99"),
-        (0.3, "silent"),
-        (1, "empty"),
-        (1, "error"),
-        (2, "notes advance=0.2 advance=0.7"),
-        (0.5, "raw 1204ffffffff"),
-        (83, ""),
-    ],
-    "DoPut": [(2, "full"), (1, "lost"), (1, "ran lost"), (96, "")],
-    "CancelFlightInfo": [(5, "lost"), (95, "")],
-}
-DOORS = [(50, "rpc"), (50, "flight")]
-GROUPS = [(55, "lookup"), (25, "load"), (20, "pay")]
-MANNERS = {
-    "rpc": [(90, "usual"), (6, "withdraws"), (4, "hangs up")],
-    "flight": [
-        (66, "usual"),
-        (5, "update"),
-        (5, "prepared"),
-        (5, "cancels"),
-        (4, "calls off"),
-        (4, "hangs up"),
-        (4, "reads slowly"),
-        (2, "never redeems"),
-        (3, "redeems twice"),
-        (2, "forges"),
-    ],
-}
-
-
-def settings():
-    """Three groups: look-ups that may be repeated, loads in order by key whose repeats one zone drops, and
-    payments that run once."""
-    told = json.loads(json.dumps(SETTINGS))
-    limit = {"Deadline": LIMIT_MS * 1000, "Slo": 800_000}
-    told["Classes"] = [
-        GROUP | limit,
-        GROUP
-        | limit
-        | {"Name": "load", "Value": 0.8, "Idempotency": "by_key", "DedupScope": "zone", "Sequential": True},
-        GROUP | limit | {"Name": "pay", "Value": 0.6, "Idempotency": "once"},
-    ]
-    told["Limits"]["MaxAttempts"] = 4
-    told["Invariants"] |= {
-        "KeyRest": int(REST * 1e6),
-        "ExtraFloor": FLOOR,
-        "ResendRatio": SHARE,
-        "LookBack": int(WINDOW * 1e6),
-    }
-    return told
-
-
-class Asked:
-    """One batch as its client knows it."""
-
-    def __init__(self, chance, place, retry_of=None):
-        self.place, self.of = place, retry_of
-        self.door = chance.among(DOORS, "door", place)
-        if retry_of:
-            self.door = "flight" if retry_of.door == "rpc" else "rpc"
-        self.group = retry_of.group if retry_of else chance.among(GROUPS, "group", place)
-        self.manner = "usual" if retry_of else chance.among(MANNERS[self.door], "manner", place)
-        if self.group == "load":
-            self.table = f"ledger_{chance.below(12, 'table', place)}.entries"
-        else:
-            self.table = f"sales_{chance.below(60, 'table', place)}.orders"
-        self.table = retry_of.table if retry_of else self.table
-        self.mark = retry_of.mark if retry_of else chance.seed.to_bytes(8, "big").hex() + f"{place:016x}"
-        long = chance.share("long", place) < 0.15
-        self.rows = ROWS_LONG if long else 1 + chance.below(30, "rows", place)
-        self.rows = retry_of.rows if retry_of else self.rows
-        self.answers, self.what = 0, ""
-
-    def statement(self):
-        return f"select n{self.rows} from {self.table} -- {self.mark}"
-
-    def headers(self):
-        said = [
-            ("x-group", self.group),
-            ("x-cost-ms", "10"),
-            ("x-need-mb", "8"),
-            ("x-wait-ms", str(LIMIT_MS)),
-        ]
-        if self.group == "load":
-            said.append(("x-once", self.mark))
-        return tuple(said)
-
-
-def result(engine, runs, statement):
-    """Rows that tell whose they are: the batch, their place, and the one run that made them."""
-    text = statement.decode()
-    count, mark = int(text.split()[1][1:]), text.rpartition(" ")[2]
-    runs[0] += 1
-    return "".join(f"{mark}\t{row}\t{engine}.{runs[0]}\n" for row in range(count))
-
-
-def right(asked, rows):
-    """Whether it is the whole result of one run of the batch, and of nothing else."""
-    made = {row[2] for row in rows}
-    return (
-        len(made) == 1
-        and [row[1] for row in rows] == [str(n) for n in range(asked.rows)]
-        and {row[0] for row in rows} == {asked.mark}
-    )
-
 
 class Rig:
     def __init__(self, seed, batches, sabotage):
@@ -252,7 +122,7 @@
             listen="127.0.0.1:0",
             engines=("f-cala", "f-duna", "f-duna-2"),
             tenant="acme",
-            held_bytes=HELD,
+            held_bytes=HELD_BYTES,
             tickets=100_000,
             ticket_s=20.0,
         )
@@ -313,7 +183,7 @@
             self.list_anew((), self.gone)
 
     async def play(self):
-        gate = asyncio.Semaphore(TOGETHER)
+        gate = asyncio.Semaphore(MOST_OPEN_BATCHES)
         tasks = []
         for place in range(self.batches):
             await gate.acquire()
@@ -504,7 +374,7 @@
         """Rule 3: nothing new comes to a draining engine past the grace after it was told."""
         found = 0
         for name, serial, back in self.drains:
-            since = self.directory.told[serial] + GRACE + LATE
+            since = self.directory.told[serial] + DRAIN_GRACE_S + DRAIN_SEEN_LATE_S
             until = self.directory.told.get(back, float("inf"))
             found += sum(
                 since < line.at < until for line in self.engines[name].book.lines if line.what == "arrived"
@@ -524,7 +394,7 @@
             elif line.what in ("answered", "refused", "given up", "lost", "unheard"):
                 out[table][line.txn] -= 1
                 if line.what in ("given up", "lost"):
-                    rests[table] = line.at + REST - 0.02, line.txn
+                    rests[table] = line.at + KEY_REST_S - 0.02, line.txn
         return [f"5: {what} {count}" for what, count in wrong.items() if count]
 
     def further(self, lines):
@@ -536,124 +406,13 @@
             first.add(line.txn)
         # A dispatch is counted where it is decided and seen here where it arrives: 0.1 s either way.
         for at in again:
-            extra = bisect_right(again, at) - bisect_left(again, at - WINDOW + 0.1)
-            taken = bisect_right(began, at + 0.1) - bisect_left(began, at - WINDOW - LIMIT_MS / 1e3)
-            if extra > FLOOR + SHARE * taken:
+            extra = bisect_right(again, at) - bisect_left(again, at - RETRY_WINDOW_S + 0.1)
+            taken = bisect_right(began, at + 0.1) - bisect_left(began, at - RETRY_WINDOW_S - LIMIT_MS / 1e3)
+            if extra > RETRY_FLOOR + RETRY_SHARE * taken:
                 return ["7: further dispatches past the budget"]
         return []
 
 
-LEAVERS = ("withdraws", "hangs up", "cancels", "calls off")
-
-
-class Line:
-    """One client's connection to the JSON-RPC door; every line that comes is counted."""
-
-    def __init__(self, rig):
-        self.rig, self.next, self.open_calls, self.heard = rig, 0, {}, Counter()
-
-    async def open(self):
-        self.reader, self.writer = await asyncio.open_connection(*self.rig.listen, limit=2**20)
-        self.hearing = asyncio.create_task(self.hear())
-        return self
-
-    async def ask(self, asked):
-        if self.writer.is_closing() or self.hearing.done():
-            # Closed while it idled, as a front may.
-            await self.open()
-        self.next += 1
-        asked.number, done = self.next, asyncio.get_running_loop().create_future()
-        self.open_calls[self.next] = asked, done
-        params = {
-            "id": self.rig.chance.seed.to_bytes(4, "big").hex() + f"{asked.place:08x}",
-            "wait": LIMIT_MS,
-            "tenant": "acme",
-            "cost": 10,
-            "need_mb": 8,
-            "bytes": b64encode(asked.statement().encode()).decode(),
-        }
-        if asked.group == "load":
-            params["once"] = asked.mark
-        if asked.of:
-            params["retry"] = 1
-        call = {"jsonrpc": "2.0", "id": self.next, "method": asked.group, "params": params}
-        self.writer.write(json.dumps(call).encode() + b"\n")
-
-    async def answered(self, asked):
-        with suppress(TimeoutError):
-            async with asyncio.timeout(LIMIT_MS / 1e3 + 2):
-                await self.open_calls[asked.number][1]
-
-    def withdraw(self, asked):
-        call = {"jsonrpc": "2.0", "method": "withdraw", "params": {"id": asked.number}}
-        self.writer.write(json.dumps(call).encode() + b"\n")
-
-    def leave(self):
-        self.hearing.cancel()
-        self.writer.close()
-
-    async def hear(self):
-        with suppress(ConnectionError):
-            while line := await self.reader.readline():
-                said = json.loads(line)
-                asked, done = self.open_calls[said["id"]]
-                asked.answers += 1
-                # A second answer is one too many whoever it is for.
-                self.heard[said["id"]] += 1
-                if asked.manner in LEAVERS and self.heard[said["id"]] > 1:
-                    self.rig.extra_answers += 1
-                if "result" in said:
-                    asked.what = "returned"
-                    rows = b64decode(said["result"]["bytes"]).decode().splitlines()
-                    self.rig.rows_wrong += not right(asked, [tuple(row.split("\t")) for row in rows])
-                else:
-                    asked.what = "pushed back" if said["error"]["code"] == -32001 else "errored"
-                    self.rig.statuses[str(said["error"]["code"])] += 1
-                if not done.done():
-                    done.set_result(None)
-
-
-# Each breaks one guard of the front; the rig must say no.
-
-
-def resend():
-    """What may have run is told as never run."""
-
-    async def fate(self, why, entry, batch, sent):
-        return it.Fate.UNSENT
-
-    FlightEngines.fate = fate
-    HttpEngines.fate = lambda self, reply, sent: it.Fate.RETURNED if reply.status == 200 else it.Fate.UNSENT
-
-
-def short():
-    """A result that broke off ends well."""
-    Flow.end = lambda self, fate, end=Flow.end: end(self, it.Fate.RETURNED)
-
-
-def twice():
-    """Each answer on the platform's own door is given twice."""
-    write = Session.write
-
-    def double(self, data):
-        write(self, data)
-        write(self, data)
-
-    Session.write = double
-
-
-def forget():
-    """A dispatch that is given up is not called off at its engine."""
-
-    async def nothing(self, batch, entry, sent):
-        return None
-
-    FlightEngines.give_up = HttpEngines.give_up = nothing
-
-
-SABOTAGE = {"": lambda: None, "resend": resend, "short": short, "twice": twice, "forget": forget}
-
-
 async def run(seed, batches, sabotage):
     rig = Rig(seed, batches, sabotage)
     await rig.open()
--- /dev/null
+++ b/rigs/flight_sabotage.py
@@ -0,0 +1,45 @@
+"""Guards of the front that the Flight rig breaks on purpose, so that it must say no."""
+
+from thistlelever.carrier.clients import Session
+from thistlelever.carrier.flight_engines import FlightEngines
+from thistlelever.carrier.flow import Flow
+from thistlelever.carrier.http_engines import HttpEngines
+from thistlelever.ground import interface as it
+
+
+def resend():
+    """What may have run is told as never run."""
+
+    async def fate(self, why, entry, batch, sent):
+        return it.Fate.UNSENT
+
+    FlightEngines.fate = fate
+    HttpEngines.fate = lambda self, reply, sent: it.Fate.RETURNED if reply.status == 200 else it.Fate.UNSENT
+
+
+def short():
+    """A result that broke off ends well."""
+    Flow.end = lambda self, fate, end=Flow.end: end(self, it.Fate.RETURNED)
+
+
+def twice():
+    """Each answer on the platform's own door is given twice."""
+    write = Session.write
+
+    def double(self, data):
+        write(self, data)
+        write(self, data)
+
+    Session.write = double
+
+
+def forget():
+    """A dispatch that is given up is not called off at its engine."""
+
+    async def nothing(self, batch, entry, sent):
+        return None
+
+    FlightEngines.give_up = HttpEngines.give_up = nothing
+
+
+SABOTAGE = {"": lambda: None, "resend": resend, "short": short, "twice": twice, "forget": forget}
