--- a/rigs/flight.py
+++ b/rigs/flight.py
@@ -17,7 +17,7 @@
 
 from rigs.flight_batches import Asked, result, right
 from rigs.flight_line import LEAVERS, Line
-from rigs.flight_sabotage import SABOTAGE
+from rigs.flight_sabotage import LONG_SHARES, SABOTAGE
 from rigs.flight_terms import (
     FLIGHT_FAULTS,
     RETRY_FLOOR,
@@ -26,6 +26,7 @@
     HTTP_FAULTS,
     DRAIN_SEEN_LATE_S,
     LIMIT_MS,
+    LONG_SHARE,
     KEY_REST_S,
     RETRY_SHARE,
     MOST_OPEN_BATCHES,
@@ -60,6 +61,7 @@
         self.calls_by = defaultdict(int)
         self.extra_answers = 0
         SABOTAGE[sabotage]()
+        self.long_share = LONG_SHARES.get(sabotage, LONG_SHARE)
 
     # The yard.
 
@@ -188,7 +190,7 @@
         for place in range(self.batches):
             await gate.acquire()
             await self.turn(place)
-            task = asyncio.create_task(self.one(Asked(self.chance, place)))
+            task = asyncio.create_task(self.one(Asked(self.chance, place, long_share=self.long_share)))
             task.add_done_callback(lambda _: gate.release())
             tasks.append(task)
         await asyncio.gather(*tasks)
--- a/rigs/flight_batches.py
+++ b/rigs/flight_batches.py
@@ -1,12 +1,12 @@
 """The batches of the Flight rig as their clients know them, and what a right result of one is."""
 
-from rigs.flight_terms import DOORS, GROUPS, LIMIT_MS, MANNERS, ROWS_LONG
+from rigs.flight_terms import DOORS, GROUPS, LIMIT_MS, LONG_SHARE, MANNERS, ROWS_LONG
 
 
 class Asked:
     """One batch as its client knows it."""
 
-    def __init__(self, chance, place, retry_of=None):
+    def __init__(self, chance, place, retry_of=None, long_share=LONG_SHARE):
         self.place, self.of = place, retry_of
         self.door = chance.among(DOORS, "door", place)
         if retry_of:
@@ -19,7 +19,7 @@
             self.table = f"sales_{chance.below(60, 'table', place)}.orders"
         self.table = retry_of.table if retry_of else self.table
         self.mark = retry_of.mark if retry_of else chance.seed.to_bytes(8, "big").hex() + f"{place:016x}"
-        long = chance.share("long", place) < 0.15
+        long = chance.share("long", place) < long_share
         self.rows = ROWS_LONG if long else 1 + chance.below(30, "rows", place)
         self.rows = retry_of.rows if retry_of else self.rows
         self.answers, self.what = 0, ""
--- a/rigs/flight_sabotage.py
+++ b/rigs/flight_sabotage.py
@@ -43,3 +43,5 @@
 
 
 SABOTAGE = {"": lambda: None, "resend": resend, "short": short, "twice": twice, "forget": forget}
+# The share of long results, where a sabotage shows by one that breaks off after it has begun to go on.
+LONG_SHARES = {"short": 1.0}
--- a/rigs/flight_terms.py
+++ b/rigs/flight_terms.py
@@ -11,8 +11,8 @@
 KEY_REST_S, DRAIN_GRACE_S, DRAIN_SEEN_LATE_S = 0.1, 0.25, 0.15
 # The budget of further dispatches: so many, and a share of what was taken in the window.
 RETRY_FLOOR, RETRY_SHARE, RETRY_WINDOW_S = 20.0, 0.5, 2.0
-# The time limit of each batch, and the rows of a long result.
-LIMIT_MS, ROWS_LONG = 1_500, 900
+# The time limit of each batch, the rows of a long result, and how many are long.
+LIMIT_MS, ROWS_LONG, LONG_SHARE = 1_500, 900, 0.15
 # The engines by the protocol that they speak, and their zones.
 ZONES = {"h-alba": "nord", "h-bruma": "sud", "f-cala": "nord", "f-duna": "sud"}
 # Faults by call, with how often each comes; the rest of calls go as usual.
