Read again: one doubling of a span; the times of each watch come from one place

The patience after a failure was doubled beside Failover's own doubling of its backoff: both call doubled() now, and the carrier needs no constant of it. The watch loop held the usual times twice, before and behind its first call; it asks watch_times() each time, which says the same once an answer has come. Behaviour as it was; assertions as they were.

--- a/tests/test_lost_updates.py
+++ b/tests/test_lost_updates.py
@@ -39,7 +39,7 @@
     terms = SubscriptionTerms((("127.0.0.1", 9),), HEARTBEAT, PATIENCE)
     subscription = Subscription(terms, FrontPlace("front-0", "zone-0", 0), (), False, lambda told: None)
     subscription.replica.version, subscription.failover.failures = version, failures
-    assert subscription.first_wait() == (wait, within)
+    assert subscription.watch_times() == (wait, within)
 
 
 class LossyRelays:
--- a/thistlelever/carrier/subscription.py
+++ b/thistlelever/carrier/subscription.py
@@ -16,7 +16,7 @@
     DistributorError,
 )
 from thistlelever.distribution import codec
-from thistlelever.distribution.failover import MOST_DOUBLINGS, Failover
+from thistlelever.distribution.failover import Failover, doubled
 from thistlelever.distribution.messages import Delta
 from thistlelever.distribution.reconnect import short_digest
 from thistlelever.distribution.replica import Outcome, Replica
@@ -137,13 +137,11 @@
     async def watch(self, connection: DistributorConnection) -> None:
         """Watch by one connection until it is old; `DistributorError` as soon as it is of no use."""
         till = clock.now() + CONNECTION_AGE * (0.5 + 0.5 * self.failover.chance())
-        wait, within = self.first_wait()
-        request = self.request(wait, everything=True)
-        faults = 0
+        everything, faults = True, 0
         while clock.now() < till:
-            reply = await connection.call(WATCH_PATH, request, codec.Reply, within)
+            wait, within = self.watch_times()
+            reply = await connection.call(WATCH_PATH, self.request(wait, everything), codec.Reply, within)
             self.failover.succeeded()
-            wait, within = self.terms.heartbeat, self.terms.heartbeat + self.terms.patience
             outcome = self.receive(reply)
             if outcome in (Outcome.STALE, Outcome.CONFLICT):
                 raise DistributorBehindError(f"its update was {outcome.name.lower()}")
@@ -151,21 +149,21 @@
             if faults > MOST_FAULTS:
                 raise DistributorError(f"its updates are {outcome.name.lower()}")
             # After a gap or a damaged update the distributor is told anew what is held.
-            request = self.request(wait, everything=faults > 0)
+            everything = faults > 0
 
-    def first_wait(self) -> tuple[float, float]:
-        """How long the first watch of a connection may be held back, and how long its answer may take.
+    def watch_times(self) -> tuple[float, float]:
+        """How long the next watch may be held back, and how long its answer may take, in seconds.
 
-        After a failure it is answered at once, so that a silence is known for one after the patience alone:
-        with heartbeats between, three answers that are lost in a row would keep a change from this front for
-        longer than the 9 s in which it is to be in force. From one failure to the next the patience is
-        doubled, as distributors may be slow rather than silent. Who holds nothing yet is told whole subsets,
-        which are admitted at a rate, and is as patient as ever.
+        After a failure the first one is answered at once, so that a silence is known for one after the
+        patience alone: with heartbeats between, three answers that are lost in a row would keep a change from
+        this front for longer than the 9 s in which it is to be in force. From one failure to the next the
+        patience is doubled, as distributors may be slow rather than silent. Who holds nothing yet is told
+        whole subsets, which are admitted at a rate, and is as patient as ever.
         """
         failures, longest = self.failover.failures, self.terms.heartbeat + self.terms.patience
         if not failures or self.replica.version == NO_VERSION:
             return self.terms.heartbeat, longest
-        return 0.0, min(self.terms.patience * 2 ** min(failures - 1, MOST_DOUBLINGS), longest)
+        return 0.0, doubled(self.terms.patience, failures, longest)
 
     def request(self, wait: float, everything: bool) -> codec.WatchRequest:
         """The next watch, held back for `wait` seconds at most; with `everything` it tells what is held."""
--- a/thistlelever/distribution/failover.py
+++ b/thistlelever/distribution/failover.py
@@ -6,10 +6,15 @@
 
 # The longest wait before the first further attempt, and before any: doubled from one failure to the next.
 FIRST_BACKOFF, LONGEST_BACKOFF = 0.25, 2.0
-# Past so many doublings the longest backoff surely holds.
+# Past so many doublings the longest span surely holds.
 MOST_DOUBLINGS = 16
 
 
+def doubled(first: float, failures: int, longest: float) -> float:
+    """The first span, doubled with each failure after the first, up to the longest; in seconds."""
+    return min(first * 2 ** min(failures - 1, MOST_DOUBLINGS), longest)
+
+
 class Failover:
     """The distributors in this client's own order (rendezvous hashing: Thaler and Ravishankar 1998), so that
     the clients of one that is lost spread over all others; between attempts exponential backoff with full
@@ -35,8 +40,7 @@
         """The current one has not answered, or can't serve: seconds to wait before the next is asked."""
         self.position = (self.position + 1) % len(self.order)
         self.failures += 1
-        longest = min(FIRST_BACKOFF * 2 ** min(self.failures - 1, MOST_DOUBLINGS), LONGEST_BACKOFF)
-        return retry_after + self.chance() * longest
+        return retry_after + self.chance() * doubled(FIRST_BACKOFF, self.failures, LONGEST_BACKOFF)
 
     def start_over(self) -> None:
         """Begin at the preferred one again, as it may be back."""
