--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -25,6 +25,7 @@
 from typing import Any
 from zlib import crc32
 
+from thistlelever.admission.retry_budget import RetryBudgetWindow
 from thistlelever.ground import interface as it
 
 # At this utilization of an engine (1: all cores busy) its concurrency limit is halved.
@@ -172,9 +173,6 @@
         # The unfinished batches of each key, and until when a key is in its cool-down.
         self.key_queues: dict[int, list[Batch]] = {}
         self.key_cooldowns: dict[int, float] = {}
-        # When batches were received and when further dispatches were made, within the retry budget's window.
-        self.received_times: deque[float] = deque()
-        self.retry_times: deque[float] = deque()
         self.timer_at = inf
         self.list_requested_at = LONG_AGO
         # Of each table group its order of engines as (rank, index).
@@ -261,7 +259,7 @@
         self.max_retry_after = settings.longest_return if settings.names_return else 0.0
         self.connect_limit = settings.connect_limit
         self.key_cooldown = settings.key_rest
-        self.retry_budget = settings.allowance
+        self.retry_budget = RetryBudgetWindow(settings.allowance, settings.tick)
         # Places of the values in a load report, -1 for those that engines do not report.
         names = settings.report_fields
         self.report_places = [
@@ -440,19 +438,8 @@
 
         It also drops what is older than the budget's window.
         """
-        if not self.retry_budget:
-            return True
-        floor, share, window = self.retry_budget
-        # A retry is kept a tick longer than a received batch, so that rounding never frees its place early.
-        oldest_retry = self.now - window - self.tick
-        while self.retry_times and self.retry_times[0] <= oldest_retry:
-            self.retry_times.popleft()
-        oldest_received = self.now - window
-        while self.received_times and self.received_times[0] <= oldest_received:
-            self.received_times.popleft()
-        if not batch.dispatch_count:
-            return True
-        return len(self.retry_times) + 1 <= floor + share * len(self.received_times)
+        self.retry_budget.drop_expired(self.now)
+        return not batch.dispatch_count or self.retry_budget.permits_retry()
 
     def is_straggling(self, batch: Batch, note: it.ProgressNote) -> bool:
         """Whether the rest would take over twice a new run's expected time, and a new dispatch is allowed.
@@ -486,8 +473,7 @@
         memory = received.memory * self.memory_corrections[class_index]
         batch = Batch(received, query_class, self.now, work, memory)
         self.open_batches[batch.id] = batch
-        if self.retry_budget:
-            self.received_times.append(self.now)
+        self.retry_budget.batch_received(self.now)
         if query_class.in_order and batch.key:
             batch.key_queue = self.key_queues.setdefault(batch.key, batch.key_queue)
             batch.key_queue.append(batch)
@@ -648,8 +634,8 @@
         return it.LearnedState(
             tuple(engines),
             tuple(keys),
-            tuple(now - at for at in self.received_times),
-            tuple(now - at for at in self.retry_times),
+            tuple(now - at for at in self.retry_budget.received_times),
+            tuple(now - at for at in self.retry_budget.retry_times),
         )
 
     def restore_learned_state(self, learned: it.LearnedState) -> None:
@@ -665,8 +651,7 @@
         for key, left in learned.cooldowns:
             self.key_cooldowns[key] = max(self.now + left, self.key_cooldowns.get(key, 0.0))
         # The retry budget's window continues across a restart: what was spent in it stays spent.
-        self.received_times.extendleft(self.now - ago for ago in reversed(learned.received_ago))
-        self.retry_times.extendleft(self.now - ago for ago in reversed(learned.retried_ago))
+        self.retry_budget.restore(self.now, learned.received_ago, learned.retried_ago)
 
     def probe_ended(self, ended: it.ProbeEnded) -> None:
         """Learn from a probe's outcome and report about its engine."""
@@ -1269,7 +1254,7 @@
     def dispatch(self, batch: Batch, engine: int) -> None:
         """Send the batch to the engine with a time-out; the first dispatch also sets grant and priority."""
         if batch.dispatch_count:
-            self.retry_times.append(self.now)
+            self.retry_budget.retried(self.now)
         dispatch = OpenDispatch(batch, engine, self.now)
         grant = 0.0
         if self.grants_memory:
@@ -1313,7 +1298,7 @@
         if query_class.repeat is it.Idempotency.DEDUPLICATED:
             first = batch.possible_runs[0][2] if batch.possible_runs else self.now
             latest = first + query_class.window
-        return min(latest, self.now + self.connect_limit) if self.retry_budget else latest
+        return min(latest, self.now + self.connect_limit) if self.retry_budget.allowance else latest
 
     def dispatch_timeout(self, batch: Batch) -> float:
         """How many seconds the dispatch may go unanswered, so that the next can meet the objective.
