Decisions: the log says why batches were not dispatched, by class and cause

`counts` and `stopped` carry `decisions`: per query class how batches ended, each refusal with what held it (no engine ready, backed off, slow start, at their limit, paced, top class, key) or why it was hopeless or not retried, beside the limits, open threads and slow-start room as the front holds them.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -18,13 +18,14 @@
 from __future__ import annotations
 
 from bisect import bisect_left, insort
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Generator
 from math import exp, inf, log
 from statistics import median
 from typing import Any
 from zlib import crc32
 
+from thistlelever.admission.batch_ends import BatchEnds, Hold, Refusal
 from thistlelever.admission.retry_budget import RetryBudgetWindow
 from thistlelever.ground import interface as it
 
@@ -126,6 +127,9 @@
         self.queued = False
         self.answered = False
         self.tried_engines: set[int] = set()
+        # For the counters: what held it back when it was last looked at, and how its last dispatch ended.
+        self.hold: Hold | None = None
+        self.last_outcome: it.DispatchOutcome | None = None
         # The unfinished batches of its key in the order received, itself included; empty without a key.
         self.key_queue: list[Batch] = []
         # The generator of `Front.run_batch`.
@@ -173,6 +177,12 @@
         # The unfinished batches of each key, and until when a key is in its cool-down.
         self.key_queues: dict[int, list[Batch]] = {}
         self.key_cooldowns: dict[int, float] = {}
+        # For the log: how batches ended, what held back each class and the batch last looked at, and why a
+        # batch is given up at this moment.
+        self.ends = BatchEnds()
+        self.class_holds: list[Hold | None] = [None for _ in self.query_classes]
+        self.last_hold: Hold | None = None
+        self.refusal_cause: Hold | Refusal | None = None
         self.timer_at = inf
         self.list_requested_at = LONG_AGO
         # Of each table group its order of engines as (rank, index).
@@ -386,6 +396,7 @@
         except StopIteration:
             # A result that broke off on its way to the client completes the batch as well, but is no success.
             in_time = event.outcome is it.DispatchOutcome.RETURNED and self.now <= batch.objective_at
+            self.ends.returned(batch.class_index, in_time)
             self.finish(batch, in_time)
             return
         if request is ENQUEUE:
@@ -396,6 +407,8 @@
         elif request is not WAIT:
             self.actions.append(request)
             if type(request) is not it.Cancel:
+                cause = self.refusal_cause or self.retry_refusal(batch)
+                self.ends.refused(batch.class_index, batch.last_outcome, cause)
                 self.finish(batch, False)
 
     def finish(self, batch: Batch, in_time: bool | None) -> None:
@@ -473,6 +486,7 @@
         memory = received.memory * self.memory_corrections[class_index]
         batch = Batch(received, query_class, self.now, work, memory)
         self.open_batches[batch.id] = batch
+        self.ends.received(class_index)
         self.retry_budget.batch_received(self.now)
         if query_class.in_order and batch.key:
             batch.key_queue = self.key_queues.setdefault(batch.key, batch.key_queue)
@@ -492,6 +506,8 @@
         """Learn from a dispatch's outcome about the engine and the query class, and advance its batch."""
         dispatch = self.open_dispatches.pop((ended.batch, ended.number))
         batch = dispatch.batch
+        batch.last_outcome = ended.outcome
+        self.ends.dispatch_ended(batch.class_index, ended.outcome)
         engine = dispatch.engine
         batch.open_dispatches.pop(dispatch.number, None)
         self.engine_dispatches[engine].pop((ended.batch, ended.number), None)
@@ -617,6 +633,29 @@
         # setting `cold_share` is something else: it is `self.cold_capacity` here.
         self.cold_share = self.cold_budget / (self.fronts_per_engine or self.configured_fronts) / 2
 
+    def summary(self) -> dict[str, Any]:
+        """For the log: how batches ended, by class and cause, and what the decisions hold of the engines now.
+
+        Limits and open dispatches are in threads, slowdowns are measured over estimated run times, and the
+        room is what slow start leaves this front at all cold engines in one window (thread-seconds).
+        """
+        ready = self.ready_engines()
+        cold = [engine for engine in ready if self.warm_capacity(engine) < 1.0]
+        return {
+            "ends": dict(self.ends.counts),
+            "queued": [len(queue) for queue in self.queues],
+            "slowdowns": [round(self.slowdown_of_class(index), 2) for index in range(len(self.queues))],
+            "next_turn_s": round(self.next_dispatch_at - self.now, 3) if self.pacing else None,
+            "ready": len(ready),
+            "backed_off": sum(self.now < self.backoff_until[engine] for engine in ready),
+            "cold": len(cold),
+            "cold_room": round(
+                sum(self.cold_share * self.warm_capacity(engine) * self.cores[engine] for engine in cold), 3
+            ),
+            "limits": round(sum(self.concurrency_limits[engine] for engine in ready), 2),
+            "open": sum(self.open_widths[engine] for engine in ready),
+        }
+
     def learned_state(self, now: float) -> it.LearnedState:
         """What a later process should know of the engines, keys and the retry budget."""
         engines = [
@@ -733,6 +772,10 @@
 
     # What is known of an engine.
 
+    def ready_engines(self) -> list[int]:
+        """The indexes of the engines that the list has as ready."""
+        return [engine for engine, ready in enumerate(self.ready) if ready]
+
     def apply_report(self, engine: int, values: tuple[float, ...], width: int) -> None:
         """Record a load report, and adjust the concurrency limit by it (AIMD).
 
@@ -1069,9 +1112,11 @@
             and not (free and (not self.pacing or not self.engines_page))
             and not self.pacing_permits(batch)
         ):
+            self.last_hold = Hold.PACING if free or busy else Hold.ENGINES
             return None
         candidates = free or busy
         if not candidates:
+            self.last_hold = Hold.ENGINES
             return None
         slowdowns = [self.slowdown_of_engine(engine) for _, engine in candidates]
         typical = median(slowdowns)
@@ -1097,6 +1142,7 @@
         for engine in best[1:]:
             self.probe_if_stale(engine)
         batch.fresh_until = self.now + self.connect_limit
+        self.last_hold = Hold.PROBE
         return None
 
     def probe_if_stale(self, engine: int) -> bool:
@@ -1134,7 +1180,9 @@
         for queue in self.queues:
             for batch in [batch for batch in queue if self.is_hopeless(batch)]:
                 self.dequeue(batch)
+                self.refusal_cause = self.queue_refusal(batch)
                 self.advance(batch, None)
+                self.refusal_cause = None
         # A dispatch frees no engine: a class that could not dispatch is not tried again at this moment.
         may_go = set(range(len(self.queues)))
         while True:
@@ -1151,6 +1199,37 @@
             else:
                 return
 
+    def queue_refusal(self, batch: Batch) -> Hold | Refusal:
+        """Why a queued batch is given up, for the counters."""
+        if batch.received_at + batch.run_time > batch.objective_at:
+            return Refusal.ESTIMATE
+        hold = batch.hold or self.class_holds[batch.class_index]
+        if hold is Hold.ENGINES:
+            return self.engines_hold(batch)
+        return hold or Refusal.CLASS_SLOWDOWN
+
+    def retry_refusal(self, batch: Batch) -> Refusal:
+        """Why a batch is not dispatched again, for the counters."""
+        if batch.dispatch_count >= self.max_dispatches[batch.class_index]:
+            return Refusal.MOST_DISPATCHES
+        if self.now + batch.run_time >= batch.limit_at:
+            return Refusal.NO_TIME
+        return Refusal.MAY_HAVE_RUN if self.within_retry_budget(batch) else Refusal.RETRY_BUDGET
+
+    def engines_hold(self, batch: Batch) -> Hold:
+        """What keeps the batch from most of the ready engines, for the counters."""
+        holds: Counter[Hold] = Counter()
+        for engine in self.ready_engines():
+            if self.now < self.backoff_until[engine]:
+                holds[Hold.BACKED_OFF] += 1
+            elif self.is_eligible(batch, engine):
+                holds[Hold.AT_LIMIT] += 1
+            elif self.warm_capacity(engine) < 1.0:
+                holds[Hold.SLOW_START] += 1
+            else:
+                holds[Hold.NOT_ELIGIBLE] += 1
+        return max(holds, key=holds.__getitem__, default=Hold.NONE_READY)
+
     def is_hopeless(self, batch: Batch) -> bool:
         """Whether the batch can no longer meet its latency objective.
 
@@ -1177,8 +1256,10 @@
         """
         for batch in self.queues[class_index]:
             if self.is_key_blocked(batch) or (class_index, batch.table_group) in self.table_conflicts:
+                batch.hold = Hold.KEY
                 continue
             engine = self.choose_engine(batch)
+            batch.hold = self.class_holds[class_index] = self.last_hold if engine is None else None
             if engine is None:
                 # One that is bound by its earlier dispatch, or waits for a probe, does not block those
                 # behind it.
@@ -1191,6 +1272,7 @@
                 self.table_conflicts.add((class_index, batch.table_group))
                 continue
             if not self.spares_top_class(batch, engine):
+                batch.hold = self.class_holds[class_index] = Hold.TOP_CLASS
                 return False
             self.dequeue(batch)
             self.advance(batch, engine if self.within_retry_budget(batch) else None)
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -278,7 +278,7 @@
             task.cancel()
         self.discovery.close()
         self.metrics.check_invariant(not self.batches.by_number, "all answered at the end")
-        self.log("stopped", counts=self.metrics.counts)
+        self.log("stopped", counts=self.metrics.counts, decisions=self.decisions.front.summary())
 
     async def reload_on_request(self) -> None:
         """Reread the files at each request, by SIGHUP or by a distributor; invalid ones change nothing."""
@@ -349,6 +349,7 @@
                     deciding=round(self.decisions.busy_seconds, 3),
                     cpu=round(process_time(), 3),
                     lag=round(self.loop_lag.worst, 4),
+                    decisions=self.decisions.front.summary(),
                 )
                 next_log_at, self.loop_lag.worst = clock.now() + COUNTS_LOG_INTERVAL_S, 0.0
 
