Decisions: engines that report no load are chosen by the work sent to them

Cause: without reports the load estimate of every engine without an own open dispatch is 0 (its mean is never updated, and the utilization that a refusal sets is as old as the missing report). So all 200 fronts took the first engine of a table group's order, whatever its size: hot groups' engines were full while others were idle.

Why this works: fronts choose by the same rules, so a front's own distribution over the engines stands for that of all.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -27,6 +27,7 @@
 
 from thistlelever.admission.batch_ends import BatchEnds, Hold, Refusal
 from thistlelever.admission.retry_budget import RetryBudgetWindow
+from thistlelever.admission.sent_work import SentWork
 from thistlelever.ground import interface as it
 
 # At this utilization of an engine (1: all cores busy) its concurrency limit is halved.
@@ -37,6 +38,9 @@
 HISTORY_LENGTH = 20
 # Weight of a new sample in an exponentially weighted moving average: eight samples outweigh all before them.
 EWMA_WEIGHT = 0.125
+# The time constant of the work sent to engines that report no load, in decay times: long enough for a front
+# with little traffic to have sent to most engines.
+SENT_WORK_DECAY_TIMES = 10.0
 # Scale of the random noise on an engine's cost, in units of utilization. With too little all fronts pick the
 # same engine (herding); with too much the load estimate has no effect.
 SAMPLING_NOISE = 0.05
@@ -275,6 +279,10 @@
         self.report_places = [
             names.index(name) if name in names else -1 for name in ("util", "queue", "inflight", "x1", "x0")
         ]
+        # Where engines never report their load: the work sent to each, in place of reports.
+        self.sent_work: SentWork | None = None
+        if settings.reports is it.ReportDelivery.NEVER:
+            self.sent_work = SentWork(SENT_WORK_DECAY_TIMES * self.decay_time)
         self.probes = settings.probes and settings.reports is it.ReportDelivery.WHEN_PROBED
         self.requests_list = settings.asks_for_list
         self.list_interval = settings.ask_within
@@ -717,6 +725,8 @@
             self.ready[index] = engine.state is it.EngineState.READY
         self.forget_engines(received.engines)
         self.affinity_orders.clear()
+        if self.sent_work:
+            self.sent_work.set_ready([self.cores[engine] for engine in self.ready_engines()])
 
     def add_engine(self, engine: it.Engine) -> int:
         """Give a new engine an index, and its figures their first values."""
@@ -739,6 +749,8 @@
         self.fresh_since[index] = self.now
         self.concurrency_limits[index] = cores * THREADS_PER_CORE / self.sharing_fronts
         self.open_widths[index] = 0
+        if self.sent_work:
+            self.sent_work.reset(index, self.now)
         self.engine_dispatches[index] = {}
         self.cold_dispatches[index] = deque()
         self.last_reports[index] = ()
@@ -932,6 +944,15 @@
             )
         return self.load_estimates[engine]
 
+    def relative_load(self, engine: int) -> float:
+        """The engine's load relative to the mean of all ready ones, by the work that this front has sent.
+
+        It stands in for reports where there are none: the other fronts choose by the same rules.
+        """
+        capacity = self.cores[engine] * self.warm_capacity(engine)
+        batch_work = sum(self.typical_work) / len(self.typical_work)
+        return self.sent_work.relative_load(engine, capacity, batch_work, self.now)
+
     # Which engines may run a batch.
 
     def is_eligible(self, batch: Batch, engine: int) -> bool:
@@ -1120,9 +1141,10 @@
             return None
         slowdowns = [self.slowdown_of_engine(engine) for _, engine in candidates]
         typical = median(slowdowns)
+        load_of = self.relative_load if self.sent_work else self.load_estimate
         costs = []
         for (rank, engine), slowdown in zip(candidates, slowdowns, strict=True):
-            cost = (0.5 + self.load_estimate(engine)) * max(slowdown / typical, 1.0)
+            cost = (0.5 + load_of(engine)) * max(slowdown / typical, 1.0)
             if not is_load:
                 cost += RANK_COST * rank
             elif self.any_class_yields:
@@ -1352,6 +1374,8 @@
             )
         )
         self.open_widths[engine] += dispatch.width
+        if self.sent_work:
+            self.sent_work.record(engine, self.typical_work[batch.class_index], self.now)
         self.load_estimates.pop(engine, None)
         self.open_dispatches[batch.id, dispatch.number] = dispatch
         batch.open_dispatches[dispatch.number] = dispatch
