Decisions: priorities by worth per work at engines that report no load

What callers saw: at deployments without load reports look-ups came late or timed out at busy engines, behind reports of more worth and many times their work.

Cause: a front that hears of no load can't keep the engines' queues and cores from filling; then an engine's own order decides, and it was by the worth of one batch alone.

Why this works: worth per work is what a second of an engine earns, and short batches can't wait for long ones. The new test fails without it.

--- a/tests/test_sent_work.py
+++ b/tests/test_sent_work.py
@@ -75,3 +75,28 @@
     sent.reset(1, 10.0)
     assert sent.recent(1, 10.0) == 0.0
     assert sent.total(10.0) == pytest.approx(4.0 * 0.3679, rel=1e-3)
+
+
+def test_a_short_class_goes_before_a_long_one_of_more_worth_at_engines_that_report_no_load():
+    # Guards against look-ups that wait behind reports of more worth, whose work is many times theirs.
+    terms = {}
+    for reports in (it.ReportDelivery.NEVER, it.ReportDelivery.WITH_ANSWERS):
+        look_up = QUERY_CLASS._replace(goal=1.0, time_limit=8.0, utility=1.0)
+        report = look_up._replace(name="report", goal=4.0, utility=10.0)
+        both = settings()._replace(tariffs=(look_up, report), reports=reports, priorities=True)
+        front = Front(both, 1)
+        listed = it.Engine(b"engine", 0, 0, 0, it.EngineState.READY, 0.0, 1.0)
+        front.handle(100.0, [it.EngineListReceived(it.ListKind.WHOLE, 1, (listed,), 0)])
+        for number in range(40):
+            now = 101.0 + number
+            work = (0.1, 4.0)[number % 2]
+            batch = it.BatchReceived(number, number % 2, 0, 0, 8.0, work, 0.0, 1.0, False)
+            for action in front.handle(now, [batch]):
+                if type(action) is it.Terms:
+                    terms[reports, number % 2] = action.priority
+            result = it.DispatchOutcome.RETURNED
+            front.handle(
+                now + 0.5, [it.DispatchEnded(number, 0, b"engine", result, 0.5, True, work, 0.0, ())]
+            )
+    assert terms[it.ReportDelivery.NEVER, 0] > terms[it.ReportDelivery.NEVER, 1]
+    assert terms[it.ReportDelivery.WITH_ANSWERS, 0] < terms[it.ReportDelivery.WITH_ANSWERS, 1]
--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -54,6 +54,8 @@
 # The most engines that each step of one choice, `sample_engines` and `choose_engine`, may probe: several, so
 # that one silent engine does not delay a batch.
 MAX_PROBES = 2
+# The highest of an engine's priorities, which are 0 to 3.
+HIGHEST_PRIORITY = 3
 # What the task of a batch requests beside a dispatch (an engine's index) or an action.
 ENQUEUE = "enqueue"
 WAIT = "wait"
@@ -212,7 +214,7 @@
         top_value = classes[self.top_class].utility
         values = sorted({one.utility for one in classes}, reverse=True)
         # Priorities for engines: 3 for the highest value, one less for each lower value, at least 0.
-        self.class_priorities = [max(3 - values.index(one.utility), 0) for one in classes]
+        self.class_priorities = [max(HIGHEST_PRIORITY - values.index(one.utility), 0) for one in classes]
         # The m of each class's (m,k)-firm guarantee. The paper wants that of the top class distinctly above
         # the others': all of its last k batches in time, half of them for a class without value. By rounding,
         # a class of at least 95% of the highest value needs all of them too.
@@ -1364,7 +1366,7 @@
         if self.grants_memory:
             grant = min(batch.memory, self.max_grant * self.engine_memory[engine])
         if not batch.dispatch_count and (self.grants_memory or self.sets_priorities):
-            self.actions.append(it.Terms(batch.id, grant, self.class_priorities[batch.class_index]))
+            self.actions.append(it.Terms(batch.id, grant, self.engine_priority(batch.class_index)))
         self.actions.append(
             it.Dispatch(
                 batch.id,
@@ -1392,6 +1394,22 @@
             # A suspected engine gets one trial at a time, not all that is queued.
             self.backoff_until[engine] = self.now + 2 * self.connect_limit
 
+    def engine_priority(self, class_index: int) -> int:
+        """The priority of a class at engines: 3 for the highest value, one less for each higher class.
+
+        The value is the utility. Where engines report no load, their own queues are long and their cores busy
+        before any front knows: then it is the utility for each unit of work, as short batches have no time to
+        wait there.
+        """
+        if not self.sent_work:
+            return self.class_priorities[class_index]
+        densities = [
+            query_class.utility / work
+            for query_class, work in zip(self.query_classes, self.typical_work, strict=True)
+        ]
+        higher = sum(density > densities[class_index] for density in densities)
+        return max(HIGHEST_PRIORITY - higher, 0)
+
     def latest_send_time(self, batch: Batch) -> float:
         """Until when the carrier may send the dispatch, or send it again where it seems to have been lost.
 
