Distributor: a version of a later term does not confirm a change

What callers saw: a change answered 200 ("confirmed") that no distributor held any more.

Cause: `wait_confirmed` counted each follower whose version was at least that of the change. A follower that holds a version of a later term passes that comparison, though the later term may have begun without the change; and a publisher went on counting after it was deposed.

Why this works: only versions of the change's own term count, which are made by its publisher alone and each contain the change; a deposed publisher answers 202 unless a majority had held the change already.

--- a/tests/test_publisher_election.py
+++ b/tests/test_publisher_election.py
@@ -232,8 +232,8 @@
     """A `call_distributor` whose requests for a promise to this address are lost."""
     call = claiming.call_distributor
 
-    async def call_or_lose(target, path, request):
-        return None if (target, path) == (address, PROMISE_PATH) else await call(target, path, request)
+    async def call_or_lose(target, path, *arguments):
+        return None if (target, path) == (address, PROMISE_PATH) else await call(target, path, *arguments)
 
     return call_or_lose
 
--- a/thistlelever/distributor/publishing.py
+++ b/thistlelever/distributor/publishing.py
@@ -109,6 +109,7 @@
         if self.publisher.superseded is not None:
             self.log("superseded", term=self.publisher.term, by=str(self.publisher.superseded))
             self.publisher, self.follower.publishing = None, False
+            self.held_changed.set()
 
     def record_held(self, index: int, version: Version) -> None:
         """Records the version that a follower holds."""
@@ -159,13 +160,13 @@
         return self.catalog.version
 
     async def wait_confirmed(self, version: Version) -> bool:
-        """Waits until a majority of the distributors, including this one, holds a version. Returns False if
-        that takes longer than CONFIRM_TIMEOUT_S."""
+        """Waits until a majority of the distributors, including this one, holds a version in memory. Returns
+        False if that takes longer than CONFIRM_TIMEOUT_S, or if this distributor loses the role."""
         needed = majority(len(self.follower.distributors)) - 1
         deadline = asyncio.get_running_loop().time() + CONFIRM_TIMEOUT_S
-        while sum(held >= version for held in self.held_versions.values()) < needed:
+        while self.count_holders(version) < needed:
             remaining = deadline - asyncio.get_running_loop().time()
-            if remaining <= 0:
+            if remaining <= 0 or self.publisher is None or self.publisher.term != version.term:
                 return False
             self.held_changed.clear()
             try:
@@ -174,6 +175,11 @@
                 return False
         return True
 
+    def count_holders(self, version: Version) -> int:
+        """Returns the number of followers that hold a version. One that holds a version of a later term may
+        hold other content instead."""
+        return sum(held.term == version.term and held >= version for held in self.held_versions.values())
+
     async def announce(self) -> None:
         """While this distributor publishes, announces its version to all others every heartbeat, until
         cancelled. A distributor that follows another publisher learns of the newer term this way."""
