Distributor: a promise restarts the election's timeout, and claims see one another

What callers saw: right after a new publisher had taken over, or at the first publish of a new tier, 409 'role: this distributor does not publish; distributor 2 may'; publishers seated and deposed one after the other.

Cause: a distributor that promised a term went on counting its own timeout from the lost publisher (from infinity at the start), and the stagger from the claimant it had just promised, so that it claimed against it within some 30 ms. A claim under way told nobody of itself, the first phase's answers served only to outbid it. Beside it: the age of a deposed publisher fell back to one from before it published; the claim of the start and the election's ran one behind the other without a delay; a claim waited for the replies of all distributors, 1 s in each phase with a silent one; a seat was taken although a higher term had been seen.

Why this works: as in Raft, a promise restarts the voter's timeout, and the first phase is a pre-vote: whoever has contact with a publisher, has just promised or is claiming says so, and the claimant looks again at its own contact after it. The timeout starts with the process, with a higher term and with a deposing.

--- a/thistlelever/distribution/claim.py
+++ b/thistlelever/distribution/claim.py
@@ -108,6 +108,10 @@
             return self._fixed_term
         return self._next_term() if self._has_quorum() else None
 
+    def responders(self) -> int:
+        """The number of replies of the first phase, with the claimant's own."""
+        return len(self._responders)
+
     def superseded(self) -> bool:
         """Whether a version above the fixed term was observed. The claim should then be abandoned for a new
         one, since distributors that have seen that version refuse updates of this term."""
--- a/thistlelever/distribution/election.py
+++ b/thistlelever/distribution/election.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from zlib import crc32
 
 from thistlelever.distribution.claim import TERMS_PER_ROUND
@@ -18,22 +19,47 @@
 
 class Election:
     """The view of the distributor `index` among `distributors`. The publisher counts as lost once no
-    distributor has had contact with it for `timeout` seconds."""
+    distributor has had contact with it for `timeout` seconds.
+
+    As in Raft, a distributor that has promised a term waits for its claimant: the promise restarts the
+    timeout, and while it lasts the distributor reports contact to others that would claim."""
 
     def __init__(self, index: int, distributors: int, timeout: float) -> None:
-        """Starts without failed claims."""
+        """Starts without failed claims, and with a timeout that nothing has restarted."""
         self.index, self.distributors, self.timeout = index, distributors, timeout
         self.failures, self.not_before = 0, 0.0
+        # When the timeout was last restarted without contact with a publisher, and when a promise was given.
+        self.restarted_at, self.promised_at = -inf, -inf
+        # True from this distributor's promise to itself until its claim ends.
+        self.claiming = False
+
+    def restart(self, now: float) -> None:
+        """Restarts the timeout at time `now`, in seconds: at the start, when a higher term is seen, or when
+        this distributor stops publishing."""
+        self.restarted_at = max(self.restarted_at, now)
+
+    def promised(self, now: float) -> None:
+        """Records that a promise was given to another claimant at time `now`; restarts the timeout."""
+        self.promised_at = max(self.promised_at, now)
+        self.restart(now)
+
+    def contact_age(self, now: float, age: float) -> float:
+        """Returns the number of seconds since this distributor had contact with a publisher or with a
+        claimant, which it reports to others. `age` is that of its content."""
+        if self.claiming:
+            return 0.0
+        return min(age, now - self.promised_at)
 
     def is_due(self, now: float, age: float, highest: Version) -> bool:
         """Whether to claim at time `now`, in seconds. `age` is the number of seconds since the content was
-        last known to be the newest. `highest` is the highest version seen; its term identifies the lost
-        publisher. A tier that never had a publisher elects none."""
+        last known to be the newest. `highest` is the highest version known of the lost publisher, which its
+        term identifies. A tier that never had a publisher elects none."""
         if not highest.term or now < self.not_before:
             return False
         publisher = highest.term % TERMS_PER_ROUND
         offset = (self.index - publisher - 1) % self.distributors
-        return age > self.timeout + min(offset, MAX_STAGGER_STEPS) * STAGGER_S
+        silence = min(age, now - self.restarted_at)
+        return silence > self.timeout + min(offset, MAX_STAGGER_STEPS) * STAGGER_S
 
     def is_publisher_alive(self, ages: list[float]) -> bool:
         """Whether any distributor that replied had contact with the publisher within the timeout, by the
--- a/thistlelever/distributor/follower.py
+++ b/thistlelever/distributor/follower.py
@@ -152,4 +152,6 @@
                 self.log("update refused", version=str(update.version), outcome=outcome.value)
                 raise DistributorBehindError(f"its update was {outcome.value}")
         self.failover.succeeded()
-        self.last_contact_at, self.age_at_contact = clock.now(), reply.age
+        # A distributor that is itself out of contact does not make this content older.
+        if reply.age <= self.age():
+            self.last_contact_at, self.age_at_contact = clock.now(), reply.age
--- a/thistlelever/distributor/handlers.py
+++ b/thistlelever/distributor/handlers.py
@@ -176,9 +176,10 @@
 
     def version_reply(self, granted: bool = True) -> codec.VersionReply:
         """Returns the versions held and seen here, and whether the request was granted."""
-        replica, follower = self.distributor.catalog.replica, self.distributor.follower
-        highest = max(replica.highest(), follower.highest_seen)
-        return codec.VersionReply(replica.version, highest, follower.age(), granted)
+        distributor = self.distributor
+        replica = distributor.catalog.replica
+        highest = max(replica.highest(), distributor.follower.highest_seen)
+        return codec.VersionReply(replica.version, highest, distributor.role.contact_age(), granted)
 
 
 class AnnounceHandler(VersionHandler):
@@ -213,9 +214,11 @@
         distributor = self.distributor
         granted = promise(distributor.catalog.replica, request.term)
         if granted:
-            distributor.role.observe(Version(request.term, 0))
+            distributor.role.promised(request.term)
             try:
                 await distributor.promises.save(Version(request.term, 0))
+                # The claimant has the promise only now.
+                distributor.role.promised(request.term)
             except StoreError as error:
                 distributor.log("promise not kept on disk", why=str(error))
                 granted = False
--- a/thistlelever/distributor/publishing.py
+++ b/thistlelever/distributor/publishing.py
@@ -52,14 +52,35 @@
         self.held_versions: dict[int, Version] = {}
         self.held_changed = asyncio.Event()
         self.claim_lock = asyncio.Lock()
-
-    async def claim(self, above: Version = NO_VERSION, election: Election | None = None) -> int:
+        # The rules by which this distributor claims the role by itself; None: an operator makes it claim.
+        self.election: Election | None = None
+
+    def join_election(self, election: Election) -> None:
+        """Makes this distributor take part in elections from now on."""
+        self.election = election
+        election.restart(clock.now())
+
+    def contact_age(self) -> float:
+        """Returns the number of seconds since this distributor had contact with a publisher or, where
+        publishers are elected, with a claimant."""
+        age = self.follower.age()
+        return self.election.contact_age(clock.now(), age) if self.election else age
+
+    def promised(self, term: int) -> None:
+        """Records a promise to another claimant: this distributor steps down, and waits for the claimant
+        before it claims itself."""
+        self.observe(Version(term, 0))
+        if self.election:
+            self.election.promised(clock.now())
+
+    async def claim(self, above: Version = NO_VERSION, *, automatic: bool = False) -> int:
         """Takes over the role and returns the new term, which is higher than that of `above`. If this
-        distributor already publishes in such a term, that term is returned. Raises `ClaimFailedError`."""
+        distributor already publishes in such a term, that term is returned. An `automatic` claim fails while
+        the publisher or another claimant is heard of. Raises `ClaimFailedError`."""
         async with self.claim_lock:
             if self.publisher and self.publisher.term > above.term:
                 return self.publisher.term
-            term = await claim_term(self.follower, above, self.promises, election)
+            term = await claim_term(self.follower, above, self.promises, self.election, automatic)
             catalog = self.catalog
             try:
                 self.publisher = Publisher(catalog.replica, catalog.history, term)
@@ -73,36 +94,54 @@
             self.log("publishes", term=term, version=str(catalog.version))
             return term
 
-    async def claim_at_start(self, election: Election | None) -> None:
-        """Claims until it succeeds. With `election`, stops after a failed claim if this distributor
-        has had contact with another publisher within the election's timeout."""
+    async def run(self, election: Election | None, claims_at_start: bool) -> None:
+        """Claims the role at the start if `claims_at_start`, then takes part in elections with `election`,
+        until cancelled."""
+        if election:
+            self.join_election(election)
+        if claims_at_start:
+            await self.claim_at_start()
+        if election:
+            await self.elect(election)
+
+    async def claim_at_start(self) -> None:
+        """Claims until it succeeds. With an election, stops after a failed claim if this distributor has had
+        contact with another publisher within the election's timeout."""
         while self.publisher is None:
             try:
-                await self.claim(election=election)
+                await self.claim(automatic=self.election is not None)
             except ClaimFailedError as error:
                 self.log("claim failed", why=str(error))
                 await asyncio.sleep(CLAIM_RETRY_DELAY_S)
-                if election and self.follower.age() <= election.timeout:
+                if self.election and self.follower.age() <= self.election.timeout:
                     return
 
     async def elect(self, election: Election) -> None:
         """Claims whenever the publisher is lost, until cancelled."""
+        if self.election is not election:
+            self.join_election(election)
+        follower, replica = self.follower, self.catalog.replica
         while True:
-            await asyncio.sleep(self.follower.heartbeat * ELECTION_CHECK_HEARTBEATS)
-            follower = self.follower
-            highest = max(follower.highest_seen, self.catalog.replica.highest())
-            if self.publisher or not election.is_due(clock.now(), follower.age(), highest):
+            await asyncio.sleep(follower.heartbeat * ELECTION_CHECK_HEARTBEATS)
+            # The lost publisher is that of the content held: a promise is to its successor.
+            lost = replica.version if replica.version.term else max(follower.highest_seen, replica.floor)
+            busy = self.publisher or self.claim_lock.locked()
+            if busy or not election.is_due(clock.now(), follower.age(), lost):
                 continue
             try:
-                self.log("publisher lost", age=round(follower.age(), 3), highest=str(highest))
-                await self.claim(election=election)
+                self.log("publisher lost", age=round(follower.age(), 3), highest=str(lost))
+                await self.claim(automatic=True)
             except ClaimFailedError as error:
                 election.failed(clock.now())
                 self.log("claim failed", why=str(error))
 
     def observe(self, version: Version) -> None:
-        """Records a version seen in a message, and gives up the role if its term is higher."""
+        """Records a version seen in a message, and gives up the role if its term is higher. A higher term
+        restarts the election's timeout: its publisher, or its claimant, gets time to be heard of."""
+        is_newer_term = version.term > self.follower.highest_seen.term
         self.follower.observe(version)
+        if is_newer_term and self.election:
+            self.election.restart(clock.now())
         if self.publisher is None:
             return
         self.publisher.observe(version)
@@ -110,6 +149,8 @@
             self.log("superseded", term=self.publisher.term, by=str(self.publisher.superseded))
             self.publisher, self.follower.publishing = None, False
             self.held_changed.set()
+            if self.election:
+                self.election.restart(clock.now())
 
     def record_held(self, index: int, version: Version) -> None:
         """Records the version that a follower holds."""
@@ -187,7 +228,7 @@
             if self.publisher:
                 follower = self.follower
                 request = codec.AnnounceRequest(follower.index, self.catalog.version)
-                answers = await call_others(follower.distributors, follower.index, ANNOUNCE_PATH, request)
+                answers = await call_others(follower, ANNOUNCE_PATH, request)
                 for answer in answers.values():
                     self.observe(answer.highest)
             await asyncio.sleep(self.follower.heartbeat)
--- a/thistlelever/distributor/service.py
+++ b/thistlelever/distributor/service.py
@@ -107,11 +107,7 @@
         ]
         if self.writer:
             jobs.append(self.writer.run())
-        election = self.election()
-        if election:
-            jobs.append(self.role.elect(election))
-        if self.config.publisher:
-            jobs.append(self.role.claim_at_start(election))
+        jobs.append(self.role.run(self.election(), self.config.publisher))
         self.tasks = [loop.create_task(self.supervise(job)) for job in jobs]
         self.log("ready", listen=self.config.listen, version=str(self.catalog.version))
 
