A distributor that lost its store promises no later term until it has recovered

What callers saw: a change answered 200 was gone after one store was lost. Distributors 0 and 1 held it, 0 was stopped, 1 restarted with an empty store, and 2, which had never seen it, was promoted with 1's promise. The same happened when 1 itself was promoted with 2's promise.

Cause: the docstring of `claim` said that a distributor which may have lost promises answers no claims until enough others have replied; no handler checked that. The rule was also too weak: a promise stands for the content held, which is lost with the store, so a floor without the content would have let the claim pass. And a claimant counted its own promise without the content that it had held.

Fix: a distributor whose store was empty at its start, or that has none, promises only terms of the first round, to others and in its own claim, until it has recovered. A background task asks the others for their highest versions, once a heartbeat, until enough have replied by the rule of `Claim(promises_intact=False)`, copies the newest content among them, waits until it is stored, then raises and stores the floor. A member of each majority that may have promised a term or confirmed a change is among those that replied, so the floor and the content are at least what one lost store held. A term of the first round has a claimant that needs as many replies, none of which knows a version; a new tier starts with it as before. Replies of `NO_VERSION` from all count as a recovery, so that a tier which lost everything can be promoted above the version of its fronts. The floor is the start of the highest term known and not the highest version: promises are of whole terms, and content of the same term is still accepted.

Unchanged: wire forms, and `is_intact`, by which a distributor without a store needs more replies in its own claim.

Left: until it has recovered the distributor follows and acknowledges; and a process that is killed between storing a floor and its content passes for whole.

--- a/thistlelever/distribution/claim.py
+++ b/thistlelever/distribution/claim.py
@@ -24,12 +24,14 @@
 term: it cannot know what it published after the backup was made. A majority promised its former term before
 it published anything in that term, so the new claim learns of the former term and chooses a higher one.
 
-State restored from a backup may lack promises made since. Until a distributor has replies from enough others
-since its start (until `Claim.term` of a claim with `promises_intact=False` is not None), it answers no claims
-and its own reply does not count in its own claim; then it raises its floor to `Claim.highest` (`promise`).
-This covers one such distributor at a time, or several if enough others have kept their promises. If most are
-restored at once, nobody knows which terms existed, and the operator must start them with a term that was
-never used.
+A distributor that starts with an empty store, or without one, may have lost promises and the content that it
+held. Until it has replies from enough others since its start (until `Claim.term` of a claim with
+`promises_intact=False` is not None) and the newest content among them, it promises no term that follows
+another one, neither to others nor in its own claim; then it raises its floor to the term of `Claim.highest`
+(`promise_recovery`). It replies to the first phase meanwhile: a low reply there only makes a term too low,
+which those who remember a higher one refuse. This covers one such distributor at a time. If most have lost
+their promises at once, nobody knows which terms existed, and the operator must start them with a term that
+was never used. An old backup of a store is not recognised as such: remove the store instead of restoring it.
 """
 
 from __future__ import annotations
--- a/thistlelever/distributor/claiming.py
+++ b/thistlelever/distributor/claiming.py
@@ -11,7 +11,7 @@
 from thistlelever.distribution.replica import Outcome
 from thistlelever.distribution.versions import Version
 from thistlelever.distributor.follower import Follower
-from thistlelever.distributor.promises import PromiseStore
+from thistlelever.distributor.promises import NOT_RECOVERED, PromiseStore
 from thistlelever.distributor.store import StoreError
 
 HIGHEST_PATH, PROMISE_PATH, ANNOUNCE_PATH = "/v1/highest", "/v1/promise", "/v1/announce"
@@ -68,6 +68,8 @@
     term = claim.term()
     if term is None:
         raise ClaimFailedError(f"too few answers: {1 + len(answers)} of {len(distributors)} distributors")
+    if not promises.may_promise(term):
+        raise ClaimFailedError(f"term {term}: {NOT_RECOVERED}")
     if not promise(replica, term):
         raise ClaimFailedError(f"term {term}: a higher one was promised here meanwhile")
     try:
--- a/thistlelever/distributor/handlers.py
+++ b/thistlelever/distributor/handlers.py
@@ -18,6 +18,7 @@
 from thistlelever.distribution.versions import Version, parse
 from thistlelever.distributor.claiming import ANNOUNCE_PATH, HIGHEST_PATH, PROMISE_PATH, ClaimFailedError
 from thistlelever.distributor.follower import FOLLOW_PATH
+from thistlelever.distributor.promises import NOT_RECOVERED
 from thistlelever.distributor.service import Distributor
 from thistlelever.distributor.sessions import BehindError, BusyError, Session
 from thistlelever.distributor.store import StoreError
@@ -203,7 +204,8 @@
 
 class PromiseHandler(VersionHandler):
     """A claimant asks for a promise to accept nothing of an earlier term. If there is a store, the promise is
-    on disk before the reply is sent."""
+    on disk before the reply is sent. While promises from before the start may be lost, only a first term is
+    promised."""
 
     async def post(self) -> None:
         """Promises the term, or refuses because of a higher one or because the promise can't be stored."""
@@ -211,11 +213,16 @@
         if request is None:
             return
         distributor = self.distributor
+        promises = distributor.promises
+        if not promises.may_promise(request.term):
+            distributor.log("promise refused", term=request.term, why=NOT_RECOVERED)
+            self.reply_msgpack(self.version_reply(granted=False))
+            return
         granted = promise(distributor.catalog.replica, request.term)
         if granted:
             distributor.role.observe(Version(request.term, 0))
             try:
-                await distributor.promises.save(Version(request.term, 0))
+                await promises.save(Version(request.term, 0))
             except StoreError as error:
                 distributor.log("promise not kept on disk", why=str(error))
                 granted = False
--- a/thistlelever/distributor/service.py
+++ b/thistlelever/distributor/service.py
@@ -19,6 +19,7 @@
 from thistlelever.distributor.config import DistributorConfig
 from thistlelever.distributor.content_writer import ContentWriter
 from thistlelever.distributor.follower import Follower, Peers
+from thistlelever.distributor.promise_recovery import recover_promises
 from thistlelever.distributor.promises import PromiseStore
 from thistlelever.distributor.publishing import DocumentCheck, PublisherRole
 from thistlelever.distributor.sessions import Sessions
@@ -99,6 +100,7 @@
         self.server = HTTPServer(build_application(self), no_keep_alive=False)
         self.server.listen(port, host, backlog=LISTEN_BACKLOG)
         jobs = [
+            recover_promises(self.follower, self.promises, self.log),
             self.follower.run(),
             self.sessions.run(),
             self.role.announce(),
