--- a/thistlelever/distributor/claiming.py
+++ b/thistlelever/distributor/claiming.py
@@ -12,7 +12,7 @@
 from thistlelever.distribution.replica import Outcome
 from thistlelever.distribution.versions import Version
 from thistlelever.distributor.follower import Follower
-from thistlelever.distributor.promises import PromiseStore
+from thistlelever.distributor.promises import NOT_RECOVERED, PromiseStore
 from thistlelever.distributor.store import StoreError
 from thistlelever.ground import clock
 
@@ -98,6 +98,8 @@
     term = claim.term()
     if term is None:
         raise ClaimFailedError(f"too few answers: {claim.responders()} of {len(distributors)} distributors")
+    if not promises.may_promise(term):
+        raise ClaimFailedError(f"term {term}: {NOT_RECOVERED}")
     if not promise(replica, term):
         raise ClaimFailedError(f"term {term}: a higher one was promised here meanwhile")
     if election:
@@ -126,10 +128,9 @@
     """Requests the highest versions of all other distributors and records their replies. With `election`,
     raises `ClaimFailedError` if one of them, or this distributor meanwhile, had contact with the publisher or
     with another claimant."""
-    quorum = majority(len(follower.distributors)) - 1
     request = codec.HighestRequest(follower.index)
     answers = await call_others(
-        follower, HIGHEST_PATH, request, enough=lambda replies: len(replies) >= quorum
+        follower, HIGHEST_PATH, request, enough=lambda replies: len(replies) >= claim.others_needed()
     )
     if election:
         own_age = election.contact_age(clock.now(), follower.age())
