--- a/tests/distributor_stage.py
+++ b/tests/distributor_stage.py
@@ -9,7 +9,9 @@
 
 from rigs.loopback import HOST, free_port
 from thistlelever.carrier.subscription import Subscription, SubscriptionTerms
+from thistlelever.distributor import claiming
 from thistlelever.distributor import config as configuration
+from thistlelever.distributor.claiming import PROMISE_PATH
 from thistlelever.distributor.service import Distributor
 from thistlelever.subsetting import FrontIdentity
 
@@ -111,3 +113,13 @@
         yield stage
     finally:
         await stage.close()
+
+
+def lose_promise_requests_to(address):
+    """A `call_distributor` whose requests for a promise to this address are lost."""
+    call = claiming.call_distributor
+
+    async def call_or_lose(target, path, *arguments):
+        return None if (target, path) == (address, PROMISE_PATH) else await call(target, path, *arguments)
+
+    return call_or_lose
--- a/tests/test_promise_recovery.py
+++ b/tests/test_promise_recovery.py
@@ -4,7 +4,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from distributor_stage import HEARTBEAT, Tier, tier
+from distributor_stage import HEARTBEAT, Tier, lose_promise_requests_to, tier
 
 from thistlelever.carrier.distributor_connection import DistributorError
 from thistlelever.distribution import codec
@@ -12,7 +12,6 @@
 from thistlelever.distribution.promise_recovery import PromiseRecovery, may_promise_unrecovered
 from thistlelever.distribution.versions import NO_VERSION, Version
 from thistlelever.distributor import claiming, promise_recovery
-from thistlelever.distributor.claiming import PROMISE_PATH
 from thistlelever.distributor.store import StoreError
 
 CHANGE = {"removals": ["engine-00002"]}
@@ -200,16 +199,6 @@
     run_scenario(scenario())
 
 
-def lose_promise_requests_to(address):
-    """A `call_distributor` whose requests for a promise to this address are lost."""
-    call = claiming.call_distributor
-
-    async def call_or_lose(target, path, request):
-        return None if (target, path) == (address, PROMISE_PATH) else await call(target, path, request)
-
-    return call_or_lose
-
-
 def withhold_content(follower, index, has_reply):
     """Make a follower's polls of one distributor fail or, if `has_reply`, bring no update."""
     poll_once = follower.poll_once
--- a/tests/test_publisher_election.py
+++ b/tests/test_publisher_election.py
@@ -5,14 +5,13 @@
 from contextlib import asynccontextmanager, suppress
 
 import pytest
-from distributor_stage import Tier, tier
+from distributor_stage import Tier, lose_promise_requests_to, tier
 
 from thistlelever.carrier.distributor_connection import DistributorError
 from thistlelever.distribution.claim import TERMS_PER_ROUND
 from thistlelever.distribution.election import Election
 from thistlelever.distribution.versions import parse
 from thistlelever.distributor import claiming
-from thistlelever.distributor.claiming import PROMISE_PATH
 
 DISTRIBUTORS = 5
 ELECTION_AFTER_S = 1.0
@@ -228,16 +227,6 @@
     run_scenario(scenario())
 
 
-def lose_promise_requests_to(address):
-    """A `call_distributor` whose requests for a promise to this address are lost."""
-    call = claiming.call_distributor
-
-    async def call_or_lose(target, path, *arguments):
-        return None if (target, path) == (address, PROMISE_PATH) else await call(target, path, *arguments)
-
-    return call_or_lose
-
-
 def partition(follower):
     """Make all polls of a follower fail; the methods that restore it."""
     methods = follower.follow, follower.poll_once
