--- a/thistlelever/distribution/claim.py
+++ b/thistlelever/distribution/claim.py
@@ -24,12 +24,14 @@
 term: it cannot know what it published after the backup was made. A majority promised its former term before
 it published anything in that term, so the new claim learns of the former term and chooses a higher one.
 
-State restored from a backup may lack promises made since. Until a distributor has replies from enough others
-since its start (until `Claim.term` of a claim with `promises_intact=False` is not None), it answers no claims
-and its own reply does not count in its own claim; then it raises its floor to `Claim.highest` (`promise`).
-This covers one such distributor at a time, or several if enough others have kept their promises. If most are
-restored at once, nobody knows which terms existed, and the operator must start them with a term that was
-never used.
+A distributor that starts with an empty store, or without one, may have lost promises and the content that it
+held. Until it has replies from enough others since its start (until `Claim.term` of a claim with
+`promises_intact=False` is not None) and the newest content among them, it promises no term that follows
+another one, neither to others nor in its own claim; then it raises its floor to the term of `Claim.highest`
+(`promise_recovery`). It replies to the first phase meanwhile: a low reply there only makes a term too low,
+which those who remember a higher one refuse. This covers one such distributor at a time. If most have lost
+their promises at once, nobody knows which terms existed, and the operator must start them with a term that
+was never used. An old backup of a store is not recognised as such: remove the store instead of restoring it.
 """
 
 from __future__ import annotations
@@ -108,6 +110,18 @@
             return self._fixed_term
         return self._next_term() if self._has_quorum() else None
 
+    def others_needed(self) -> int:
+        """The number of other distributors whose replies of the first phase fix the term: with the claimant,
+        a majority; without its own reply, so many that every majority has one of them."""
+        others_in_majority = majority(self._distributors) - 1
+        if self._promises_intact or self._distributors == 1:
+            return others_in_majority
+        return self._distributors - others_in_majority
+
+    def responders(self) -> int:
+        """The number of replies of the first phase, with the claimant's own."""
+        return len(self._responders)
+
     def superseded(self) -> bool:
         """Whether a version above the fixed term was observed. The claim should then be abandoned for a new
         one, since distributors that have seen that version refuse updates of this term."""
@@ -142,9 +156,7 @@
         """Whether the replies include a member of every majority that may have promised an earlier term."""
         if self._promises_intact or self._distributors == 1:
             return len(self._responders) >= majority(self._distributors)
-        others_in_majority = majority(self._distributors) - 1
-        other_responders = len(self._responders - {self._index})
-        return other_responders + others_in_majority > self._distributors - 1
+        return len(self._responders - {self._index}) >= self.others_needed()
 
     def _next_term(self) -> int:
         return (self._highest.term // TERMS_PER_ROUND + 1) * TERMS_PER_ROUND + self._index
--- a/thistlelever/distributor/service.py
+++ b/thistlelever/distributor/service.py
@@ -19,6 +19,7 @@
 from thistlelever.distributor.config import DistributorConfig
 from thistlelever.distributor.content_writer import ContentWriter
 from thistlelever.distributor.follower import Follower, Peers
+from thistlelever.distributor.promise_recovery import recover_promises
 from thistlelever.distributor.promises import PromiseStore
 from thistlelever.distributor.publishing import DocumentCheck, PublisherRole
 from thistlelever.distributor.sessions import Sessions
@@ -99,6 +100,7 @@
         self.server = HTTPServer(build_application(self), no_keep_alive=False)
         self.server.listen(port, host, backlog=LISTEN_BACKLOG)
         jobs = [
+            recover_promises(self.follower, self.promises, self.log),
             self.follower.run(),
             self.sessions.run(),
             self.role.announce(),
@@ -107,11 +109,7 @@
         ]
         if self.writer:
             jobs.append(self.writer.run())
-        election = self.election()
-        if election:
-            jobs.append(self.role.elect(election))
-        if self.config.publisher:
-            jobs.append(self.role.claim_at_start(election))
+        jobs.append(self.role.run(self.election(), self.config.publisher))
         self.tasks = [loop.create_task(self.supervise(job)) for job in jobs]
         self.log("ready", listen=self.config.listen, version=str(self.catalog.version))
 
