Backstop: after a stall of the loop, what is harmless to repeat is pushed back

What callers saw: the answer -32000 (failed) for a batch of a repeatable class, where the same end without a stall gives -32001 (refused, a repeat is harmless).

Cause: a dispatch's time limit expires at the batch's deadline, the backstop 25 ms later. A loop that stands still for longer runs both timers in one iteration. The backstop reaches the batch's task at once, the end of the dispatch only after its task was cancelled, and the decisions' answer a turn later. The backstop told an error always, also for a batch that no engine had received, at the end of a front and at any client's limit.

Why this works: the backstop now gives the answer that the decisions would give. The rule on classes whose repeats are harmless is one function, which both use; whether the batch may have run is read from its dispatches (first byte sent, or adopted from another front), less those that ended as never run. Where another front may own the batch it stays an error. What has reached the batch's task by then goes before the backstop. The answer is no later than before.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -72,6 +72,14 @@
 )
 
 
+def is_repeat_harmless(query_class: it.QueryClass) -> bool:
+    """Whether a client may submit a batch of the class again even though it may have run."""
+    dropped_everywhere = (
+        query_class.repeat is it.Idempotency.DEDUPLICATED and query_class.scope is it.DeduplicationScope.ALL
+    )
+    return query_class.repeat is it.Idempotency.IDEMPOTENT or dropped_everywhere
+
+
 class OpenDispatch:
     """One dispatch without an outcome yet; `engine` is the engine's index."""
 
@@ -410,15 +418,7 @@
 
     def final_refusal(self, batch: Batch) -> it.Action:
         """Push-back if the client may safely submit the batch again, else an error."""
-        query_class = self.query_classes[batch.class_index]
-        dropped_everywhere = (
-            query_class.repeat is it.Idempotency.DEDUPLICATED
-            and query_class.scope is it.DeduplicationScope.ALL
-        )
-        harmless = (
-            not batch.possible_runs or query_class.repeat is it.Idempotency.IDEMPOTENT or dropped_everywhere
-        )
-        if harmless:
+        if not batch.possible_runs or is_repeat_harmless(self.query_classes[batch.class_index]):
             return it.PushBack(batch.id, min(self.max_retry_after, batch.run_time))
         return it.Error(batch.id)
 
--- a/thistlelever/carrier/batch_tasks.py
+++ b/thistlelever/carrier/batch_tasks.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from thistlelever.ground import interface as it
+from thistlelever.admission.decide import NEVER_RAN
 from thistlelever.carrier.decision_loop import DecisionLoop
 from thistlelever.carrier.dispatch import Dispatcher, End
 from thistlelever.carrier.result_stream import Begun
@@ -23,9 +24,9 @@
     from thistlelever.carrier.remembered_outcomes import RememberedOutcomes
     from thistlelever.carrier.leases import LeaseService
 
-# Messages to a batch's task, besides actions, commands and ends of dispatches: its client has left, or its
-# backstop timer has fired.
-CLIENT_LEFT, OVERDUE = "left", "overdue"
+# Messages to a batch's task, besides actions, commands and ends of dispatches: its client has left; its
+# backstop timer has fired; nothing that had come by then has answered it.
+CLIENT_LEFT, OVERDUE, UNANSWERED = "left", "overdue", "unanswered"
 # How long after its time limit a batch is answered by the backstop if the decisions have not answered it, in
 # seconds. They answer at the limit itself, and an answer counts for 70 ms more.
 BACKSTOP_DELAY_S = 0.025
@@ -80,6 +81,8 @@
             if batch.lease_guard:
                 batch.lease_guard.close()
             batch.backstop.cancel()
+            # Breaks the reference cycle of batch and progress, which would be left to the garbage collector.
+            batch.progress.clear()
             self.batches.drop(batch)
 
     def arm_backstop(self, batch: Batch) -> None:
@@ -144,6 +147,8 @@
                     message.result_stream.close_reader()
                 case End():
                     del batch.dispatch_tasks[message.number]
+                    if message.outcome in NEVER_RAN:
+                        batch.progress.pop(message.number, None)
                     batch.measured_work += message.true_work
                     if batch.lease_guard:
                         batch.lease_guard.end_dispatch(message)
@@ -174,11 +179,25 @@
                 ):
                     batch.result_stream.close_reader()
                     batch.dispatch_tasks[batch.result_stream.number].cancel()
+                # What the decisions and the engines have said by now goes first.
                 case _ if message is OVERDUE and not batch.answered:
+                    batch.inbox.put_nowait(UNANSWERED)
+                case _ if message is UNANSWERED and not batch.answered:
                     self.metrics.add("left without an answer at the limit")
-                    self.send_answer(batch, answer, it.Error(batch.number))
+                    self.send_answer(batch, answer, self.overdue_answer(batch))
                     self.decisions.add_event(it.ClientLeft(batch.number))
 
+    def overdue_answer(self, batch: Batch) -> it.PushBack | it.Error:
+        """Return the backstop's answer: push-back if the client may safely submit the batch again.
+
+        After a stall of the event loop the backstop's timer and the time limits of the dispatches expire
+        together, and the decisions have not heard yet how the dispatches ended. With a lease, a batch that
+        another front may own gets an error; the replicas are not asked, as time is up.
+        """
+        harmless = batch.repeat_harmless or not batch.may_have_run()
+        owned = not batch.lease_guard or batch.lease_guard.is_held()
+        return it.PushBack(batch.number, 0.0) if harmless and owned else it.Error(batch.number)
+
     async def claim(self, batch: Batch, answer: Answer) -> bool:
         """Acquire the lease of a batch before anything is sent for it; returns whether this front may run the
         batch and its client is still there."""
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -199,6 +199,7 @@
             min(started_at + request.time_out, batch.deadline) if request.time_out > 0 else batch.deadline
         )
         progress = DispatchProgress(number, lambda: self.may_start(batch, request), ordered_at=started_at)
+        batch.progress[number] = progress
         try:
             entry = self.registry.entries.get(request.engine)
             if batch.answered or deadline <= started_at or entry is None:
--- a/thistlelever/carrier/validation.py
+++ b/thistlelever/carrier/validation.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 
+from thistlelever.admission.decide import is_repeat_harmless
 from thistlelever.carrier.loop_lag import LoopLagMonitor
 from thistlelever.ground import clock
 from thistlelever.ground import interface as it
@@ -66,7 +67,14 @@
             float(table[0]),
             asked.is_retry,
         )
-        return Batch(number, asked, taken, query_class.name, now + left)
+        return Batch(
+            number,
+            asked,
+            taken,
+            query_class.name,
+            now + left,
+            repeat_harmless=is_repeat_harmless(query_class),
+        )
 
 
 def ordering_key(table: bytes) -> int:
--- a/thistlelever/store/batches.py
+++ b/thistlelever/store/batches.py
@@ -25,8 +25,9 @@
     `number` is unique in this front. `class_name` names the query class, `deadline` is in seconds on the
     front's clock, `grant` is the memory granted to a dispatch in MB, `dispatches` counts those started. The
     task of the batch receives its messages through `inbox`. `dispatch_tasks`, `engines` and `timeouts` are
-    keyed by the number of the dispatch. `answered` is set once the final answer is given or its
-    client has left.
+    keyed by the number of the dispatch, and so is `progress`, without those that certainly never ran.
+    `repeat_harmless`: its client may submit it again though it may have run. `answered` is set once the final
+    answer is given or its client has left.
     """
 
     number: int
@@ -41,6 +42,9 @@
     dispatch_tasks: dict[int, asyncio.Task] = field(default_factory=dict)
     engines: dict[int, it.EngineId] = field(default_factory=dict)
     timeouts: dict[int, asyncio.Timeout] = field(default_factory=dict)
+    # How far each dispatch has come, of type `carrier.dispatch.DispatchProgress`.
+    progress: dict[int, Any] = field(default_factory=dict)
+    repeat_harmless: bool = False
     answered: bool = False
     # Cost of its dispatches as reported by the engines, in core-seconds.
     measured_work: float = 0.0
@@ -60,6 +64,10 @@
         """Return the name under which the engine knows the dispatch."""
         return self.adopted_names.get(number) or DispatchName(self.submission.txn, number)
 
+    def may_have_run(self) -> bool:
+        """Whether an engine may have run the batch, for this front or for one that dispatched it before."""
+        return bool(self.adopted_names) or any(progress.started for progress in self.progress.values())
+
 
 class Batches:
     """All open batches, indexed by number (used by the decision loop) and by the client's id."""
