Flight: a call that got nothing is not told that its reader is too slow

What callers saw: after a stall of the loop across the time limit, DoGet ended with DEADLINE_EXCEEDED "the result is not whole" and counted a slow reader, though no engine had answered. A repeatable batch ends with RESOURCE_EXHAUSTED (a repeat is harmless) without the stall, one that may have run with DEADLINE_EXCEEDED "time limit".

Why this works: the time for sending is taken only round the sending. Up to its answer the batch has its own time limit and the backstop.

--- a/tests/test_stalled_loop.py
+++ b/tests/test_stalled_loop.py
@@ -97,6 +97,26 @@
     )
 
 
+# Risk: a Flight call that got nothing is told that its reader is too slow for the rest of its result.
+@pytest.mark.parametrize("seconds", STALLS_S)
+@pytest.mark.parametrize(
+    "query_class, status",
+    [("lookup", "RESOURCE_EXHAUSTED pushed back"), ("pay", "DEADLINE_EXCEEDED time limit")],
+)
+@pytest.mark.parametrize("call", ("GetFlightInfo", "DoGet"))
+def test_a_flight_call_ends_after_a_stall_as_without_one(call, query_class, status, seconds):
+    async def whole():
+        setup = f"flight_engine f\non f {call} silent\nfront\nquery 1 {query_class} x-wait-ms=400\nbegun 1"
+        async with served(setup) as stage:
+            await stall_across_limit(stage, seconds)
+            await play(stage, f"fails 1 {status}\nover")
+            failure = (await stage.wait_for_end("1")).exception()
+            assert "not whole" not in failure.details
+            assert not stage.server.metrics.counts["flight readers too slow"]
+
+    asyncio.run(whole())
+
+
 def backstop_answers(batch, *later_messages):
     """The answers of a batch whose backstop fires right before these messages reach its task."""
 
--- a/thistlelever/flight/server.py
+++ b/thistlelever/flight/server.py
@@ -329,14 +329,7 @@
         status = self.tickets.redeem(payload.claims(), clock.now())
         if status is not TicketStatus.VALID:
             raise self.ticket_error(status)
-        batch = self.make_batch(payload, context)
-        try:
-            async with asyncio.timeout_at(clock.on_loop(batch.deadline + RESPONSE_MARGIN)):
-                await self.send_result(batch, context)
-        except TimeoutError:
-            # The client reads too slowly: it has only part of the result, and the status says so.
-            self.metrics.add("flight readers too slow")
-            raise status_errors.incomplete_result(it.DispatchOutcome.TIMED_OUT) from None
+        await self.send_result(self.make_batch(payload, context), context)
 
     def ticket_error(self, status: TicketStatus) -> StatusError:
         """Return the error for a ticket that cannot be redeemed or cancelled."""
@@ -351,20 +344,32 @@
         Raises `StatusError` where there is no result or it was cut off.
         """
         async with BatchCall(self, batch) as answer:
-            match answer:
-                case End():
-                    stream_messages = (
-                        answer.stream_messages
-                        if answer.stream_messages is not None
-                        else columns.encode_rows(answer.pages)
-                    )
-                    for raw in stream_messages:
-                        await context.write(raw)
-                case Begun():
-                    while (raw := await answer.result_stream.take()) is not None:
-                        await context.write(raw)
-                    if answer.result_stream.outcome is not it.DispatchOutcome.RETURNED:
-                        raise status_errors.incomplete_result(answer.result_stream.outcome)
+            # Only the sending is timed here. Up to its answer the batch has its own time limit, and what that
+            # says of a repeat must reach the client.
+            try:
+                async with asyncio.timeout_at(clock.on_loop(batch.deadline + RESPONSE_MARGIN)):
+                    await self.write_result(answer, context)
+            except TimeoutError:
+                # The client reads too slowly: it has only part of the result, and the status says so.
+                self.metrics.add("flight readers too slow")
+                raise status_errors.incomplete_result(it.DispatchOutcome.TIMED_OUT) from None
+
+    async def write_result(self, answer: End | Begun, context: aio.ServicerContext) -> None:
+        """Write a result, whole or begun; raises `StatusError` where it breaks off."""
+        match answer:
+            case End():
+                stream_messages = (
+                    answer.stream_messages
+                    if answer.stream_messages is not None
+                    else columns.encode_rows(answer.pages)
+                )
+                for raw in stream_messages:
+                    await context.write(raw)
+            case Begun():
+                while (raw := await answer.result_stream.take()) is not None:
+                    await context.write(raw)
+                if answer.result_stream.outcome is not it.DispatchOutcome.RETURNED:
+                    raise status_errors.incomplete_result(answer.result_stream.outcome)
 
     def no_result_error(self, answer, batch: Batch) -> StatusError:
         """Return the error for a batch whose answer is not a result."""
