Election: a failing disk, lost promises and slow copies keep no one from the role

Cause: a promised term without any version restarted everybody's timeout at each failed claim; voters reported contact to the claimant that had their promise; a claim was no longer reported once it was promised; a refusal by a higher term did not end the wait for promises.

Why this works: only a granted promise or a version of a higher term restarts the timeout; whom a promise was given to is known and told no contact by it; a claim is told of until its first version, and the highest term is looked at again after the copy.

--- a/thistlelever/distribution/election.py
+++ b/thistlelever/distribution/election.py
@@ -30,25 +30,27 @@
         self.failures, self.not_before = 0, 0.0
         # When the timeout was last restarted without contact with a publisher, and when a promise was given.
         self.restarted_at, self.promised_at = -inf, -inf
-        # True from this distributor's promise to itself until its claim ends.
+        # The claimant that has this distributor's last promise.
+        self.promised_to: int | None = None
+        # True from this distributor's promise to itself until it publishes or gives up its claim.
         self.claiming = False
 
     def restart(self, now: float) -> None:
-        """Restarts the timeout at time `now`, in seconds: at the start, when a higher term is seen, or when
-        this distributor stops publishing."""
+        """Restarts the timeout at time `now`, in seconds: at the start, when a version of a higher term is
+        seen, or when this distributor stops publishing."""
         self.restarted_at = max(self.restarted_at, now)
 
-    def promised(self, now: float) -> None:
+    def promised(self, claimant: int, now: float) -> None:
         """Records that a promise was given to another claimant at time `now`; restarts the timeout."""
-        self.promised_at = max(self.promised_at, now)
+        self.promised_to, self.promised_at = claimant, now
         self.restart(now)
 
-    def contact_age(self, now: float, age: float) -> float:
-        """Returns the number of seconds since this distributor had contact with a publisher or with a
-        claimant, which it reports to others. `age` is that of its content."""
-        if self.claiming:
+    def contact_age(self, now: float, age: float, claimant: int) -> float:
+        """Returns the number of seconds since this distributor had contact with a publisher or with another
+        claimant than `claimant`, to which it reports this. `age` is that of its content."""
+        if self.claiming and claimant != self.index:
             return 0.0
-        return min(age, now - self.promised_at)
+        return age if claimant == self.promised_to else min(age, now - self.promised_at)
 
     def is_due(self, now: float, age: float, highest: Version) -> bool:
         """Whether to claim at time `now`, in seconds. `age` is the number of seconds since the content was
--- a/thistlelever/distributor/claiming.py
+++ b/thistlelever/distributor/claiming.py
@@ -103,27 +103,31 @@
     if not promise(replica, term):
         raise ClaimFailedError(f"term {term}: a higher one was promised here meanwhile")
     if election:
+        # Until the end of the claim, which the caller marks.
         election.claiming = True
     try:
         await promises.save(Version(term, 0))
-        claim.record_promise(index, replica.version)
-        await request_promises(follower, claim, term)
     except StoreError as error:
         raise ClaimFailedError(f"term {term}: {error}") from None
-    finally:
-        if election:
-            election.claiming = False
-    claim.observe(max(follower.highest_seen, replica.floor))
-    if claim.superseded():
-        raise ClaimFailedError(f"term {term}: {claim.highest()} was seen meanwhile")
+    claim.record_promise(index, replica.version)
+    await request_promises(follower, claim, term)
+    require_newest_term(follower, claim)
     source = claim.newest_holder()
     if source is None:
         raise ClaimFailedError(f"term {term}: no majority has promised it")
     if source != index:
         await copy_content(follower, source)
+        require_newest_term(follower, claim)
     return term
 
 
+def require_newest_term(follower: Follower, claim: Claim) -> None:
+    """Raises `ClaimFailedError` if a term above the claimed one has been seen or promised here."""
+    claim.observe(max(follower.highest_seen, follower.catalog.replica.floor))
+    if claim.superseded():
+        raise ClaimFailedError(f"term {claim.term()}: {claim.highest()} was seen meanwhile")
+
+
 async def request_highest(follower: Follower, claim: Claim, election: Election | None) -> None:
     """Requests the highest versions of all other distributors and records their replies. With `election`,
     raises `ClaimFailedError` if one of them, or this distributor meanwhile, had contact with the publisher or
@@ -133,7 +137,7 @@
         follower, HIGHEST_PATH, request, enough=lambda replies: len(replies) >= claim.others_needed()
     )
     if election:
-        own_age = election.contact_age(clock.now(), follower.age())
+        own_age = election.contact_age(clock.now(), follower.age(), follower.index)
         if election.is_publisher_alive([own_age, *(answer.age for answer in answers.values())]):
             raise ClaimFailedError("another distributor hears the publisher or a claimant")
     for other, answer in answers.items():
@@ -143,14 +147,13 @@
 async def request_promises(follower: Follower, claim: Claim, term: int) -> None:
     """Requests a promise of the term from all other distributors and records their replies."""
     quorum = majority(len(follower.distributors)) - 1
+
+    def is_decided(replies: Replies) -> bool:
+        granted = sum(reply.granted for reply in replies.values())
+        return granted >= quorum or any(reply.highest.term > term for reply in replies.values())
+
     request = codec.PromiseRequest(follower.index, term)
-    answers = await call_others(
-        follower,
-        PROMISE_PATH,
-        request,
-        PROMISE_TIMEOUT_S,
-        enough=lambda replies: sum(reply.granted for reply in replies.values()) >= quorum,
-    )
+    answers = await call_others(follower, PROMISE_PATH, request, timeout=PROMISE_TIMEOUT_S, enough=is_decided)
     for other, answer in answers.items():
         if answer.granted:
             claim.record_promise(other, answer.held)
--- a/thistlelever/distributor/handlers.py
+++ b/thistlelever/distributor/handlers.py
@@ -175,12 +175,13 @@
 class VersionHandler(BaseHandler):
     """Base of the handlers that reply with the versions held and seen here."""
 
-    def version_reply(self, granted: bool = True) -> codec.VersionReply:
-        """Returns the versions held and seen here, and whether the request was granted."""
+    def version_reply(self, sender: int, granted: bool = True) -> codec.VersionReply:
+        """Returns the versions held and seen here, and whether the request of distributor `sender` was
+        granted."""
         distributor = self.distributor
         replica = distributor.catalog.replica
         highest = max(replica.highest(), distributor.follower.highest_seen)
-        return codec.VersionReply(replica.version, highest, distributor.role.contact_age(), granted)
+        return codec.VersionReply(replica.version, highest, distributor.role.contact_age(sender), granted)
 
 
 class AnnounceHandler(VersionHandler):
@@ -191,7 +192,7 @@
         request = self.decode_body(codec.AnnounceRequest)
         if request is not None:
             self.distributor.role.observe(request.version)
-            self.reply_msgpack(self.version_reply())
+            self.reply_msgpack(self.version_reply(request.index))
 
 
 class HighestHandler(VersionHandler):
@@ -199,8 +200,9 @@
 
     def post(self) -> None:
         """Replies with the versions held and seen here."""
-        if self.decode_body(codec.HighestRequest) is not None:
-            self.reply_msgpack(self.version_reply())
+        request = self.decode_body(codec.HighestRequest)
+        if request is not None:
+            self.reply_msgpack(self.version_reply(request.index))
 
 
 class PromiseHandler(VersionHandler):
@@ -217,19 +219,19 @@
         promises = distributor.promises
         if not promises.may_promise(request.term):
             distributor.log("promise refused", term=request.term, why=NOT_RECOVERED)
-            self.reply_msgpack(self.version_reply(granted=False))
+            self.reply_msgpack(self.version_reply(request.index, granted=False))
             return
         granted = promise(distributor.catalog.replica, request.term)
         if granted:
-            distributor.role.promised(request.term)
+            distributor.role.promised(request.index, request.term)
             try:
                 await promises.save(Version(request.term, 0))
                 # The claimant has the promise only now.
-                distributor.role.promised(request.term)
+                distributor.role.promised(request.index, request.term)
             except StoreError as error:
                 distributor.log("promise not kept on disk", why=str(error))
                 granted = False
-        self.reply_msgpack(self.version_reply(granted))
+        self.reply_msgpack(self.version_reply(request.index, granted))
 
 
 class PublishHandler(BaseHandler):
--- a/thistlelever/distributor/publishing.py
+++ b/thistlelever/distributor/publishing.py
@@ -60,18 +60,18 @@
         self.election = election
         election.restart(clock.now())
 
-    def contact_age(self) -> float:
+    def contact_age(self, claimant: int) -> float:
         """Returns the number of seconds since this distributor had contact with a publisher or, where
-        publishers are elected, with a claimant."""
+        publishers are elected, with another claimant than `claimant`."""
         age = self.follower.age()
-        return self.election.contact_age(clock.now(), age) if self.election else age
+        return self.election.contact_age(clock.now(), age, claimant) if self.election else age
 
-    def promised(self, term: int) -> None:
+    def promised(self, claimant: int, term: int) -> None:
         """Records a promise to another claimant: this distributor steps down, and waits for the claimant
         before it claims itself."""
         self.observe(Version(term, 0))
         if self.election:
-            self.election.promised(clock.now())
+            self.election.promised(claimant, clock.now())
 
     async def claim(self, above: Version = NO_VERSION, *, automatic: bool = False) -> int:
         """Takes over the role and returns the new term, which is higher than that of `above`. If this
@@ -80,20 +80,28 @@
         async with self.claim_lock:
             if self.publisher and self.publisher.term > above.term:
                 return self.publisher.term
-            term = await claim_term(self.follower, above, self.promises, self.election, automatic)
-            catalog = self.catalog
             try:
-                self.publisher = Publisher(catalog.replica, catalog.history, term)
-            except ValueError as error:
-                # A newer version arrived during the calls to the others.
-                raise ClaimFailedError(str(error)) from None
-            self.follower.publishing = True
-            self.held_versions.clear()
-            delta = self.publisher.begin()
-            catalog.process_applied(delta, {})
-            self.log("publishes", term=term, version=str(catalog.version))
+                term = await claim_term(self.follower, above, self.promises, self.election, automatic)
+                self.begin_term(term)
+            finally:
+                if self.election:
+                    self.election.claiming = False
             return term
 
+    def begin_term(self, term: int) -> None:
+        """Starts to publish in a term that was claimed. Raises `ClaimFailedError`."""
+        catalog = self.catalog
+        try:
+            self.publisher = Publisher(catalog.replica, catalog.history, term)
+        except ValueError as error:
+            # A newer version arrived during the calls to the others.
+            raise ClaimFailedError(str(error)) from None
+        self.follower.publishing = True
+        self.held_versions.clear()
+        delta = self.publisher.begin()
+        catalog.process_applied(delta, {})
+        self.log("publishes", term=term, version=str(catalog.version))
+
     async def run(self, election: Election | None, claims_at_start: bool) -> None:
         """Claims the role at the start if `claims_at_start`, then takes part in elections with `election`,
         until cancelled."""
@@ -136,9 +144,10 @@
                 self.log("claim failed", why=str(error))
 
     def observe(self, version: Version) -> None:
-        """Records a version seen in a message, and gives up the role if its term is higher. A higher term
-        restarts the election's timeout: its publisher, or its claimant, gets time to be heard of."""
-        is_newer_term = version.term > self.follower.highest_seen.term
+        """Records a version seen in a message, and gives up the role if its term is higher. A version of a
+        higher term restarts the election's timeout, so that its publisher is heard of in time. A term without
+        a version does not: its claimant may fail again and again."""
+        is_newer_term = version.number > 0 and version.term > self.follower.highest_seen.term
         self.follower.observe(version)
         if is_newer_term and self.election:
             self.election.restart(clock.now())
