Rig of publisher losses: slow disks, one successor, no deposition, no lost change

The rig measured the time until a change is confirmed after a loss, and compared the distributors at its end. It did not see a publisher that was seated and deposed by a further claim, nor a change that was answered 200 and lost, and its disks were as fast as the machine's.

- `--slow-disks`: each distributor is started by `rigs.slow_disk`, which wraps the writes of `ContentStore`.
Each takes 0.1 to 0.9 s by the seed.
Half of it passes before the data is on disk, half after it.
- `rigs.succession` reads the events `publishes` and `superseded` of all distributors: exactly one publisher after each loss, only the configured one at a start, none deposed in a term in which it had not been lost.
- `rigs.publish_client` publishes a new engine with each attempt.
What was answered 200 must be in all catalogs at the end.
Two changes are published right before each loss.
- `--starts N`: N tiers without a loss.
The bound on the time to a confirmed change is LONGEST_LOSS_S, as before, and holds for starts as well.
- The pause before a loss is 4 to 8 s by the seed (4 s before), so that a late deposition falls into it.
- A call that times out or is cut off in a loss counts as one without an answer; it ended the rig with `HTTPTimeoutError` once a client called a stopped publisher.

Two sabotages: `usurp` (claims although the publisher is alive) and `unconfirmed` (answers 200 without a majority).

--- a/rigs/publisher_loss.py
+++ b/rigs/publisher_loss.py
@@ -1,151 +1,200 @@
 """Automatic failover of the publisher: kills or stops it again and again, and measures the time until another
 distributor confirms a change.
 
-`python -m rigs.publisher_loss --seed 1 [--distributors 7] [--losses 6]`. Real processes on loopback. A loss
-ends when another distributor answers a publish with 200, that is, a majority holds the change.
+`python -m rigs.publisher_loss --seed 1 [--distributors 7] [--losses 6] [--starts 0] [--slow-disks]`. Real
+processes on loopback. A loss ends when another distributor answers a publish with 200, that is, a majority
+holds the change. A client publishes all the time. With `--slow-disks` every write to disk takes 0.1 to 0.9 s.
+`--starts` tiers are started anew before, each without a loss. `--folder` keeps the logs and stores.
+
+Rules: exactly one publisher takes over after each loss, and only the configured one at a start; no publisher
+is deposed without a fault; every change that was answered 200 is in all catalogs at the end; a change is
+confirmed within LONGEST_LOSS_S of each loss and start.
 """
 
 import asyncio
-import json
-import signal
-import socket
-import sys
 import tempfile
+from math import ceil
 from pathlib import Path
-from time import monotonic
+from statistics import median
+from time import monotonic, time
 
 import click
-from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
-from rigs.fleet import ROOT
-from rigs.loopback import HOST, free_port
+from rigs import succession
+from rigs.distributor_tier import Tier
+from rigs.publish_client import PublishClient
 from rigs.results import Chance, report_and_exit
+from rigs.slow_disk import GUARDS
 
-ENGINES, ELECTION_AFTER_S, LONGEST_LOSS_S, CALM_S = 2_000, 5.0, 12.0, 4.0
-START_WITHIN_S, TRY_EVERY_S = 20.0, 0.05
+LONGEST_LOSS_S = 12.0
+# Shortest time between the end of a loss and the next one; the longest is twice that.
+CALM_S = 4.0
+# Longer than any follower that lost contact at the start waits before it claims.
+WATCH_START_S = 8.0
+DISTRIBUTORS, DISTRIBUTORS_WITH_SLOW_DISKS = 7, 5
+# Changes published right before a loss, one directly after the other.
+CHANGES_BEFORE_LOSS = 2
+REPORTED_IDS = 10
 
 
-def engine(number, started=0.0):
-    """The fields of an engine in a publish request."""
-    return {
-        "id": f"engine-{number:05}",
-        "zone": f"zone-{number % 23:02}",
-        "kind": "std",
-        "address": f"127.{64 + (number >> 14)}.{number >> 7 & 127}.{1 + (number & 127)}:9",
-        "started": started,
-    }
-
-
-class Tier:
-    """The distributor processes."""
+class Play:
+    """One tier from its start to its end, with the client that publishes to it."""
 
-    def __init__(self, count, folder):
-        self.ports = [free_port(socket.SOCK_STREAM) for _ in range(count)]
-        self.folder, self.processes = Path(folder), {}
+    def __init__(self, tier):
+        self.tier, self.client = tier, PublishClient(tier)
+        self.losses, self.broken = [], set()
+        self.start_s, self.events, self.missing = None, [], []
 
-    async def start(self, index):
-        """Starts one distributor with its own store."""
-        addresses = [f"{HOST}:{port}" for port in self.ports]
-        config = self.folder / f"{index}.json"
-        settings = {
-            "name": f"d{index}",
-            "index": index,
-            "listen": addresses[index],
-            "distributors": addresses,
-        }
-        settings |= {"publisher": index == 0, "store": str(self.folder / f"{index}.db")}
-        settings |= {"election_after_s": ELECTION_AFTER_S, "subset": {"fronts": 1}}
-        config.write_text(json.dumps(settings))
-        arguments = [sys.executable, "-m", "thistlelever", "distributor", "serve", "--config", str(config)]
-        with open(self.folder / f"{index}.log", "ab") as log:
-            self.processes[index] = await asyncio.create_subprocess_exec(*arguments, cwd=ROOT, stdout=log)
-
-    async def call(self, index, method, path, body=None):
-        """One HTTP call to a distributor: status and answer, or (0, {}) without an answer."""
-        data = None if body is None else json.dumps(body)
-        url = f"http://{HOST}:{self.ports[index]}{path}"
-        request = HTTPRequest(url, method, body=data, request_timeout=4.0)
+    async def run(self, chance, losses):
+        """Starts the tier, loses its publisher `losses` times, and judges it."""
         try:
-            reply = await AsyncHTTPClient().fetch(request, raise_error=False)
-            return reply.code, json.loads(reply.body)
-        except (OSError, ValueError):
-            return 0, {}
-
-    async def publish_anywhere(self, body, excluding=None, within=START_WITHIN_S):
-        """Tries the distributors in turn, without `excluding`, until one confirms the change; returns its
-        index, or None after `within` seconds."""
-        till = monotonic() + within
-        while monotonic() < till:
-            for index in (other for other in self.processes if other != excluding):
-                status, _ = await self.call(index, "POST", "/v1/publish", body)
-                if status == 200:
-                    return index
-            await asyncio.sleep(TRY_EVERY_S)
+            await self.start()
+            client = asyncio.create_task(self.client.run())
+            try:
+                await self.lose_publishers(chance, losses)
+            finally:
+                self.client.stopped = True
+                await client
+            await asyncio.sleep(CALM_S)
+            await self.judge_healed()
+        finally:
+            crashed = await self.tier.close()
+        if crashed:
+            self.broken.add("a distributor crashed")
+        self.judge_succession()
+
+    async def start(self):
+        """Starts the tier and measures the time to the first confirmed change."""
+        began = monotonic()
+        await self.tier.start_all()
+        if await self.tier.confirm_anywhere(self.client.publish_list) is None:
+            self.broken.add("no change confirmed after a start")
+        self.start_s = round(monotonic() - began, 2)
+
+    async def lose_publishers(self, chance, losses):
+        """Causes the losses one after the other, or only watches the tier if there are none."""
+        if not losses:
+            await asyncio.sleep(WATCH_START_S)
+        for number in range(losses):
+            await asyncio.sleep(CALM_S * (1 + chance.share("calm", number)))
+            publisher = await self.tier.confirm_anywhere(self.client.publish)
+            if publisher is None:
+                self.broken.add("no change confirmed between losses")
+                return
+            kind = "stopped" if chance.share("stopped", number) < 0.5 else "killed"
+            self.losses.append(await self.cause_loss(publisher, kind))
+            await self.tier.bring_back(publisher, kind)
+
+    async def cause_loss(self, publisher, kind):
+        """Takes the publisher away until another distributor has confirmed a change; returns the loss."""
+        for _ in range(CHANGES_BEFORE_LOSS):
+            await self.client.publish(publisher)
+        at, began = time(), monotonic()
+        self.tier.take_away(publisher, kind)
+        successor = await self.tier.confirm_anywhere(self.client.publish, publisher, 2 * LONGEST_LOSS_S)
+        return succession.Loss(at, kind, publisher, successor, round(monotonic() - began, 2))
+
+    async def judge_healed(self):
+        """Compares the distributors after the last loss."""
+        statuses = await self.tier.call_all("/v1/status")
+        if len({(status.get("version"), status.get("digest")) for status in statuses}) != 1:
+            self.broken.add("distributors differ after healing")
+        if sum(status.get("role") == "publisher" for status in statuses) != 1:
+            self.broken.add("not one publisher at the end")
+        self.missing = self.client.missing(await self.tier.call_all("/v1/catalog"))
+        if self.missing:
+            self.broken.add("a confirmed change is missing")
+
+    def judge_succession(self):
+        """Checks who published when, and the times to a confirmed change."""
+        logs = [self.tier.log_path(index) for index in range(len(self.tier.ports))]
+        self.events = succession.read_events(logs)
+        self.broken.update(succession.broken_rules(self.events, self.losses))
+        if any(loss.seconds > LONGEST_LOSS_S for loss in self.losses):
+            self.broken.add(f"a loss of more than {LONGEST_LOSS_S:g} s")
+        if self.start_s > LONGEST_LOSS_S:
+            self.broken.add(f"a start of more than {LONGEST_LOSS_S:g} s")
+
+    def figures(self):
+        """Returns what was measured, without the losses."""
+        at_start, _ = succession.seated_by_loss(self.events, self.losses)
+        deposed = succession.deposed_without_fault(self.events, self.losses)
+        return {
+            "start_s": self.start_s,
+            "seated_at_start": at_start,
+            "deposed_without_fault": [{"index": event.index, "term": event.term} for event in deposed],
+            "confirmed": len(self.client.confirmed),
+            "missing": self.missing[:REPORTED_IDS],
+            "answers": dict(sorted(self.client.answers.items())),
+            "broken_rules": sorted(self.broken),
+        }
+
+    def loss_figures(self):
+        """Returns the figures of each loss; `seated` are all that took over before the next one."""
+        _, after = succession.seated_by_loss(self.events, self.losses)
+        return [
+            {
+                "kind": loss.kind,
+                "lost": loss.index,
+                "next": loss.successor,
+                "seconds": loss.seconds,
+                "seated": seated,
+            }
+            for loss, seated in zip(self.losses, after, strict=True)
+        ]
+
+
+def distribution(seconds):
+    """Returns median, 90th percentile and maximum of some durations, None without any."""
+    if not seconds:
         return None
+    ordered = sorted(seconds)
+    p90 = ordered[ceil(0.9 * len(ordered)) - 1]
+    return {"median": round(median(ordered), 2), "p90": p90, "max": ordered[-1]}
+
 
-    async def close(self):
-        """Terminates every process; returns how many had an exit code other than 0."""
-        for process in self.processes.values():
-            process.send_signal(signal.SIGCONT)
-            process.terminate()
-        codes = [await process.wait() for process in self.processes.values()]
-        return sum(code != 0 for code in codes)
-
-
-async def cause_loss(tier, chance, number, publisher):
-    """Kills or stops the publisher until another distributor has confirmed a change; returns the kind, the
-    indices of both (`next` is None where none confirmed it) and the seconds."""
-    kind = "stopped" if chance.share("stopped", number) < 0.5 else "killed"
-    began = monotonic()
-    tier.processes[publisher].send_signal(signal.SIGSTOP if kind == "stopped" else signal.SIGKILL)
-    change = {"upserts": [engine(number, float(number + 1))]}
-    following = await tier.publish_anywhere(change, publisher, 2 * LONGEST_LOSS_S)
-    took = monotonic() - began
-    if kind == "killed":
-        await tier.processes[publisher].wait()
-        await tier.start(publisher)
-    else:
-        tier.processes[publisher].send_signal(signal.SIGCONT)
-    return {"kind": kind, "lost": publisher, "next": following, "seconds": round(took, 2)}
-
-
-async def run_rig(seed, distributors, losses):
+async def run_rig(seed, distributors, losses, starts, slow_disks, sabotage, folder):
     """Runs the rig; returns the broken rules and the figures."""
-    chance, records, broken = Chance(seed), [], []
-    with tempfile.TemporaryDirectory() as folder:
-        tier = Tier(distributors, folder)
-        for index in range(distributors):
-            await tier.start(index)
-        publisher = await tier.publish_anywhere({"engines": [engine(number) for number in range(ENGINES)]})
-        for number in range(losses):
-            await asyncio.sleep(CALM_S)
-            records.append(await cause_loss(tier, chance, number, publisher))
-            if records[-1]["next"] is None:
-                broken.append("nobody publishes")
-                break
-            publisher = records[-1]["next"]
-        await asyncio.sleep(CALM_S)
-        statuses = [(await tier.call(index, "GET", "/v1/status"))[1] for index in range(distributors)]
-        crashed = await tier.close()
-    longest = max(loss["seconds"] for loss in records)
-    if longest > LONGEST_LOSS_S:
-        broken.append(f"a loss of more than {LONGEST_LOSS_S:g} s")
-    if len({(status.get("version"), status.get("digest")) for status in statuses}) != 1:
-        broken.append("distributors differ after healing")
-    if sum(status.get("role") == "publisher" for status in statuses) != 1:
-        broken.append("not one publisher at the end")
-    if crashed:
-        broken.append("a distributor crashed")
-    return broken, {"distributors": distributors, "longest_s": longest, "losses": records}
+    chance, plays = Chance(seed), []
+    for number in range(starts + bool(losses)):
+        subfolder = Path(folder) / f"tier-{number}"
+        subfolder.mkdir(parents=True)
+        disk_seed = f"{seed} {number}" if slow_disks else None
+        plays.append(Play(Tier(distributors, subfolder, disk_seed, sabotage)))
+        await plays[-1].run(chance, losses if number == starts else 0)
+    broken = sorted(set().union(*(play.broken for play in plays)))
+    loss_figures = [loss for play in plays for loss in play.loss_figures()]
+    seconds = [loss["seconds"] for loss in loss_figures]
+    figures = {
+        "distributors": distributors,
+        "slow_disks": slow_disks,
+        "longest_s": max(seconds, default=None),
+        "loss_s": distribution(seconds),
+        "start_s": distribution([play.start_s for play in plays]),
+        "losses": loss_figures,
+        "tiers": [play.figures() for play in plays],
+    }
+    return broken, figures
 
 
 @click.command()
 @click.option("--seed", default=1)
-@click.option("--distributors", default=7)
+@click.option("--distributors", type=int, help="7, or 5 with slow disks")
 @click.option("--losses", default=6)
-def main(seed, distributors, losses):
+@click.option("--starts", default=0)
+@click.option("--slow-disks", is_flag=True)
+@click.option("--sabotage", type=click.Choice(list(GUARDS)), help="needs --slow-disks")
+@click.option("--folder", type=click.Path(file_okay=False), help="a new folder for logs and stores")
+def main(seed, distributors, losses, starts, slow_disks, sabotage, folder):
     """Play it and print the verdict."""
-    broken, figures = asyncio.run(run_rig(seed, distributors, losses))
+    if sabotage and not slow_disks:
+        raise click.UsageError("--sabotage needs --slow-disks")
+    if losses + starts < 1:
+        raise click.UsageError("--losses or --starts expected")
+    distributors = distributors or (DISTRIBUTORS_WITH_SLOW_DISKS if slow_disks else DISTRIBUTORS)
+    with tempfile.TemporaryDirectory() as temporary:
+        options = (seed, distributors, losses, starts, slow_disks, sabotage, folder or temporary)
+        broken, figures = asyncio.run(run_rig(*options))
     report_and_exit("publisher_loss", seed, broken, figures)
 
 
