Failing test: two losses of the publisher with slow disks

What callers see, causes: as in the failing tests of the publisher's election.

There is no fix here.

--- a/tests/test_publisher_loss.py
+++ b/tests/test_publisher_loss.py
@@ -17,6 +17,13 @@
     assert {loss["kind"] for loss in last["losses"]} == {"killed", "stopped"}
 
 
+def test_each_loss_has_one_successor_with_slow_disks():
+    # Voters claim against the claimant that they have promised while promises are still being written.
+    last = run_rig("publisher_loss", "--seed", "3", "--slow-disks", "--losses", "2", timeout_s=180)
+    assert last["holds"], last
+    assert {loss["kind"] for loss in last["losses"]} == {"killed", "stopped"}
+
+
 @pytest.mark.parametrize(
     "guard, broken, size",
     [
