--- a/rigs/succession.py
+++ b/rigs/succession.py
@@ -6,7 +6,7 @@
 
 SEATED, DEPOSED = "publishes", "superseded"
 
-NO_SUCCESSOR = "nobody publishes after a loss"
+NO_SUCCESSOR = "no successor after a loss"
 TWO_SUCCESSORS = "more than one publisher after a loss"
 OTHER_AT_START = "another than the configured publisher at a start"
 DEPOSED_WITHOUT_FAULT = "a publisher deposed without a fault"
