Takeover: a refusal that names a run counts also behind a majority that forgot it

What callers would have seen: a retry answered "not known" while the first front still holds the batch and its run.

Cause: of three replicas one had restarted and one had missed the record; their two acceptances wait for the third reply, and `on_reply` then ended the claim as granted although that reply was a refusal with owner and run.

Evidence: tests/test_takeover_claims.py, without the change: 2 of 2 cases with the refusal last fail (UNSURE, no run), 2 of 2 with the refusal first hold (TAKEN, with the run). Found by reading for replies that are waited for and not counted.

Why this works: the refusal was decisive in one order; it is in both now.

--- a/thistlelever/takeover/lease_manager.py
+++ b/thistlelever/takeover/lease_manager.py
@@ -252,7 +252,10 @@
         if source not in lease.replicas or source in request.accepted or source in request.refused:
             return
         (request.accepted if message.verb is Verb.YES else request.refused)[source] = message
-        if len(request.accepted) >= lease.quorum and not (
+        if request.verb is Verb.CLAIM and message.verb is Verb.NO and held_by_other(lease, message):
+            # Also behind a majority that accepted and knows of no run: some of it may have forgotten one.
+            self.on_refused(now, lease, request)
+        elif len(request.accepted) >= lease.quorum and not (
             request.verb is Verb.CLAIM and self.needs_more_replies(lease, request)
         ):
             self.on_granted(now, lease, request)
