Session options: wait_ms of 0 is refused, and the test holds each option's own form

What callers saw: SetSessionOptions took `wait_ms` 0 (also "0"), and every later batch of that session was refused with "wait: milliseconds above 0 expected", which names no option call. Cause: option_error allowed 0 for all numeric options, while a batch must wait for more than 0 ms. Now an option is refused unless the batch would accept its value.

The test itself was wrong: it drew names by free text, so it met one of the eight options by luck, and then failed on 'catalog' with '0', which is of that option's form; it never compared the five others. In its place: a table of accepted and refused values for each of the eight options, a property over names drawn from the options beside free text that compares the exact verdict both ways, and a property that a batch accepts each number that an option accepts.

--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,11 +1,12 @@
 """State kept for clients: no ticket runs its batch twice, and no container exceeds its bounds."""
 
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from thistlelever.ground.submission import parse_submission
 from thistlelever.state.prepared import PreparedStatements
-from thistlelever.state.sessions import Sessions, option_error
+from thistlelever.state.sessions import OPTIONS, Sessions, option_error
 from thistlelever.state.tickets import TicketClaims, Tickets, TicketStatus
 
 MOST = 5
@@ -127,16 +128,80 @@
     assert sessions.find("a", 19.6) is None and not sessions.close("a")
 
 
+# The field of a batch that each numeric option sets.
+FIELD_BY_OPTION = {"wait_ms": "wait", "cost_ms": "cost", "need_mb": "need_mb"}
+NUMBERS = (1, 0.5, 999_999_999_999, "1", "2.5", "1e3")
+NO_NUMBERS = (-1, 1e12, float("nan"), "", "-1", "1e12", "nan", "inf", "much", "1" * 33, True, None, ["1"])
+TEXTS, NO_TEXTS = ("0", "true", "x" * 128), ("", "x" * 129, 0, 1.5, True, None, ["x"])
+# Values of each option's form, and values that are not.
+OPTION_VALUES = {
+    "group": (TEXTS, NO_TEXTS),
+    "tenant": (TEXTS, NO_TEXTS),
+    "wait_ms": (NUMBERS, (*NO_NUMBERS, 0, 0.0, "0", "0.0", "1e-400")),
+    "cost_ms": ((*NUMBERS, 0, "0"), NO_NUMBERS),
+    "need_mb": ((*NUMBERS, 0, "0"), NO_NUMBERS),
+    "retry": ((True, False, "0", "1", "true", "false"), ("", "yes", "True", 1, 0.0, None, ["1"])),
+    "catalog": (TEXTS, NO_TEXTS),
+    "schema": (TEXTS, NO_TEXTS),
+}
+
+
+def is_of_form(name, value):
+    """Whether a value has the form of an option."""
+    if name == "retry":
+        return value is True or value is False or value in ("0", "1", "true", "false")
+    if name in ("group", "tenant", "catalog", "schema"):
+        return isinstance(value, str) and 1 <= len(value) <= 128
+    if isinstance(value, bool) or not isinstance(value, int | float | str):
+        return False
+    if isinstance(value, str) and len(value) > 32:
+        return False
+    try:
+        number = float(value)
+    except ValueError:
+        return False
+    return (number > 0 if name == "wait_ms" else number >= 0) and number < 1e12
+
+
+def test_each_option_takes_its_own_form_only():
+    # An option without a form of its own would be stored as it came.
+    assert set(OPTION_VALUES) == set(OPTIONS)
+    for name, (accepted, refused) in OPTION_VALUES.items():
+        assert [option_error(name, value) for value in accepted] == [None] * len(accepted)
+        assert [option_error(name, value) for value in refused] == ["value"] * len(refused)
+        assert all(is_of_form(name, value) for value in accepted)
+        assert not any(is_of_form(name, value) for value in refused)
+
+
 @given(
-    st.text(max_size=8),
+    st.one_of(st.sampled_from(OPTIONS), st.text(max_size=8)),
     st.one_of(
-        st.none(), st.booleans(), st.floats(), st.text(max_size=40), st.lists(st.text(max_size=2), max_size=2)
+        st.sampled_from([value for row in OPTION_VALUES.values() for values in row for value in values]),
+        st.none(),
+        st.booleans(),
+        st.integers(-(2**63), 2**63 - 1),
+        st.floats(),
+        st.floats().map(str),
+        st.text(max_size=140),
+        st.lists(st.text(max_size=2), max_size=2),
     ),
 )
+@example("wait_ms", 0)
+@example("wait_ms", "0")
+@example("catalog", "0")
 def test_an_option_that_is_taken_has_its_form(name, value):
     # An invalid option would fail every later batch of the client, with an error that names no option call.
-    for known in (name, "group", "wait_ms", "retry"):
-        if option_error(known, value) is None:
-            assert known in ("group", "wait_ms", "retry") and value not in (None, "")
-            assert known != "wait_ms" or 0 <= float(value) < 1e12
-            assert known != "group" or type(value) is str
+    expected = "name" if name not in OPTION_VALUES else None if is_of_form(name, value) else "value"
+    assert option_error(name, value) == expected
+
+
+@given(
+    st.sampled_from(("wait_ms", "cost_ms", "need_mb")),
+    st.one_of(st.sampled_from((*NUMBERS, 0, 0.0, "0")), st.integers(), st.floats(), st.floats().map(str)),
+)
+@example("wait_ms", 0)
+def test_a_batch_accepts_each_number_that_an_option_accepts(name, value):
+    # A `wait_ms` of 0 was stored, and refused in each later batch of the session.
+    if option_error(name, value) is None:
+        fields = {"id": f"{1:016x}", "wait": 1.0} | {FIELD_BY_OPTION[name]: float(value)}
+        parse_submission(fields, b"")
--- a/thistlelever/state/sessions.py
+++ b/thistlelever/state/sessions.py
@@ -7,6 +7,10 @@
 
 # Options that may be set, by the names that the fields of a batch have in every protocol.
 OPTIONS = ("group", "tenant", "wait_ms", "cost_ms", "need_mb", "retry", "catalog", "schema")
+NUMERIC_OPTIONS = ("wait_ms", "cost_ms", "need_mb")
+# Numbers are below this one, as in the fields of a batch.
+NUMBER_LIMIT = 1e12
+MAX_TEXT_LENGTH = 128
 
 
 @dataclass(slots=True)
@@ -57,12 +61,22 @@
     """Check an option: "name" if it is unknown, "value" if its value is invalid, None if it may be set."""
     if name not in OPTIONS:
         return "name"
-    if name in ("wait_ms", "cost_ms", "need_mb"):
-        number = value if type(value) in (int, float) else parse_number(value)
-        return None if number is not None and 0 <= number < 1e12 else "value"
-    if name == "retry":
-        return None if type(value) is bool or value in ("0", "1", "true", "false") else "value"
-    return None if type(value) is str and 0 < len(value) <= 128 else "value"
+    if name in NUMERIC_OPTIONS:
+        is_valid = is_valid_number(name, value)
+    elif name == "retry":
+        is_valid = type(value) is bool or value in ("0", "1", "true", "false")
+    else:
+        is_valid = type(value) is str and 0 < len(value) <= MAX_TEXT_LENGTH
+    return None if is_valid else "value"
+
+
+def is_valid_number(name: str, value) -> bool:
+    """Whether a value, as a number or as text, is one that a batch may have in the field of that option."""
+    number = value if type(value) in (int, float) else parse_number(value)
+    if number is None or not 0 <= number < NUMBER_LIMIT:
+        return False
+    # A batch that waits for 0 ms is refused.
+    return name != "wait_ms" or number > 0
 
 
 def parse_number(text) -> float | None:
