Rig flight: some dispatches run on after their call broke, so that a missing cancel shows

Cause: it shows only where an abandoned dispatch still runs when the next one of its batch begins, and the stand-ins count most broken calls as the end of their dispatch. Change: a step "detached" of the Flight SQL stand-in ends a DoGet with UNAVAILABLE and leaves the dispatch running until it is cancelled; the rig gives it once to three in ten of the look-ups over JSON-RPC that reach such an engine. Rule and bounds are unchanged. The test also demands that a call was detached, which fails (it has no such step).

--- a/rigs/flight.py
+++ b/rigs/flight.py
@@ -61,6 +61,8 @@
         self.client_batches, self.rows_wrong, self.by_number = [], 0, {}
         self.faults, self.statuses, self.drains = Counter(), Counter(), []
         self.call_counts = defaultdict(int)
+        # The ids of batches of which one dispatch is yet to run on after its call broke.
+        self.detached_ids = set()
         self.extra_answers = 0
         SABOTAGES[sabotage]()
         self.long_result_share = LONG_RESULT_SHARES.get(sabotage, LONG_RESULT_SHARE)
@@ -104,6 +106,11 @@
 
     def fault(self, name, faults, call, txn):
         """Draws the fault of one call of an engine; None for no fault."""
+        if txn in self.detached_ids and call == "DoGet":
+            # Only a dispatch that still runs when the next one begins shows that it was not cancelled.
+            self.detached_ids.remove(txn)
+            self.faults["DoGet detached"] += 1
+            return ["detached"]
         if call not in faults:
             return None
         self.call_counts[name, call] += 1
@@ -213,6 +220,8 @@
     async def run_batch(self, batch):
         """Runs one batch; retries a load that the front pushed back once, over the other interface."""
         self.client_batches.append(batch)
+        if batch.is_detached:
+            self.detached_ids.add(batch.rpc_id)
         await getattr(self, "by_" + batch.interface)(batch)
         # Push-back is the only outcome after which the front declares a retry safe.
         if (
--- a/rigs/flight_batches.py
+++ b/rigs/flight_batches.py
@@ -1,6 +1,7 @@
 """The batches of the rig `flight` from their clients' side, and the correct result of each."""
 
 from rigs.flight_terms import (
+    DETACHED_SHARE,
     INTERFACES,
     QUERY_CLASSES,
     DEADLINE_MS,
@@ -30,6 +31,13 @@
         self.rows = LONG_RESULT_ROWS if is_long else 1 + chance.below(30, "rows", index)
         self.rows = retry_of.rows if retry_of else self.rows
         self.answer_count, self.outcome = 0, ""
+        # The id that the batch has over JSON-RPC.
+        self.rpc_id = chance.seed.to_bytes(4, "big").hex() + f"{index:08x}"
+        self.is_detached = self.may_be_detached() and chance.share("detached", index) < DETACHED_SHARE
+
+    def may_be_detached(self):
+        """Whether its client waits for a second dispatch, and its id is known before it is sent."""
+        return self.interface == "rpc" and self.query_class == "lookup" and self.behaviour == "usual"
 
     def statement(self):
         """The statement, which names the number of rows, the table and the idempotency key."""
--- a/rigs/flight_line.py
+++ b/rigs/flight_line.py
@@ -34,7 +34,7 @@
         batch.call_id, done = self.last_call_id, asyncio.get_running_loop().create_future()
         self.open_calls[self.last_call_id] = batch, done
         params = {
-            "id": self.rig.chance.seed.to_bytes(4, "big").hex() + f"{batch.index:08x}",
+            "id": batch.rpc_id,
             "wait": DEADLINE_MS,
             "tenant": "acme",
             "cost": 10,
--- a/rigs/flight_terms.py
+++ b/rigs/flight_terms.py
@@ -13,6 +13,9 @@
 RETRY_BUDGET_FLOOR, RETRY_BUDGET_SHARE, RETRY_WINDOW_S = 20.0, 0.5, 2.0
 # The deadline of each batch, the rows of a long result, and the share of long results.
 DEADLINE_MS, LONG_RESULT_ROWS, LONG_RESULT_SHARE = 1_500, 900, 0.15
+# The share of look-ups over JSON-RPC of which one dispatch, if it goes to an engine with Flight, runs on
+# there after its call broke.
+DETACHED_SHARE = 0.3
 # The zone of each engine. Names with h- speak HTTP, names with f- Flight.
 ZONES = {"h-alba": "nord", "h-bruma": "sud", "f-cala": "nord", "f-duna": "sud"}
 # The weighted faults of each call; an empty name is a call without a fault.
--- a/tests/test_rigs.py
+++ b/tests/test_rigs.py
@@ -49,6 +49,8 @@
     batches = "1500" if guard == "short" else "600"
     last = run_rig("flight", "--seed", "2", "--batches", batches, "--sabotage", guard)
     assert not last["holds"] and broken in last["broken_rules"], last
+    # The sabotage `forget` shows only in dispatches that run on when the next one begins.
+    assert guard != "forget" or last["faults"]["DoGet detached"] > 0, last
 
 
 def test_membership():
--- a/thistlelever/standins/flight_engine.py
+++ b/thistlelever/standins/flight_engine.py
@@ -34,8 +34,9 @@
 
     Steps: `full`, `unsent`, `error`, `lost` end the call with that status, the first two with x-unrun;
     `silent` says nothing; `hold STEP` waits for release; `ran STEP` takes effect first; `cut N` ends a DoGet
-    with UNAVAILABLE after N messages; `notes WORD` sends a note first; `raw HEX` is one message; `empty` ends
-    well with nothing; `wait` waits for release after the schema.
+    with UNAVAILABLE after N messages; `detached` ends a DoGet with UNAVAILABLE while its dispatch runs on
+    until it is cancelled; `notes WORD` sends a note first; `raw HEX` is one message; `empty` ends well with
+    nothing; `wait` waits for release after the schema.
     """
 
     def __init__(self, stir, options=()):
@@ -181,6 +182,8 @@
         if what == "notes":
             for word in words:
                 await context.write(codec.encode_stream_message(b"", metadata=word.encode()))
+        if what == "detached":
+            await context.abort(StatusCode.UNAVAILABLE, what)
         if what in ("empty", "raw"):
             self.kept.pop(which, None)
             self.recorder.record_end(*batch, "answered")
