Decisions: counting why a batch is refused no longer touches slow start

Found by reading the change again: to name the cause of a refusal the counters asked `is_eligible` of cold engines too, which drops expired entries of their dispatches; a wide batch goes by the last of those, so a counter could have moved a decision. Cold engines are now told by their age alone; one that is at its limit while cold counts as slow start.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -1246,10 +1246,11 @@
         for engine in self.ready_engines():
             if self.now < self.backoff_until[engine]:
                 holds[Hold.BACKED_OFF] += 1
-            elif self.is_eligible(batch, engine):
-                holds[Hold.AT_LIMIT] += 1
             elif self.warm_capacity(engine) < 1.0:
+                # Before `is_eligible`, which drops expired entries of a cold engine's dispatches.
                 holds[Hold.SLOW_START] += 1
+            elif self.is_eligible(batch, engine):
+                holds[Hold.AT_LIMIT] += 1
             else:
                 holds[Hold.NOT_ELIGIBLE] += 1
         return max(holds, key=holds.__getitem__, default=Hold.NONE_READY)
