Flight: a time limit that ends the first write no longer leaves a client without a status

What callers saw: a DoGet that never ended, with no message and no status, where the time limit passed at the first write of the result, as after a stall of the loop. The front had closed the batch ('flight readers too slow').

Cause: gRPC sends the headers with the first message and notes that only after the write. A cancelled write leaves them sent and not noted; `abort` sends them again and the core refuses the whole operation.

Why this works: the headers have a task of their own that no limit cancels, and the status waits for it.

--- a/thistlelever/flight/server.py
+++ b/thistlelever/flight/server.py
@@ -21,6 +21,7 @@
 from thistlelever.flight import catalog, status_errors
 from thistlelever.flight.batch_call import CANCELLED_BY_CLIENT, BatchCall, OpenBatch
 from thistlelever.flight.prepared_statement_actions import PreparedStatementActions
+from thistlelever.flight.response_headers import ResponseHeaders
 from thistlelever.flight.requests import query_text, read_command, text_headers
 from thistlelever.flight.server_options import SERVER_OPTIONS
 from thistlelever.flight.session_actions import SessionActions
@@ -343,16 +344,33 @@
 
         Raises `StatusError` where there is no result or it was cut off.
         """
-        async with BatchCall(self, batch) as answer:
-            # Only the sending is timed here. Up to its answer the batch has its own time limit, and what that
-            # says of a repeat must reach the client.
-            try:
-                async with asyncio.timeout_at(clock.on_loop(batch.deadline + RESPONSE_MARGIN)):
-                    await self.write_result(answer, context)
-            except TimeoutError:
-                # The client reads too slowly: it has only part of the result, and the status says so.
-                self.metrics.add("flight readers too slow")
-                raise status_errors.incomplete_result(it.DispatchOutcome.TIMED_OUT) from None
+        headers = None
+        try:
+            async with BatchCall(self, batch) as answer:
+                headers = ResponseHeaders(context)
+                await self.write_in_time(answer, batch, headers, context)
+        except StatusError:
+            # The status follows the headers, which the time limit may have left under way.
+            if headers:
+                await headers.wait()
+            raise
+
+    async def write_in_time(
+        self, answer: End | Begun, batch: Batch, headers: ResponseHeaders, context: aio.ServicerContext
+    ) -> None:
+        """Write a result within the batch's time limit; raises `StatusError` where it breaks off.
+
+        Only the sending is timed here. Up to its answer the batch has its own time limit, and what that says
+        of a repeat must reach the client.
+        """
+        try:
+            async with asyncio.timeout_at(clock.on_loop(batch.deadline + RESPONSE_MARGIN)):
+                await headers.wait()
+                await self.write_result(answer, context)
+        except TimeoutError:
+            # The client reads too slowly: it has only part of the result, and the status says so.
+            self.metrics.add("flight readers too slow")
+            raise status_errors.incomplete_result(it.DispatchOutcome.TIMED_OUT) from None
 
     async def write_result(self, answer: End | Begun, context: aio.ServicerContext) -> None:
         """Write a result, whole or begun; raises `StatusError` where it breaks off."""
