Flight engines: an update whose call has just ended goes by its status, not as a fault

What callers saw: an update that had returned answered as an error, 'dispatch failed' in the counts; where it may have run on, nobody cancelled it.

Cause: gRPC fails to close the writing side of a call that its peer has just ended, and the exception was not expected.

Evidence: the trace of one of 46 runs of rigs.flight (46 at a time beside twelve busy processes): ExecuteBatchError of SendCloseFromClient out of `done_writing`.

Why this works: messages and status are read whether or not the closing worked, and the status tells the outcome.

--- a/thistlelever/carrier/flight_engines.py
+++ b/thistlelever/carrier/flight_engines.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 from math import ceil
 
 import grpc
@@ -260,7 +261,9 @@
         try:
             parsed = decode(pb.FlightDescriptor, descriptor)
             await call.write(pb.FlightData(flight_descriptor=parsed).SerializeToString())
-            await call.done_writing()
+            # Where the call has ended meanwhile this fails; its messages and status are read all the same.
+            with suppress(aio.InternalError):
+                await call.done_writing()
             async for raw in call:
                 result = decode(pb.PutResult, raw)
                 if result.app_metadata:
