Flight engines: cancels reach engines behind a slow link or a failing connection

An engine never heard that a dispatch was given up.

Causes, in the cancel of a dispatch at an engine that speaks Flight SQL: - each call was ended after 0.25 s and sent anew; where a call takes longer one way, none ever came - the 2 s after which an engine has dropped what nobody asks for counted from the start of its call, not from its end: a call given up after 1.5 s left 0.5 s for its cancel - a channel that failed to connect was taken for an engine that is gone; with our options gRPC gives a connection up after 0.1 s (measured: a listener that says nothing, TRANSIENT_FAILURE after 0.102 s)

Why this works: a cancel stays open while it is repeated, until one is answered or the engine must have dropped the dispatch; only an address that refuses connections proves that nothing runs there.

--- a/thistlelever/carrier/flight_engines.py
+++ b/thistlelever/carrier/flight_engines.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from contextlib import suppress
+from functools import partial
 from math import ceil
 
 import grpc
@@ -16,6 +17,7 @@
 
 from thistlelever.carrier.decision_loop import DecisionLoop
 from thistlelever.carrier.dispatch import End, NoResultError, DispatchProgress
+from thistlelever.carrier.repeated_cancel import cancel_until_settled
 from thistlelever.carrier.result_stream import Begun, ResultStream
 from thistlelever.ground import clock
 from thistlelever.ground import interface as it
@@ -49,8 +51,8 @@
     ("grpc.max_reconnect_backoff_ms", 1_000),
     ("grpc.enable_http_proxy", 0),
 )
-# In seconds: time-out of cancel, priority and load calls, how long a cancel is repeated, delay in between.
-CALL_TIMEOUT_S, DROP_AFTER_S, RETRY_DELAY_S = 0.25, 2.0, 0.05
+# In seconds: time-out of priority and load calls; engines drop a dispatch that no call asks for so long.
+CALL_TIMEOUT_S, DROP_AFTER_S = 0.25, 2.0
 MAX_ENDPOINTS = 64
 # Columns larger than this do not fit the text rows of the JSON-RPC protocol.
 MAX_BYTES_FOR_ROWS = 4 * columns.MAX_TEXT_BYTES
@@ -166,7 +168,7 @@
 
         Sets `end.outcome` and the result, or raises `NoResultError`.
         """
-        progress.started, progress.last_call_at = True, clock.now()
+        progress.started = True
         buffer = ResultBuffer(self.buffer_limit if batch.columns else MAX_BYTES_FOR_ROWS, self.quota)
         try:
             if batch.is_update:
@@ -175,7 +177,7 @@
             options = self.call_options(batch, end.number, deadline, extra_headers)
             call = channel.unary_unary(SERVICE + "GetFlightInfo")(descriptor, **options)
             info = decode(pb.FlightInfo, await call)
-            progress.acknowledged, progress.last_call_at = True, clock.now()
+            progress.acknowledged = True
             self.read_trailer(await call.trailing_metadata(), end)
             if not 1 <= len(info.endpoint) <= MAX_ENDPOINTS:
                 raise Unreadable(f"{len(info.endpoint)} endpoints")
@@ -300,7 +302,8 @@
         name = batch.dispatch_name(progress.number)
         if (
             not progress.acknowledged
-            and await self.send_cancel(entry, name, batch_descriptor(batch)) is StatusCode.NOT_FOUND
+            and await self.send_cancel(entry, name, batch_descriptor(batch), CALL_TIMEOUT_S)
+            is StatusCode.NOT_FOUND
         ):
             return it.DispatchOutcome.ASTRAY
         return it.DispatchOutcome.RESET
@@ -365,24 +368,41 @@
         await self.cancel_until_confirmed(entry, name, EMPTY_DESCRIPTOR, clock.now() + DROP_AFTER_S)
 
     async def cancel_dispatch(self, batch: Batch, entry: Entry, progress: DispatchProgress) -> None:
-        """Cancel until the engine must have dropped the dispatch, `DROP_AFTER_S` after the last call."""
-        name, deadline = batch.dispatch_name(progress.number), progress.last_call_at + DROP_AFTER_S
+        """Cancel until the engine must have dropped the dispatch, `DROP_AFTER_S` after its last call ended.
+
+        That is now, as a call that is open asks for the dispatch all the time.
+        """
+        name, deadline = batch.dispatch_name(progress.number), clock.now() + DROP_AFTER_S
         await self.cancel_until_confirmed(entry, name, batch_descriptor(batch), deadline)
 
     async def cancel_until_confirmed(
         self, entry: Entry, name: DispatchName, descriptor: bytes, deadline: float
     ) -> None:
-        """Repeat the cancel until the engine has handled it, does not support it, or `deadline` passes."""
-        while clock.now() < deadline:
-            code = await self.send_cancel(entry, name, descriptor)
-            if code in (StatusCode.OK, StatusCode.NOT_FOUND, StatusCode.UNIMPLEMENTED):
-                return
-            if code is None:
-                break
-            await asyncio.sleep(RETRY_DELAY_S)
-        self.metrics.add("flight cancel failed")
+        """Repeat the cancel until the engine has handled it, does not support it, or refuses connections, or
+        `deadline` passes."""
+        settled = await cancel_until_settled(
+            partial(self.send_cancel, entry, name, descriptor),
+            partial(self.refuses_connections, entry),
+            deadline,
+        )
+        if not settled:
+            self.metrics.add("flight cancel failed")
+
+    async def refuses_connections(self, entry: Entry) -> bool:
+        """Whether no process listens at the engine's address, which a failed channel does not prove."""
+        try:
+            async with asyncio.timeout(self.connect_limit):
+                _, writer = await asyncio.open_connection(*entry.address)
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
 
-    async def send_cancel(self, entry: Entry, name: DispatchName, descriptor: bytes) -> StatusCode | None:
+    async def send_cancel(
+        self, entry: Entry, name: DispatchName, descriptor: bytes, timeout: float
+    ) -> StatusCode | None:
         """Send one cancel and return the engine's status, or None if it cannot be reached.
 
         NOT_FOUND: the engine never had this dispatch and will not start it.
@@ -391,11 +411,11 @@
         info = pb.FlightInfo(flight_descriptor=parsed, app_metadata=name.txn.encode())
         try:
             body = pb.CancelFlightInfoRequest(info=info).SerializeToString()
-            await self.call_action(entry, CANCEL, body, dispatch_headers(name))
+            await self.call_action(entry, CANCEL, body, dispatch_headers(name), timeout)
             return StatusCode.OK
         except aio.AioRpcError as why:
             return why.code()
-        except Unreadable:
+        except (Unreadable, aio.UsageError):
             return StatusCode.UNKNOWN
         except NoResultError:
             return None
@@ -413,11 +433,18 @@
         except (aio.AioRpcError, NoResultError):
             self.metrics.add("flight priority failed")
 
-    async def call_action(self, entry: Entry, kind: str, body: bytes, metadata: Metadata = ()) -> bytes:
+    async def call_action(
+        self,
+        entry: Entry,
+        kind: str,
+        body: bytes,
+        metadata: Metadata = (),
+        timeout: float = CALL_TIMEOUT_S,
+    ) -> bytes:
         """Call an action and return its first result; raises `AioRpcError` or `NoResultError`."""
         channel = await self.channel(entry)
         call = channel.unary_stream(SERVICE + "DoAction")(
-            pb.Action(type=kind, body=body).SerializeToString(), timeout=CALL_TIMEOUT_S, metadata=metadata
+            pb.Action(type=kind, body=body).SerializeToString(), timeout=timeout, metadata=metadata
         )
         first_result = b""
         try:
