Dispatcher: a second cancellation does not report an end before its cancel is confirmed

What callers could get: two dispatches of one batch out at once. After a reset the end waits for the cancel; a progress note that was already queued could call the dispatch off as a straggler, which ended the wait.

Cause: the wait was ended by any cancellation, though only a batch that is answered has no further dispatch.

Why this works: the wait goes on until the cancel is confirmed, the batch is answered or its time is up, so that the end is still reported in every case.

--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -230,15 +230,27 @@
             # A second cancellation must not prevent the end from being reported; the batch would stay open.
             with suppress(asyncio.CancelledError, TimeoutError):
                 if self.allows_cancel:
-                    # The end is reported after the cancel, so that no further dispatch runs beside this one.
                     cancelling = self.run_in_background(self.cancel_dispatch(batch, entry, progress))
                     if may_retry:
-                        await asyncio.wait((cancelling,), timeout=left)
+                        await self.wait_until_cancelled(batch, cancelling)
                 elif may_retry and not self.allows_copies:
                     # Without cancelling, a time-out reported at once would let the next dispatch run beside
                     # this one.
                     await asyncio.wait_for(self.protocol(entry).wait_until_stopped(progress), left)
 
+    async def wait_until_cancelled(self, batch: Batch, cancelling: asyncio.Task) -> None:
+        """Wait for a cancel as long as its batch may be dispatched again, so that no further dispatch runs
+        beside this one.
+
+        A cancellation of the dispatch that comes meanwhile ends the wait only if the batch is answered.
+        """
+        while not cancelling.done() and clock.now() < batch.deadline:
+            try:
+                await asyncio.wait((cancelling,), timeout=batch.deadline - clock.now())
+            except asyncio.CancelledError:
+                if batch.answered:
+                    return
+
     def log_failure(self, batch: Batch, end: End, progress: DispatchProgress) -> None:
         """Log a dispatch that ended without a result, unless it was cancelled."""
         if end.outcome in (it.DispatchOutcome.RETURNED, it.DispatchOutcome.CANCELLED):
