Order by key: a key is held until the engine before has stopped, not only until the limit

Cause: the end of a dispatch at its client's limit was told to the decisions at once while its cancel went on behind it; the key was free after its rest, whether or not the engine had heard.

Why this works: the end says whether the engine may still run the dispatch, `DispatchStopped` follows when the cancel is confirmed or the engine must have dropped it, and the decisions hold the key between the two.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -136,6 +136,8 @@
         )
         self.dispatch_count = 0
         self.open_dispatches: dict[int, OpenDispatch] = {}
+        # How many of its dispatches have ended while their engines may still run them.
+        self.stopping_count = 0
         # Number, engine and time of each dispatch that may have run, in dispatch order.
         self.possible_runs: list[tuple[int, int, float]] = []
         self.queued = False
@@ -191,6 +193,9 @@
         # The unfinished batches of each key, and until when a key is in its cool-down.
         self.key_queues: dict[int, list[Batch]] = {}
         self.key_cooldowns: dict[int, float] = {}
+        # The batches of dispatches that have ended here while their engines may still run them, by batch and
+        # number; only of batches with a key.
+        self.stopping_dispatches: dict[tuple[int, int], Batch] = {}
         # For the log: how batches ended, what held back each class and the batch last looked at, and why a
         # batch is given up at this moment.
         self.ends = BatchEnds()
@@ -205,6 +210,7 @@
         self.handlers = {
             it.BatchReceived: self.batch_received,
             it.DispatchEnded: self.dispatch_ended,
+            it.DispatchStopped: self.dispatch_stopped,
             it.ProgressNote: self.progress_noted,
             it.ClientLeft: self.client_left,
             it.ProbeEnded: self.probe_ended,
@@ -534,11 +540,23 @@
         self.learn_cost(dispatch, ended)
         if batch.key_queue and ended.outcome in MAY_RUN_ON:
             self.key_cooldowns[batch.key] = self.now + self.key_cooldown
+        if batch.key_queue and ended.still_stopping:
+            self.stopping_dispatches[ended.batch, ended.number] = batch
+            batch.stopping_count += 1
         if not batch.answered:
             self.advance(batch, ended)
         else:
             self.release_key(batch)
 
+    def dispatch_stopped(self, stopped: it.DispatchStopped) -> None:
+        """Start the cool-down of a key whose dispatch has stopped at its engine."""
+        batch = self.stopping_dispatches.pop((stopped.batch, stopped.number), None)
+        if not batch:
+            return
+        batch.stopping_count -= 1
+        self.key_cooldowns[batch.key] = self.now + self.key_cooldown
+        self.release_key(batch)
+
     def learn_slowdown(self, dispatch: OpenDispatch, ended: it.DispatchEnded) -> None:
         """Update the slowdown of the query class and of the engine by the time that a dispatch took."""
         batch = dispatch.batch
@@ -1343,8 +1361,10 @@
         return batch.key_queue[0] is not batch or cooling_down
 
     def release_key(self, batch: Batch) -> None:
-        """Let the key's next batch go, once this one is answered and has no open dispatch."""
-        if batch.answered and not batch.open_dispatches and batch in batch.key_queue:
+        """Let the key's next batch go, once this one is answered and no engine runs it any more."""
+        if not batch.answered or batch.open_dispatches or batch.stopping_count:
+            return
+        if batch in batch.key_queue:
             batch.key_queue.remove(batch)
             if not batch.key_queue:
                 del self.key_queues[batch.key]
--- a/thistlelever/carrier/batch_tasks.py
+++ b/thistlelever/carrier/batch_tasks.py
@@ -156,7 +156,7 @@
                         self.remembered.record_end(batch, message)
                     if message.outcome is it.DispatchOutcome.RETURNED and not batch.answered:
                         await self.send_if_owned(batch, answer, message)
-                    self.decisions.add_event(message.event(batch.number, batch.answered))
+                    self.report_end(batch, message)
                 # Actions may arrive after the client has left or the backstop has answered; the guards on
                 # `answered` prevent a second answer.
                 case it.PushBack() | it.Error() if not batch.answered:
@@ -187,6 +187,15 @@
                     self.send_answer(batch, answer, self.overdue_answer(batch))
                     self.decisions.add_event(it.ClientLeft(batch.number))
 
+    def report_end(self, batch: Batch, end: End) -> None:
+        """Report the end of a dispatch to the decisions; if its engine may still run it, also when it has
+        stopped."""
+        event = end.event(batch.number, batch.answered)
+        self.decisions.add_event(event)
+        if event.still_stopping:
+            stopped = it.DispatchStopped(batch.number, end.number)
+            end.cancelling.add_done_callback(lambda cancelling: self.decisions.add_event(stopped))
+
     def overdue_answer(self, batch: Batch) -> it.PushBack | it.Error:
         """Return the backstop's answer: push-back if the client may safely submit the batch again.
 
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -52,6 +52,12 @@
     changed: int = -1
     # Set once the result is streamed to the client before it is complete.
     result_stream: ResultStream | None = None
+    # Cancels the dispatch at its engine; set if the engine may still run it.
+    cancelling: asyncio.Task | None = None
+
+    def is_stopping(self) -> bool:
+        """Whether it is not yet known if the engine has stopped running the dispatch."""
+        return self.cancelling is not None and not self.cancelling.done()
 
     def event(self, batch: int, complete: bool) -> it.DispatchEnded:
         """Return the event for the decisions; `complete`: the batch is answered."""
@@ -65,6 +71,7 @@
             self.true_work,
             self.true_memory,
             self.report,
+            self.is_stopping(),
         )
 
 
@@ -230,9 +237,9 @@
             # A second cancellation must not prevent the end from being reported; the batch would stay open.
             with suppress(asyncio.CancelledError, TimeoutError):
                 if self.allows_cancel:
-                    cancelling = self.run_in_background(self.cancel_dispatch(batch, entry, progress))
+                    end.cancelling = self.run_in_background(self.cancel_dispatch(batch, entry, progress))
                     if may_retry:
-                        await self.wait_until_cancelled(batch, cancelling)
+                        await self.wait_until_cancelled(batch, end.cancelling)
                 elif may_retry and not self.allows_copies:
                     # Without cancelling, a time-out reported at once would let the next dispatch run beside
                     # this one.
--- a/thistlelever/ground/interface.py
+++ b/thistlelever/ground/interface.py
@@ -265,6 +265,15 @@
     true_memory: float
     # A load report, empty if none came with it.
     report: tuple[float, ...]
+    # Whether it is not yet known if the engine has stopped; `DispatchStopped` follows then.
+    still_stopping: bool = False
+
+
+class DispatchStopped(NamedTuple):
+    """The engine certainly no longer runs a dispatch that ended with `still_stopping`."""
+
+    batch: int
+    number: int
 
 
 class ResponseStarted(NamedTuple):
@@ -368,6 +377,7 @@
 Event = (
     BatchReceived
     | DispatchEnded
+    | DispatchStopped
     | ResponseStarted
     | ProgressNote
     | ClientLeft
