Stand-in of Flight engines: a lost or repeated cancel ends no other dispatch

A cancel with the fault 'lost' was recorded as the end of its dispatch, and a repeated one as the end of a later dispatch of its batch, so that rigs.flight could miss a breach of order. Both end nothing now: the check asks for more.

--- a/thistlelever/standins/flight_engine.py
+++ b/thistlelever/standins/flight_engine.py
@@ -19,6 +19,7 @@
     "error": StatusCode.INVALID_ARGUMENT,
     "lost": StatusCode.UNAVAILABLE,
 }
+CANCEL = "CancelFlightInfo"
 UNARY, STREAM, DUPLEX = (
     grpc.unary_unary_rpc_method_handler,
     grpc.unary_stream_rpc_method_handler,
@@ -112,7 +113,9 @@
                 self.stir.set()
         if step and step[0] in STEP_CODES:
             unrun = step[0] in ("full", "unsent")
-            self.recorder.record_end(*batch, "refused" if unrun else "answered")
+            if call != CANCEL:
+                # A cancel that is lost ends nothing.
+                self.recorder.record_end(*batch, "refused" if unrun else "answered")
             said = (*self.trailers, ("x-unrun", "1")) if unrun else self.trailers
             await context.abort(STEP_CODES[step[0]], step[0], said)
         return step
@@ -224,16 +227,18 @@
         action = pb.Action.FromString(request)
         batch, which = self.arrived(action.type, context, action.body)
         await self.act(action.type, batch, context)
-        if action.type == "CancelFlightInfo":
+        if action.type == CANCEL:
             if not self.supports_cancel:
-                await context.abort(StatusCode.UNIMPLEMENTED, "CancelFlightInfo")
+                await context.abort(StatusCode.UNIMPLEMENTED, CANCEL)
+            # A repeated cancel must not end a later dispatch of the same batch.
+            is_repeated = which in self.cancelled
             self.cancelled.add(which)
             if run := self.runs.pop(which, None):
                 run.cancel()
             whose = self.kept.pop(which, (None, batch))[1]
-            if which in self.begun:
+            if which in self.begun and not is_repeated:
                 self.recorder.record_end(*whose, "given up")
-            else:
+            elif which not in self.begun:
                 await context.abort(StatusCode.NOT_FOUND, "no such batch")
             await context.write(
                 pb.Result(
