Order by key: a key rests after a dispatch that died with its engine's process

What callers saw: loads of one table less than the key's rest apart, the first of them lost with its engine.

Cause: the front's call broke, it asked the engine's address, and a process that had just taken that address answered NOT_FOUND. The front took that for 'it never came' (astray). Such a dispatch began no cool-down: the batch was sent again, returned, and the key's next load went at once. What a process says proves nothing of the one before it at its address.

Why this works: a cool-down starts from the front's own knowledge that the dispatch is over, whatever the address says of it; the rule asks it after each reset. `DispatchEnded.engine_forgot` carries the cases whose outcome does not tell: a ticket that a new process does not know, an HTTP engine's 500 to a poll (where the batch may be sent there again and return). An HTTP engine answers an error of the batch alike, so a key rests after that as well.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -78,6 +78,9 @@
         it.DispatchOutcome.CANCELLED,
     )
 )
+# Outcomes after which a key cools down. That an engine does not know a batch proves nothing, as it may have
+# replaced another process at its address.
+COOL_DOWN_AFTER = MAY_RUN_ON | {it.DispatchOutcome.ASTRAY}
 
 
 def is_repeat_harmless(query_class: it.QueryClass) -> bool:
@@ -538,7 +541,7 @@
             self.apply_outcome(engine, ended.outcome)
         self.learn_slowdown(dispatch, ended)
         self.learn_cost(dispatch, ended)
-        if batch.key_queue and ended.outcome in MAY_RUN_ON:
+        if batch.key_queue and (ended.outcome in COOL_DOWN_AFTER or ended.engine_forgot):
             self.key_cooldowns[batch.key] = self.now + self.key_cooldown
         if batch.key_queue and ended.still_stopping:
             self.stopping_dispatches[ended.batch, ended.number] = batch
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -54,6 +54,8 @@
     result_stream: ResultStream | None = None
     # Cancels the dispatch at its engine; set if the engine may still run it.
     cancelling: asyncio.Task | None = None
+    # Whether the engine, asked again, did not know the dispatch.
+    engine_forgot: bool = False
 
     def is_stopping(self) -> bool:
         """Whether it is not yet known if the engine has stopped running the dispatch."""
@@ -72,6 +74,7 @@
             self.true_memory,
             self.report,
             self.is_stopping(),
+            self.engine_forgot,
         )
 
 
--- a/thistlelever/carrier/flight_engines.py
+++ b/thistlelever/carrier/flight_engines.py
@@ -189,7 +189,8 @@
             self.finish_result(batch, end, buffer)
         except aio.AioRpcError as why:
             self.read_trailer(why.trailing_metadata(), end)
-            if extra_headers and why.code() is StatusCode.NOT_FOUND:
+            end.engine_forgot = why.code() is StatusCode.NOT_FOUND
+            if extra_headers and end.engine_forgot:
                 raise NoResultError(it.DispatchOutcome.ASTRAY) from None
             raise NoResultError(await self.outcome(why, entry, batch, progress)) from None
         except aio.UsageError:
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -254,6 +254,8 @@
                     unused = True
                     connection.stream.close()
                     raise Spoilt("no proof on a connection that carried others")
+                # An error of the batch is answered alike.
+                end.engine_forgot = end.engine_forgot or reply.status == 500
                 return reply
             except Silent as why:
                 self.count_unusable(why)
--- a/thistlelever/ground/interface.py
+++ b/thistlelever/ground/interface.py
@@ -267,6 +267,9 @@
     report: tuple[float, ...]
     # Whether it is not yet known if the engine has stopped; `DispatchStopped` follows then.
     still_stopping: bool = False
+    # Whether the engine, asked again, did not know the dispatch, which a process before it at its address may
+    # have had.
+    engine_forgot: bool = False
 
 
 class DispatchStopped(NamedTuple):
