Flight results: a stream whose client cancelled never ends as complete

Cause: a cancel empties the queue between the dispatch and the client's call. Where the dispatch had just returned and its batch's task had not heard of that yet, the stream's end stayed 'returned': the call found the queue empty after a good end. The same where the dispatch returned between the cancel and its own cancellation.

Why this works: the end of a stream whose reader was closed is 'cancelled' whatever its dispatch ends with, in either order, and the call then ends with CANCELLED.

--- a/thistlelever/carrier/result_stream.py
+++ b/thistlelever/carrier/result_stream.py
@@ -24,7 +24,8 @@
         # Past `max_bytes` queued bytes the engine is not read, so that flow control slows it down.
         self.number, self.max_bytes = number, max_bytes
         self.queued, self.queued_bytes = deque(initial), sum(map(len, initial))
-        # How the dispatch ended, None while it runs. The result is complete only if it is `RETURNED`.
+        # How the dispatch ended, None while it runs, or `CANCELLED` for a reader that has left. The result is
+        # complete only if it is `RETURNED`.
         self.outcome: DispatchOutcome | None = None
         self.reader_left = False
         self.changed = asyncio.Event()
@@ -56,6 +57,8 @@
         """End the stream. If the dispatch failed, queued messages are discarded, so that the client gets the
         failure at once and does not take a part for the whole."""
         self.outcome = outcome
+        if self.reader_left and outcome is DispatchOutcome.RETURNED:
+            self.outcome = DispatchOutcome.CANCELLED
         if outcome is not DispatchOutcome.RETURNED:
             self.discard()
         self.changed.set()
@@ -65,8 +68,10 @@
         return self.outcome in (None, DispatchOutcome.RETURNED)
 
     def close_reader(self) -> None:
-        """Stop the stream because the client reads no more."""
+        """Stop the stream because the client reads no more; what it was sent is not the complete result."""
         self.reader_left = True
+        if self.outcome is DispatchOutcome.RETURNED:
+            self.outcome = DispatchOutcome.CANCELLED
         self.discard()
         self.changed.set()
 
