--- a/review/2/case.py
+++ b/review/2/case.py
@@ -66,7 +66,7 @@
 async def one(record, client, ends, broken):
     """Submit one report and compare its result with the statement's own."""
     txn, run_ms = new_id(), random.randint(80, 300)
-    first, count = random.randint(1000, 3000), random.randint(2000, 5000)
+    first, count = random.randint(1000, 3000), random.randint(4000, 5200)
     table = f"customs_{random.randint(1, 12)}.declarations"
     text = f"select number, port, state from {table} /* first={first} rows={count} run_ms={run_ms} */"
     how, served = await client.submit("report", txn, text, 12, "mareblu-dogane", run_ms * 3)
