--- a/review/3/case.py
+++ b/review/3/case.py
@@ -17,7 +17,7 @@
 import rows
 from standins import Client, Engine, Pool, new_id, run_case, trouble
 
-MEMORY_MB, CLIENTS, REQUESTS, STATEMENT_BYTES = 192, 200, 32, 12_000
+MEMORY_MB, CLIENTS, REQUESTS, STATEMENT_BYTES = 192, 24, 32, 130_000
 # For how long the usual clients ask, how often a second, and when the others come.
 SECONDS, RATE, BAD_AFTER_S = 14, 20, 4
 
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -114,7 +114,7 @@
                 }
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 await self.answer(writer, method, path, fields, body)
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
