HTTP engines: a page with bytes behind it is never served, however often they came before

Cause: a page with a surplus was asked for again only twice in a whole dispatch (suspect_replies).

Now every such page is asked for again, and the eight unusable replies in a row that count for each page bound that; after them the dispatch ends without a result and the decisions go on from there. No page whose rest was read with it is taken, so that no rest can be left out.

--- /dev/null
+++ b/tests/test_surplus_replies.py
@@ -0,0 +1,115 @@
+"""Replies with more bytes behind them than their length states: a result is served with all its rows."""
+
+import asyncio
+import re
+from base64 import b64decode
+from collections import Counter
+
+import pytest
+from stage import prepared_stage, short_delays
+
+from thistlelever.carrier.http_engines import MAX_UNUSABLE_REPLIES
+
+# Five pages of rows of 9 bytes.
+RESULT = "".join(f"{number}\ta\t{number % 7}\n" for number in range(1_000, 4_000))
+ROW_BYTES = 9
+LAST_PAGE = 4
+
+
+def cut(data: bytes, row_count: int = 10) -> bytes:
+    """State a length that ends behind some rows; the other rows follow it."""
+    return re.sub(rb"Content-Length: \d+", b"Content-Length: %d" % (row_count * ROW_BYTES), data)
+
+
+def copied(data: bytes) -> bytes:
+    return data + data
+
+
+def followed_by_noise(data: bytes) -> bytes:
+    return data + bytes(range(128, 168))
+
+
+class AlteredWriter:
+    """Passes what an engine writes through a function."""
+
+    def __init__(self, writer, alter):
+        self.writer, self.alter = writer, alter
+
+    def write(self, data: bytes) -> None:
+        self.writer.write(self.alter(data))
+
+    def __getattr__(self, name: str):
+        return getattr(self.writer, name)
+
+
+def alter_replies(engine, alterations: dict[str, list]) -> Counter:
+    """Alter the first replies to each call, by call; returns how many replies to each were written."""
+    act, seen = engine.act, Counter()
+
+    async def altered(writer, call, fields, path, body):
+        waiting = alterations.get(call, ())
+        if seen[call] < len(waiting):
+            writer = AlteredWriter(writer, waiting[seen[call]])
+        seen[call] += 1
+        return await act(writer, call, fields, path, body)
+
+    engine.act = altered
+    return seen
+
+
+async def ask_one(alterations: dict[str, list], group: str = "lookup"):
+    """Submit one batch to an engine with altered replies; returns its answer and the calls."""
+    lines = [("setup", ["engine", "a"]), ("setup", ["front"])]
+    with short_delays():
+        async with prepared_stage(lines) as stage:
+            engine = stage.engines["a"]
+            engine.text = RESULT
+            seen = alter_replies(engine, alterations)
+            await stage.do_submit(1, group)
+            await stage.until(lambda: stage.answers)
+            return stage.answers[0], seen
+
+
+def text_of(answer: dict) -> str:
+    """Return the rows of a result."""
+    return b64decode(answer["result"]["bytes"]).decode()
+
+
+@pytest.mark.parametrize("call", ["POST", "GET1", "GET3", f"GET{LAST_PAGE}"])
+@pytest.mark.parametrize("times", [1, MAX_UNUSABLE_REPLIES - 1])
+def test_a_page_cut_by_its_length_is_fetched_until_it_is_whole(call, times):
+    """Guards against a third such reply in one dispatch being served as a whole page."""
+    answer, seen = asyncio.run(ask_one({call: [cut] * times}))
+    assert text_of(answer) == RESULT
+    assert seen[call] == (1 if call == "POST" else times + 1)
+
+
+def test_harmless_surplus_on_other_pages_does_not_use_up_the_doubts():
+    """Guards against doubts that are counted over the whole dispatch: the cut page was served as whole."""
+    alterations = {"POST": [followed_by_noise], "GET1": [copied, followed_by_noise], "GET2": [copied]}
+    alterations[f"GET{LAST_PAGE}"] = [cut, cut]
+    answer, seen = asyncio.run(ask_one(alterations))
+    assert text_of(answer) == RESULT
+    assert seen[f"GET{LAST_PAGE}"] == len(alterations[f"GET{LAST_PAGE}"]) + 1
+
+
+@pytest.mark.parametrize("spoil", [cut, copied, followed_by_noise])
+def test_a_page_that_never_comes_alone_is_not_served(spoil):
+    """Guards against rows that may be missing: the dispatch has no result, and the next one serves."""
+    alterations = {"GET2": [spoil] * MAX_UNUSABLE_REPLIES}
+    answer, seen = asyncio.run(ask_one(alterations))
+    assert text_of(answer) == RESULT
+    assert seen["POST"] == 2
+
+
+def test_a_once_only_batch_whose_page_never_comes_alone_is_errored():
+    """Guards against a part of a result, and against a second run for the sake of a whole one."""
+    answer, seen = asyncio.run(ask_one({"GET2": [cut] * MAX_UNUSABLE_REPLIES}, "pay"))
+    assert answer["error"]["code"] == -32000
+    assert seen["POST"] == 1
+
+
+def test_an_empty_page_before_its_rows_is_fetched_again():
+    """Guards against a length of 0: the rows behind it are not taken for surplus of an empty result."""
+    answer, _ = asyncio.run(ask_one({"POST": [lambda data: cut(data, 0)], "GET0": [followed_by_noise]}))
+    assert text_of(answer) == RESULT
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -94,7 +94,6 @@
     acknowledged: bool = False
     # Whether the engine refused a connection.
     engine_dead: bool = False
-    suspect_replies: int = 0
     posts: int = 0
     pages: int = 0
 
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -37,8 +37,6 @@
 RETRY_DELAY_S = 0.02
 # Consecutive unusable replies to a poll after which the dispatch is given up.
 MAX_UNUSABLE_REPLIES = 8
-# How often a reply with surplus bytes behind it is fetched again, as a wrong length may have cut it short.
-MAX_SUSPECT_REPLIES = 2
 # Statuses that, with the header x-unrun, prove that the batch never ran.
 NEVER_RAN = {503: it.DispatchOutcome.FULL, 504: it.DispatchOutcome.UNSENT}
 # Outcomes of failed connections that tell something about the engine; other failures are this front's own.
@@ -323,9 +321,8 @@
         rows = http.check_page(reply.body)
         if connection.is_repeated(reply):
             raise Spoilt("the same answer twice on one connection")
-        if connection.has_surplus and progress.suspect_replies < MAX_SUSPECT_REPLIES:
+        if connection.has_surplus:
             # The surplus may be the rest of these rows, cut off by a length that is too small.
-            progress.suspect_replies += 1
             raise Spoilt("more than one answer")
         if not page:
             progress.pages = int(page_field)
