Connections: bytes that still wait at the socket when a reply is read are its surplus

A page cut by its length was taken for whole when its other rows came in a segment of their own: only what had been read with the reply was looked at. The socket is now looked at as well. The test failed before (the rest is written in the moment in which the reply is parsed).

--- a/tests/test_surplus_replies.py
+++ b/tests/test_surplus_replies.py
@@ -4,11 +4,16 @@
 import re
 from base64 import b64decode
 from collections import Counter
+from types import SimpleNamespace
+from unittest.mock import patch
 
 import pytest
 from stage import prepared_stage, short_delays
 
 from thistlelever.carrier.http_engines import MAX_UNUSABLE_REPLIES
+from thistlelever.ground.metrics import Metrics
+from thistlelever.store.connections import ConnectionPool
+from thistlelever.wire import http
 
 # Five pages of rows of 9 bytes.
 RESULT = "".join(f"{number}\ta\t{number % 7}\n" for number in range(1_000, 4_000))
@@ -113,3 +118,31 @@
     """Guards against a length of 0: the rows behind it are not taken for surplus of an empty result."""
     answer, _ = asyncio.run(ask_one({"POST": [lambda data: cut(data, 0)], "GET0": [followed_by_noise]}))
     assert text_of(answer) == RESULT
+
+
+@pytest.mark.parametrize("rest", [b"", b"1001\ta\t0\n"])
+def test_rows_that_wait_at_the_socket_are_surplus(rest):
+    """Guards against a cut page whose other rows came in a segment of their own and were not read yet."""
+    read_reply = http.read_reply
+
+    async def has_surplus() -> bool:
+        accepted = asyncio.get_running_loop().create_future()
+        server = await asyncio.start_server(lambda _, writer: accepted.set_result(writer), "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()[:2]
+        entry = SimpleNamespace(address=address, engine=SimpleNamespace(id=b"a"))
+        connection = await ConnectionPool(4, 30.0, 1.0, Metrics()).connect(entry)
+        writer = await accepted
+
+        def send_rest(buffer):
+            writer.write(rest)
+            return read_reply(buffer)
+
+        writer.write(b"HTTP/1.1 200 X\r\nChunks: 1\r\nContent-Length: 9\r\n\r\n1000\ta\t6\n")
+        with patch.object(http, "read_reply", send_rest):
+            await connection.call(b"GET / HTTP/1.1\r\n\r\n", 1.0)
+        connection.stream.close()
+        writer.close()
+        server.close()
+        return connection.has_surplus
+
+    assert asyncio.run(has_surplus()) == bool(rest)
--- a/thistlelever/store/connections.py
+++ b/thistlelever/store/connections.py
@@ -104,7 +104,7 @@
         except (StreamClosedError, TooLong, http.Unreadable) as error:
             raise Broken(f"{type(error).__name__}: {error}") from None
         self.call_pending = False
-        self.has_surplus = self.buffer.start != self.buffer.end
+        self.has_surplus = self.buffer.start != self.buffer.end or bool(self.next_byte())
         if not reply.keeps or self.has_surplus:
             # Surplus data could be taken for the answer to the next call.
             self.stream.close()
@@ -138,13 +138,19 @@
         """
         if self.stream.closed() or self.call_pending or self.pending_read and self.pending_read.done():
             return False
+        return self.next_byte() is None
+
+    def next_byte(self) -> bytes | None:
+        """Return the next byte at the socket without taking it.
+
+        None if there is none yet, an empty string if the stream has ended or failed.
+        """
         try:
-            self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+            return self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
-            return True
+            return None
         except OSError:
-            return False
-        return False
+            return b""
 
 
 class ConnectionPool:
