Open requests: what they hold is bounded and divided among clients; the decoded line is let go

Cause: the callback that answers a request named the decoded call and so kept the statement in base64 (173 KB) beside the decoded one (130 KB); tracemalloc found 386 of each at one time. And nothing bounded what requests hold that were read: 32 on each of 409 connections, 190 KB each, and 8.3 KB even for a small one.

--- a/thistlelever/carrier/batch_tasks.py
+++ b/thistlelever/carrier/batch_tasks.py
@@ -23,6 +23,7 @@
     from thistlelever.carrier.budget_gate import BudgetGate
     from thistlelever.carrier.remembered_outcomes import RememberedOutcomes
     from thistlelever.carrier.leases import LeaseService
+    from thistlelever.store.request_memory import RequestMemory
 
 # Messages to a batch's task, besides actions, commands and ends of dispatches: its client has left; its
 # backstop timer has fired; nothing that had come by then has answered it.
@@ -49,12 +50,23 @@
         self.leases: LeaseService | None = None
         # With state kept on disk, what is known of batches from before a restart.
         self.remembered: RememberedOutcomes | None = None
+        # The limit on the memory of open requests, and how long a client whose request is past it is asked to
+        # wait, in seconds.
+        self.request_memory: RequestMemory | None = None
+        self.retry_after = 0.0
         self.decisions, self.dispatcher, self.batches = decisions, dispatcher, batches
         self.metrics, self.log = metrics, log
         self.tasks: set[asyncio.Task] = set()
 
     def start(self, batch: Batch, answer: Answer) -> None:
-        """Open a batch and start its task; `answer` is called exactly once."""
+        """Open a batch and start its task; `answer` is called exactly once.
+
+        A batch past the memory limit is refused at once and not opened.
+        """
+        if self.request_memory and not self.request_memory.reserve(batch.client, batch.size()):
+            self.metrics.add("requests past the memory limit")
+            self.send_answer(batch, answer, self.unsent_answer(batch, self.retry_after))
+            return
         self.batches.add(batch)
         task = asyncio.get_running_loop().create_task(self.run_guarded(batch, answer))
         self.tasks.add(task)
@@ -84,6 +96,8 @@
             # Breaks the reference cycle of batch and progress, which would be left to the garbage collector.
             batch.progress.clear()
             self.batches.drop(batch)
+            if self.request_memory:
+                self.request_memory.release(batch.client, batch.size())
 
     def arm_backstop(self, batch: Batch) -> None:
         """Set the timer that answers the batch if the decisions do not, replacing an earlier one."""
@@ -227,12 +241,7 @@
             if message is CLIENT_LEFT:
                 batch.answered = True
             elif message is OVERDUE:
-                # Nothing was sent from here. A retried batch may run at another front, with an outcome that
-                # is not known here, so its client is not told that nothing ran.
-                answer_early = (
-                    it.Error(batch.number) if batch.submission.is_retry else it.PushBack(batch.number, 0.0)
-                )
-                self.send_answer(batch, answer, answer_early)
+                self.send_answer(batch, answer, self.unsent_answer(batch))
             return False
         receiving.cancel()
         if receiving.done():
@@ -245,6 +254,16 @@
         batch.received = batch.received._replace(time_limit=batch.deadline - clock.now())
         return True
 
+    def unsent_answer(self, batch: Batch, after: float = 0.0) -> it.PushBack | it.Error:
+        """Return the answer to a batch of which nothing was sent from here.
+
+        With takeover on, a retried batch may run at another front, with an outcome that is not known here, so
+        its client is not told that nothing ran.
+        """
+        if self.leases and batch.submission.is_retry:
+            return it.Error(batch.number)
+        return it.PushBack(batch.number, after)
+
     async def send_if_owned(self, batch: Batch, answer: Answer, message: it.Action | End) -> None:
         """Send the final answer once the lease confirms that this front may still answer the batch."""
         if batch.lease_guard:
--- a/thistlelever/carrier/clients.py
+++ b/thistlelever/carrier/clients.py
@@ -395,16 +395,19 @@
                 jsonrpc.NO_REQUEST, f"more than {MAX_OPEN_REQUESTS} open requests", call.number
             )
         batch = self.listener.batch(call)
-        self.open_batches[call.number] = batch
-        self.highest_number = max(self.highest_number, call.number)
+        # Only the number is kept: the call holds the statement a second time, in base64.
+        number = call.number
+        batch.client = self
+        self.open_batches[number] = batch
+        self.highest_number = max(self.highest_number, number)
         self.metrics.add("taken")
 
         def answer(message) -> None:
-            if self.open_batches.pop(call.number, None) is batch:
+            if self.open_batches.pop(number, None) is batch:
                 self.since = clock.now()
                 self.metrics.add(type(message).__name__)
                 self.log_refusal(batch, message)
-                self.write(encode_answer(call.number, message))
+                self.write(encode_answer(number, message))
                 self.end_if_answered()
 
         self.listener.batch_tasks.start(batch, answer)
--- a/thistlelever/flight/server.py
+++ b/thistlelever/flight/server.py
@@ -311,7 +311,7 @@
         batch = self.validator.make_batch(
             payload.group, payload.fields | {"id": payload.number, "wait": wait}, payload.statement
         )
-        batch.columns = True
+        batch.columns, batch.client = True, context.peer()
         return batch
 
     # Results.
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -30,6 +30,7 @@
 from thistlelever.store.connections import LOCAL_SHORTAGE_ERRNOS, ConnectionPool
 from thistlelever.store.engine_registry import EngineRegistry
 from thistlelever.ground.metrics import Metrics
+from thistlelever.store.request_memory import RequestMemory
 
 if TYPE_CHECKING:
     from thistlelever.ground.operator import Operator, Takeover
@@ -100,6 +101,8 @@
         self.membership: MembershipComponent | None = None
         self.state: StateComponent | None = None
         self.batch_tasks = BatchTasks(self.decisions, self.dispatcher, self.batches, self.metrics, log)
+        self.batch_tasks.request_memory = RequestMemory(limits.request_bytes, limits.client_connections)
+        self.batch_tasks.retry_after = settings.longest_return if settings.names_return else 0.0
         self.loop_lag = LoopLagMonitor()
         self.validator = RequestValidator(settings, self.loop_lag, self.batches)
         self.client_listener = ClientListener(self.validator, self.batch_tasks, self.metrics, log, limits)
--- a/thistlelever/store/batches.py
+++ b/thistlelever/store/batches.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
 from thistlelever.ground import interface as it
 from thistlelever.ground.submission import Submission
+from thistlelever.store.request_memory import request_size
 
 
 class DispatchName(NamedTuple):
@@ -48,6 +50,8 @@
     answered: bool = False
     # Cost of its dispatches as reported by the engines, in core-seconds.
     measured_work: float = 0.0
+    # Identifies the client's connection; clients share the memory for open requests.
+    client: Hashable = None
     # `columns`: the client's protocol takes columnar data and lets a result start before it is complete.
     # `is_update`: the statement only changes rows, so that its result is a row count.
     columns: bool = False
@@ -64,6 +68,10 @@
         """Return the name under which the engine knows the dispatch."""
         return self.adopted_names.get(number) or DispatchName(self.submission.txn, number)
 
+    def size(self) -> int:
+        """Return the bytes that the batch counts for while it is open."""
+        return request_size(self.submission.statement)
+
     def may_have_run(self) -> bool:
         """Whether an engine may have run the batch, for this front or for one that dispatched it before."""
         return bool(self.adopted_names) or any(progress.started for progress in self.progress.values())
