Batch tasks: a dispatch behind the message that ends its batch is ended too, not held for good

Cause: BatchTasks.run ended once its batch was answered and no dispatch was out; a dispatch asked for in the same turn lay in the inbox behind the message that ended it. Nobody took it, and the decisions waited for its end.

Now the task goes on until its inbox is empty: the dispatch is withheld and ends as unsent. A dispatch for a batch that is over, and what a failed task had not begun, are reported as well.

--- a/thistlelever/carrier/batch_tasks.py
+++ b/thistlelever/carrier/batch_tasks.py
@@ -75,9 +75,11 @@
     async def run_guarded(self, batch: Batch, answer: Answer) -> None:
         """Run a batch; if that fails, cancel its dispatches and answer with an error."""
         self.arm_backstop(batch)
+        failed = False
         try:
             await self.run(batch, answer)
         except Exception as why:
+            failed = True
             self.metrics.add("course failed")
             self.log("course failed", why=repr(why), trace=traceback.format_exc())
             for number, task in batch.dispatch_tasks.items():
@@ -98,6 +100,9 @@
             self.batches.drop(batch)
             if self.request_memory:
                 self.request_memory.release(batch.client, batch.size())
+            if failed:
+                # What it did not start yet, or failed to start; nothing proves that none of it was sent.
+                self.decisions.end_lost_dispatches(batch.number, it.DispatchOutcome.ASTRAY)
 
     def arm_backstop(self, batch: Batch) -> None:
         """Set the timer that answers the batch if the decisions do not, replacing an earlier one."""
@@ -121,7 +126,12 @@
             self.gate.shut_down(at)
 
     async def run(self, batch: Batch, answer: Answer) -> None:
-        """Handle the messages of a batch until it is answered and its last dispatch has ended."""
+        """Handle the messages of a batch until it is answered, its last dispatch has ended and none is left.
+
+        A dispatch that the decisions requested before they heard of the batch's end may wait behind the
+        message that ended it. It is started and withheld like any other, so that its end is reported; the
+        decisions would otherwise count it as running for good.
+        """
         if self.leases and not await self.claim(batch, answer):
             return
         if self.remembered and (message := self.remembered.look_up(batch)):
@@ -130,7 +140,7 @@
         if self.gate and not await self.wait_for_admission(batch, answer):
             return
         self.decisions.add_event(batch.received)
-        while batch.dispatch_tasks or not batch.answered:
+        while batch.dispatch_tasks or not batch.answered or not batch.inbox.empty():
             message = await batch.inbox.get()
             match message:
                 case it.Terms():
@@ -139,9 +149,10 @@
                         self.dispatcher.reprioritise(batch)
                 case it.Dispatch():
                     number, batch.dispatches = batch.dispatches, batch.dispatches + 1
+                    # Known before anything can fail, so that its end is reported in any case.
+                    batch.dispatch_tasks[number] = self.dispatcher.start(batch, number, message)
                     if self.remembered:
                         self.remembered.record_dispatch(batch, number, message.engine)
-                    batch.dispatch_tasks[number] = self.dispatcher.start(batch, number, message)
                     if self.gate:
                         self.gate.dispatch_started(batch)
                 case it.Cancel():
--- a/thistlelever/carrier/decision_loop.py
+++ b/thistlelever/carrier/decision_loop.py
@@ -28,6 +28,8 @@
         self.tick, self.next_turn_at = tick, 0.0
         self.events: list[it.Event] = []
         self.turns, self.busy_seconds = 0, 0.0
+        # The dispatches that the last check found to be lost.
+        self.known_lost: set[tuple[int, int]] = set()
         self.on_probe: Callable[[it.Probe], None] = lambda action: None
         self.on_ask_list: Callable[[], None] = lambda: None
 
@@ -82,5 +84,33 @@
             if batch is None:
                 # Its client left, or its backstop fired, while the decisions were running.
                 self.metrics.add("actions for what is over")
+                if kind is it.Dispatch:
+                    self.end_lost_dispatches(action.batch, it.DispatchOutcome.UNSENT)
             else:
                 batch.inbox.put_nowait(action)
+
+    def lost_dispatches(self) -> set[tuple[int, int]]:
+        """Return the dispatches that the decisions hold for batches that are over, by batch and number.
+
+        Those whose end waits for the next turn are left out.
+        """
+        lost = {key for key in self.front.open_dispatches if key[0] not in self.batches.by_number}
+        return lost - {
+            (event.batch, event.number) for event in self.events if type(event) is it.DispatchEnded
+        }
+
+    def end_lost_dispatches(self, batch: int, outcome: it.DispatchOutcome) -> None:
+        """Report the end of the dispatches that the decisions hold for a batch which is over."""
+        for key in sorted(self.lost_dispatches()):
+            if key[0] == batch:
+                engine = self.front.engine_ids[self.front.open_dispatches[key].engine]
+                self.add_event(it.DispatchEnded(*key, engine, outcome, 0.0, True, 0.0, 0.0, ()))
+
+    def check_lost_dispatches(self) -> None:
+        """Log and count dispatches whose end the decisions would wait for in vain, each of them once."""
+        lost = self.lost_dispatches()
+        for batch, number in sorted(lost - self.known_lost):
+            self.log("dispatch held for a batch that is over", batch=batch, number=number)
+        is_none_new = lost <= self.known_lost
+        self.known_lost = lost
+        self.metrics.check_invariant(is_none_new, "no dispatch is held for a batch that is over")
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -342,6 +342,7 @@
             await asyncio.sleep(HOUSEKEEPING_INTERVAL_S)
             self.connections.close_expired()
             self.client_listener.sweep()
+            self.decisions.check_lost_dispatches()
             if clock.now() >= next_log_at and self.metrics.counts != logged:
                 logged = self.metrics.counts.copy()
                 self.log(
