Connections: a reply whose connection is closed right behind it is taken, as before

The look at the socket for a surplus had no socket to look at where the stream was closed with the reply already read: AttributeError, and the dispatch an error. Found by reading the change, not seen in a run; the test failed before.

--- a/tests/test_surplus_replies.py
+++ b/tests/test_surplus_replies.py
@@ -12,13 +12,14 @@
 
 from thistlelever.carrier.http_engines import MAX_UNUSABLE_REPLIES
 from thistlelever.ground.metrics import Metrics
-from thistlelever.store.connections import ConnectionPool
+from thistlelever.store.connections import Connection, ConnectionPool
 from thistlelever.wire import http
 
 # Five pages of rows of 9 bytes.
 RESULT = "".join(f"{number}\ta\t{number % 7}\n" for number in range(1_000, 4_000))
 ROW_BYTES = 9
 LAST_PAGE = 4
+ONE_ROW = b"HTTP/1.1 200 X\r\nChunks: 1\r\nContent-Length: 9\r\n\r\n1000\ta\t6\n"
 
 
 def cut(data: bytes, row_count: int = 10) -> bytes:
@@ -120,29 +121,37 @@
     assert text_of(answer) == RESULT
 
 
+async def call_with(on_read, reply: bytes) -> tuple[http.Reply, Connection]:
+    """Call a server that has sent `reply`; `on_read(writer, connection)` runs right before it is parsed."""
+    accepted = asyncio.get_running_loop().create_future()
+    server = await asyncio.start_server(lambda _, writer: accepted.set_result(writer), "127.0.0.1", 0)
+    address = server.sockets[0].getsockname()[:2]
+    entry = SimpleNamespace(address=address, engine=SimpleNamespace(id=b"a"))
+    connection = await ConnectionPool(4, 30.0, 1.0, Metrics()).connect(entry)
+    writer, read_reply = await accepted, http.read_reply
+
+    def act_and_read(buffer):
+        on_read(writer, connection)
+        return read_reply(buffer)
+
+    writer.write(reply)
+    with patch.object(http, "read_reply", act_and_read):
+        found = await connection.call(b"GET / HTTP/1.1\r\n\r\n", 1.0)
+    connection.stream.close()
+    writer.close()
+    server.close()
+    return found, connection
+
+
 @pytest.mark.parametrize("rest", [b"", b"1001\ta\t0\n"])
 def test_rows_that_wait_at_the_socket_are_surplus(rest):
     """Guards against a cut page whose other rows came in a segment of their own and were not read yet."""
-    read_reply = http.read_reply
-
-    async def has_surplus() -> bool:
-        accepted = asyncio.get_running_loop().create_future()
-        server = await asyncio.start_server(lambda _, writer: accepted.set_result(writer), "127.0.0.1", 0)
-        address = server.sockets[0].getsockname()[:2]
-        entry = SimpleNamespace(address=address, engine=SimpleNamespace(id=b"a"))
-        connection = await ConnectionPool(4, 30.0, 1.0, Metrics()).connect(entry)
-        writer = await accepted
-
-        def send_rest(buffer):
-            writer.write(rest)
-            return read_reply(buffer)
-
-        writer.write(b"HTTP/1.1 200 X\r\nChunks: 1\r\nContent-Length: 9\r\n\r\n1000\ta\t6\n")
-        with patch.object(http, "read_reply", send_rest):
-            await connection.call(b"GET / HTTP/1.1\r\n\r\n", 1.0)
-        connection.stream.close()
-        writer.close()
-        server.close()
-        return connection.has_surplus
-
-    assert asyncio.run(has_surplus()) == bool(rest)
+    _, connection = asyncio.run(call_with(lambda writer, connection: writer.write(rest), ONE_ROW))
+    assert connection.has_surplus == bool(rest)
+
+
+def test_a_reply_before_the_end_of_its_connection_is_taken():
+    """Guards against a look at the socket of a connection that was closed right behind its reply."""
+    reply, connection = asyncio.run(call_with(lambda writer, connection: connection.stream.close(), ONE_ROW))
+    assert reply.status == 200
+    assert not connection.has_surplus
--- a/thistlelever/carrier/decision_loop.py
+++ b/thistlelever/carrier/decision_loop.py
@@ -111,6 +111,6 @@
         lost = self.lost_dispatches()
         for batch, number in sorted(lost - self.known_lost):
             self.log("dispatch held for a batch that is over", batch=batch, number=number)
-        is_none_new = lost <= self.known_lost
+        none_new = lost <= self.known_lost
         self.known_lost = lost
-        self.metrics.check_invariant(is_none_new, "no dispatch is held for a batch that is over")
+        self.metrics.check_invariant(none_new, "no dispatch is held for a batch that is over")
--- a/thistlelever/store/connections.py
+++ b/thistlelever/store/connections.py
@@ -136,15 +136,17 @@
         Both the stream and the socket are checked: data that the stream has read is no longer at the socket,
         and data at the socket may not have been seen by the event loop yet.
         """
-        if self.stream.closed() or self.call_pending or self.pending_read and self.pending_read.done():
+        if self.call_pending or self.pending_read and self.pending_read.done():
             return False
         return self.next_byte() is None
 
     def next_byte(self) -> bytes | None:
         """Return the next byte at the socket without taking it.
 
-        None if there is none yet, an empty string if the stream has ended or failed.
+        None if there is none yet, an empty string if the stream is closed, has ended or failed.
         """
+        if self.stream.closed():
+            return b""
         try:
             return self.stream.socket.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
