--- a/review/stage_2/case.py
+++ b/review/stage_2/case.py
@@ -12,7 +12,7 @@
 from pathlib import Path
 
 from stage_2.engine import Engine, Marks
-from stage_2.fronts import CannotRunError, Client, Front, free_ports
+from stage_2.fronts import Client, Front, free_ports
 from stage_2.record import NOT_RUN, Record
 from thistlelever.standins.configuration import SETTINGS, configuration
 from thistlelever.standins.directory import start_directory
@@ -85,7 +85,8 @@
             try:
                 async with asyncio.timeout(LIMIT_S):
                     return stage.record.finish(await run(stage))
-            except (CannotRunError, OSError, TimeoutError) as why:
+            except Exception as why:
+                # Whatever stops the case says nothing of the rule.
                 traceback.print_exc()
                 stage.record.add("could not run", why=repr(why))
                 stage.record.save()
