--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,82 +1,59 @@
-"""A referenced batch whose front is killed, taken up by a front that holds it in its team's queue."""
+"""Some pages state a length that is too small, and their last rows come later: are they served whole?"""
 
 import asyncio
-import socket
+import random
+from base64 import b64decode
 
 from stage_2.case import Stage, play
 from stage_2.engine import Marks
-from stage_2.fronts import free_ports
 
-FRONTS, TRIES = 3, 3
-# Seconds: how long engines drop repeats; the time limit; how long the statements run.
-WINDOW_S, DEADLINE_S = 5.0, 12.0
-LOAD_S, HEAVY_S = 1.0, 4.0
-# Seconds after the batch was sent: the kill; the client's retry, which is inside the window.
-KILL_AT_S, RETRY_AT_S = 0.4, 2.0
+BATCHES, RATE = 1500, 80.0
+# The share of the answers that are spoilt, and after how many seconds the rest of such an answer follows.
+SPOILT_SHARE, REST_AFTER_S = 0.05, 0.005
+RUN_S, PAGES, ROWS_A_PAGE, WAIT_MS = 0.05, 2, 6, 4000
 
 
-def duration(statement: bytes) -> float:
-    """Return how long a statement runs, in seconds."""
-    return LOAD_S if statement.startswith(b"insert") else HEAVY_S
-
-
-def second_runs(stage: Stage) -> list[str]:
-    """Return each mark that ran more than once."""
-    record, broken = stage.record, []
-    for mark in sorted({line["mark"] for line in record.all("run") if line["mark"]}):
-        runs = record.all("run", mark=mark)
-        if len(runs) > 1:
-            where = ", ".join(f"{run['engine']} at {run['at']}" for run in runs)
-            tries = ", ".join(f"{s['front']} at {s['at']}" for s in record.all("sent", once=mark))
-            broken.append(f"mark {mark} ran {len(runs)} times: {where}; tries of the client: {tries}")
-    return broken
+def page_of(txn: str, number: int) -> str:
+    """Return the rows of one page of a query: they name it."""
+    return "".join(f"{txn}\t{number}\t{row}\n" for row in range(ROWS_A_PAGE))
 
 
 async def run(stage: Stage) -> list[str]:
     """Play the case."""
-    settings = stage.settings
-    settings["Balancers"] = FRONTS
-    for group in settings["Classes"]:
-        group |= {"Deadline": int(DEADLINE_S * 1e6), "Slo": 8_000_000, "Window": int(WINDOW_S * 1e6)}
-    await stage.open_engines(["s-alba", "s-bruma"], Marks(WINDOW_S), duration)
-    peers = [f"127.0.0.1:{port}" for port in free_ports(FRONTS, socket.SOCK_DGRAM)]
-    budgets = {"brokers": {"rosso": {"teams": {"acme": {"ceiling": 0.1}}}}}
-    operator = {"membership": {"tier": "catania"}, "takeover": {}, "budgets": budgets}
-    fronts = [
-        stage.front(f"n{rank}", operator, peer_listen=peers[rank], peers=peers, seed=f"{rank + 17:x}")
-        for rank in range(FRONTS)
-    ]
-    await asyncio.gather(*(front.start() for front in fronts))
-    await asyncio.sleep(3.0)
-    first = await stage.client("c0", fronts[0])
-    marks = [stage.new_id(32) for _ in range(TRIES)]
-    load = {"tenant": "acme", "cost": LOAD_S * 1000}
-
-    def submit(client, mark: str, number: int, wait_s: float, **more):
-        statement = f"insert into customs_{number + 1}.declarations values (1, 2, 3)"
-        return client.submit("load", stage.new_id(), statement, wait_s * 1000, once=mark, **load, **more)
-
-    futures = [submit(first, marks[0], 0, DEADLINE_S - 2)]
-    await asyncio.sleep(KILL_AT_S)
-    if stage.trouble:
-        await fronts[0].kill()
-    await asyncio.sleep(RETRY_AT_S - KILL_AT_S - 0.3)
-    second = await stage.client("c1", fronts[1])
-    for number in range(4):
-        text = f"select a, b, c from customs_{number + 30}.declarations"
-        fields = {"tenant": "acme", "cost": HEAVY_S * 1000}
-        futures.append(second.submit("lookup", stage.new_id(), text, (DEADLINE_S - 2) * 1000, **fields))
-        await asyncio.sleep(0.05)
-    await asyncio.sleep(0.1)
-    if await_answer(futures[0]):
-        futures.append(submit(second, marks[0], 0, DEADLINE_S - RETRY_AT_S, retry=1))
-    await asyncio.wait(futures, timeout=DEADLINE_S + 1)
-    return second_runs(stage)
-
-
-def await_answer(future: asyncio.Future) -> bool:
-    """Whether the first try had no result, so that the client asks again."""
-    return not future.done() or future.result() != "returned"
+    chance = random.Random(11)
+    spoilt: set[tuple[str, str]] = set()
+    await stage.open_engines(["s-alba", "s-bruma", "s-cala"], Marks(25.0), lambda statement: RUN_S)
+
+    def cut(path: str, text: str) -> int:
+        """Return how many bytes of a body its head states: all, or too few; each page is spoilt once."""
+        if not stage.trouble or not text or (path, text) in spoilt or chance.random() >= SPOILT_SHARE:
+            return len(text)
+        spoilt.add((path, text))
+        stage.record.add("spoilt", path=path)
+        return text.rindex("\n", 0, -1) + 1
+
+    for engine in stage.engines.values():
+        engine.pages, engine.page_of = PAGES, page_of
+        engine.stated_length, engine.rest_after = cut, REST_AFTER_S
+    front = stage.front("n0")
+    await front.start()
+    clients = [await stage.client(f"c{number}", front) for number in range(8)]
+    futures, broken = [], []
+    for number in range(BATCHES):
+        text = f"select a, b, c from customs_{number % 40}.declarations"
+        fields = {"tenant": "acme", "cost": RUN_S * 1000}
+        futures.append(clients[number % 8].submit("lookup", stage.new_id(), text, WAIT_MS, **fields))
+        await asyncio.sleep(chance.expovariate(RATE))
+    await asyncio.wait(futures, timeout=WAIT_MS / 1000 + 1)
+    for client in clients:
+        for txn, body in client.results.items():
+            rows = b64decode(body).decode()
+            whole = "".join(page_of(txn, page) for page in range(PAGES))
+            if rows != whole:
+                stage.record.add("wrong result", txn=txn, rows=rows)
+                lost = whole.count("\n") - rows.count("\n")
+                broken.append(f"{txn} was served without {lost} of its {whole.count(chr(10))} rows")
+    return broken
 
 
 if __name__ == "__main__":
--- a/review/stage_2/engine.py
+++ b/review/stage_2/engine.py
@@ -64,6 +64,9 @@
         self.pages = 1
         self.page_of: Callable[[str, int], str] = lambda txn, number: ROWS
         self.page_delay: Callable[[], float] = lambda: 0.0
+        # How many bytes of a body its head states, by path and body; what is beyond follows so much later.
+        self.stated_length: Callable[[str, str], int] = lambda path, text: len(text)
+        self.rest_after = 0.0
         self.writers: set[asyncio.StreamWriter] = set()
         self.dead = False
 
@@ -104,9 +107,13 @@
                 if self.dead:
                     return
                 lines = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-                length = "" if status == 204 else f"Content-Length: {len(text)}\r\n"
-                data = f"HTTP/1.1 {status} X\r\n{lines}{length}\r\n{text}".encode()
+                stated = self.stated_length(path, text)
+                length = "" if status == 204 else f"Content-Length: {stated}\r\n"
+                data = f"HTTP/1.1 {status} X\r\n{lines}{length}\r\n{text[:stated]}".encode()
                 writer.write(data)
+                if stated < len(text):
+                    await asyncio.sleep(self.rest_after)
+                    writer.write(text[stated:].encode())
                 self.after_answer(data, writer)
         self.writers.discard(writer)
         writer.close()
