Hold a page until no data has followed it, so that no rows are missing

Cause: surplus was looked for once, when the stated length was there. What came later was seen on the idle connection, which was closed for it, but the page had been taken. A reply with "Connection: close" was closed at once, so that nothing later could be seen.

Why this works: a connection rests for MIN_IDLE before its next call in any case. The pool now tells at the end of that rest whether data has come, and a result waits for this word on all of its pages, side by side. A result is 10 ms later by it; a rest that comes later than that is still not seen.

--- a/tests/test_surplus_replies.py
+++ b/tests/test_surplus_replies.py
@@ -19,6 +19,7 @@
 RESULT = "".join(f"{number}\ta\t{number % 7}\n" for number in range(1_000, 4_000))
 ROW_BYTES = 9
 LAST_PAGE = 4
+REST_AFTER_S = 0.005
 ONE_ROW = b"HTTP/1.1 200 X\r\nChunks: 1\r\nContent-Length: 9\r\n\r\n1000\ta\t6\n"
 
 
@@ -35,14 +36,31 @@
     return data + bytes(range(128, 168))
 
 
+def cut_with_a_late_rest(data: bytes) -> tuple[bytes, bytes]:
+    """State a length that ends behind some rows; the other rows follow in a piece of their own."""
+    data = cut(data)
+    end = data.index(b"\r\n\r\n") + 4 + 10 * ROW_BYTES
+    return data[:end], data[end:]
+
+
+def closed_with_a_late_rest(data: bytes) -> tuple[bytes, bytes]:
+    """Do so in an answer that says that it is the last one of its connection."""
+    head, rest = cut_with_a_late_rest(data)
+    return head.replace(b"\r\n", b"\r\nConnection: close\r\n", 1), rest
+
+
 class AlteredWriter:
-    """Passes what an engine writes through a function."""
+    """Passes what an engine writes through a function; a second part is written `REST_AFTER_S` later."""
 
     def __init__(self, writer, alter):
         self.writer, self.alter = writer, alter
 
     def write(self, data: bytes) -> None:
-        self.writer.write(self.alter(data))
+        altered = self.alter(data)
+        first, rest = altered if isinstance(altered, tuple) else (altered, b"")
+        self.writer.write(first)
+        if rest:
+            asyncio.get_running_loop().call_later(REST_AFTER_S, self.writer.write, rest)
 
     def __getattr__(self, name: str):
         return getattr(self.writer, name)
@@ -108,6 +126,32 @@
     assert seen["POST"] == 2
 
 
+@pytest.mark.parametrize("call", ["POST", "GET1", "GET3", f"GET{LAST_PAGE}"])
+@pytest.mark.parametrize("spoil", [cut_with_a_late_rest, closed_with_a_late_rest])
+@pytest.mark.parametrize("group", ["lookup", "pay"])
+def test_a_page_whose_rest_comes_late_is_fetched_again(call, spoil, group):
+    """Guards against a look for surplus in the moment alone in which the stated length is there."""
+    answer, seen = asyncio.run(ask_one({call: [spoil]}, group))
+    assert text_of(answer) == RESULT
+    assert seen[call] == (1 if call == "POST" else 2)
+
+
+@pytest.mark.parametrize("call", ["GET2", f"GET{LAST_PAGE}"])
+def test_a_page_whose_rest_always_comes_late_is_not_served(call):
+    """Guards against rows that may be missing: the dispatch has no result, and the next one serves."""
+    answer, seen = asyncio.run(ask_one({call: [cut_with_a_late_rest] * MAX_UNUSABLE_REPLIES}))
+    assert text_of(answer) == RESULT
+    assert seen["POST"] == 2
+
+
+def test_a_page_at_the_end_of_its_connection_is_taken():
+    """Guards against the end of a connection being taken for data that follows a page."""
+    last = [lambda data: data.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)]
+    answer, seen = asyncio.run(ask_one({"POST": last, f"GET{LAST_PAGE}": last}))
+    assert text_of(answer) == RESULT
+    assert (seen["GET0"], seen[f"GET{LAST_PAGE}"]) == (0, 1)
+
+
 def test_a_once_only_batch_whose_page_never_comes_alone_is_errored():
     """Guards against a part of a result, and against a second run for the sake of a whole one."""
     answer, seen = asyncio.run(ask_one({"GET2": [cut] * MAX_UNUSABLE_REPLIES}, "pay"))
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -96,6 +96,8 @@
     engine_dead: bool = False
     posts: int = 0
     pages: int = 0
+    # By page, whether no data has followed it; pages that are known to be whole are not in it.
+    page_watches: dict[int, asyncio.Future[bool]] = field(default_factory=dict)
 
 
 class EngineProtocol(Protocol):
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -95,8 +95,8 @@
         end.outcome = it.DispatchOutcome.ASTRAY
         while end.outcome is it.DispatchOutcome.ASTRAY:
             reply = await self.post(batch, entry, end, progress, deadline)
-            while reply is None or reply.status == 202:
-                reply = await self.poll(path, 0, entry, end, progress, batch)
+            if reply is None or reply.status == 202:
+                reply = await self.poll_until_over(path, 0, entry, end, progress, batch)
             end.outcome = self.outcome(reply, progress)
             # The engine does not know the batch, so it is sent there again; not if it is not idempotent: the
             # engine may have had it and dropped it meanwhile, and it would run twice.
@@ -113,21 +113,36 @@
     ) -> None:
         """Implement `EngineProtocol.resume`."""
         path, progress.started = dispatch_path(batch, end.number), True
-        reply = await self.poll(path, 0, entry, end, progress, batch)
-        while reply.status == 202:
-            reply = await self.poll(path, 0, entry, end, progress, batch)
+        reply = await self.poll_until_over(path, 0, entry, end, progress, batch)
         end.outcome = self.outcome(reply, progress)
         await self.fetch_pages(path, batch, entry, end, progress)
 
     async def fetch_pages(
         self, path: str, batch: Batch, entry: Entry, end: End, progress: DispatchProgress
     ) -> None:
-        """Fetch the pages after the first."""
-        for page in range(1, progress.pages if end.outcome is it.DispatchOutcome.RETURNED else 0):
-            reply = await self.poll(path, page, entry, end, progress, batch)
-            end.outcome = self.outcome(reply, progress)
-            if end.outcome is not it.DispatchOutcome.RETURNED:
+        """Fetch the pages after the first, and once more each page that data has followed.
+
+        Raises `NoResultError` if one of them is never whole.
+        """
+        missing = range(1, progress.pages)
+        for _ in range(MAX_UNUSABLE_REPLIES):
+            for page in missing:
+                if end.outcome is not it.DispatchOutcome.RETURNED:
+                    return
+                reply = await self.poll_until_over(path, page, entry, end, progress, batch)
+                end.outcome = self.outcome(reply, progress)
+            missing = await self.cut_pages(progress)
+            if not missing:
                 return
+        raise NoResultError(it.DispatchOutcome.RESET)
+
+    async def cut_pages(self, progress: DispatchProgress) -> list[int]:
+        """Wait until each page is known to be whole or not; returns those that are not."""
+        watches, progress.page_watches = progress.page_watches, {}
+        cut = [page for page, watch in watches.items() if not await watch]
+        for _ in cut:
+            self.metrics.add("pages followed by data")
+        return cut
 
     async def post(
         self,
@@ -208,6 +223,20 @@
         # engines would be taken for unhealthy.
         return it.DispatchOutcome.ERRORED if progress.acknowledged else it.DispatchOutcome.ASTRAY
 
+    async def poll_until_over(
+        self,
+        path: str,
+        page: int,
+        entry: Entry,
+        end: End,
+        progress: DispatchProgress,
+        batch: Batch,
+    ) -> http.Reply:
+        """Fetch the state or a page of a batch until the batch is over."""
+        while (reply := await self.poll(path, page, entry, end, progress, batch)).status == 202:
+            pass
+        return reply
+
     async def poll(
         self,
         path: str,
@@ -307,7 +336,8 @@
             progress.acknowledged = True
             end.true_work = (reply.number(b"elapsed-work") or 0.0) / 1e3 or end.true_work
             end.true_memory = reply.number(b"high-water") or end.true_memory
-            end.pages.append(rows)
+            end.pages[page : page + 1] = [rows]
+            progress.page_watches[page] = self.connections.watch(connection)
 
     def rows(self, reply: http.Reply, page: int, connection: Connection, progress: DispatchProgress) -> bytes:
         """Return the rows of a page; raises `Spoilt` for a reply that cannot be the requested page."""
--- a/thistlelever/store/connections.py
+++ b/thistlelever/store/connections.py
@@ -35,7 +35,7 @@
     (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 )
 # Minimum idle time in seconds between two calls on a connection, so that unsolicited data after a reply is
-# detected before the next call.
+# detected before the next call. A page of a result is not final before this time has passed either.
 MIN_IDLE = 0.01
 # Maximum time in seconds without further data once a reply has started.
 STALL_TIMEOUT = 0.15
@@ -65,7 +65,8 @@
     """A connection to an engine; carries one call at a time.
 
     `calls` counts the calls made, `idle_since` is in seconds of the monotonic clock. `request_sent` tells
-    whether the whole request of the last call was written, `has_surplus` whether data followed its reply.
+    whether the whole request of the last call was written, `has_surplus` whether data followed its reply at
+    once, `keeps_alive` whether the engine takes another call after it.
     """
 
     def __init__(self, stream: Stream, engine: EngineId) -> None:
@@ -73,12 +74,15 @@
         self.stream, self.engine, self.idle_since, self.calls = stream, engine, 0.0, 0
         self.buffer = ReadBuffer(BUFFER_BYTES, MAX_REPLY_BYTES)
         self.call_pending, self.request_sent, self.has_surplus = False, False, False
+        self.keeps_alive = True
         # Digest of the last good reply, to recognise a duplicate of it. A duplicate that arrives late, during
         # the next call, would be taken for the answer to that call.
         self.last_digest = 0
         # A read is pending while the connection is idle, so that unsolicited data is detected and attributed
         # to the connection.
         self.pending_read: asyncio.Future | None = None
+        # Set while the connection is watched for data that follows its last reply late.
+        self.pending_watch: asyncio.Future[bool] | None = None
 
     async def call(self, request: bytes, within: float) -> http.Reply:
         """Send a call and read its reply within `within` seconds.
@@ -105,7 +109,8 @@
             raise Broken(f"{type(error).__name__}: {error}") from None
         self.call_pending = False
         self.has_surplus = self.buffer.start != self.buffer.end or bool(self.next_byte())
-        if not reply.keeps or self.has_surplus:
+        self.keeps_alive = reply.keeps
+        if self.has_surplus:
             # Surplus data could be taken for the answer to the next call.
             self.stream.close()
         return reply
@@ -140,6 +145,13 @@
             return False
         return self.next_byte() is None
 
+    def has_late_data(self) -> bool:
+        """Return whether data has arrived since the last reply; the end of the stream is not data."""
+        reading = self.pending_read
+        if reading and reading.done() and not reading.cancelled() and not reading.exception():
+            return True
+        return bool(self.next_byte())
+
     def next_byte(self) -> bytes | None:
         """Return the next byte at the socket without taking it.
 
@@ -282,7 +294,10 @@
 
     def release(self, connection: Connection) -> None:
         """Keep a connection for the next call, or close it if its last call failed."""
-        if connection.stream.closed() or connection.call_pending or not self.is_listed(connection.engine):
+        if connection.pending_watch:
+            # `end_watch` releases it.
+            return
+        if not self.is_reusable(connection):
             self.close(connection)
             return
         connection.start_idle()
@@ -291,6 +306,39 @@
         else:
             self.idle.setdefault(connection.engine, deque()).append(connection)
 
+    def is_reusable(self, connection: Connection) -> bool:
+        """Return whether the connection can carry another call to its engine."""
+        if connection.stream.closed() or connection.call_pending or not connection.keeps_alive:
+            return False
+        return self.is_listed(connection.engine)
+
+    def watch(self, connection: Connection) -> asyncio.Future[bool]:
+        """Watch for data that follows a reply late; the result is whether there was none for `MIN_IDLE`.
+
+        Such data may be the rest of a body whose stated length is too small. The connection is released at
+        the end of the watch, whether or not anyone still waits for the result.
+        """
+        loop = asyncio.get_running_loop()
+        watch = connection.pending_watch = loop.create_future()
+        connection.start_idle()
+        timer = loop.call_later(MIN_IDLE, self.end_watch, connection, watch)
+        if connection.pending_read:
+            connection.pending_read.add_done_callback(lambda reading: timer.cancel())
+            connection.pending_read.add_done_callback(lambda reading: self.end_watch(connection, watch))
+        return watch
+
+    def end_watch(self, connection: Connection, watch: asyncio.Future[bool]) -> None:
+        """Set the result of a watch and release its connection, unless the watch has ended before."""
+        if connection.pending_watch is not watch:
+            return
+        connection.pending_watch = None
+        if not watch.done():
+            watch.set_result(not connection.has_late_data())
+        if self.is_reusable(connection):
+            self.hand_over(connection)
+        else:
+            self.close(connection)
+
     def hand_over(self, connection: Connection) -> None:
         """Give a connection that has reached `MIN_IDLE` to a waiter for its engine, or keep it as idle."""
         if not connection.is_clean():
