Count the age of an adopted batch from its first send, whatever it waited for

Cause: the span since the first send was taken when the batch was claimed and told to the decisions only after it had waited in the budgets' queue, so they put the first send too late by that wait. Nobody asked for the run meanwhile, and its engine dropped it.

Why this works: the batch keeps the moment of the first send, and the span is made when the decisions are told. A batch whose run may be on is not held by the budgets but counted as released, so its run is asked for. The same cause elsewhere: the age was lost where the engine had left the list; a batch whose engine left while it waited was taken for a new one; refusals of the budgets said that nothing of it had run; kept state began the window anew.

--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -79,6 +79,14 @@
             self.apply(self.fair_queue.tick(self.now))
         return self.number
 
+    def adopt(self, team, work, width, key):
+        """Submit a batch that runs already."""
+        self.number += 1
+        spec = BatchSpec(self.number, team, "g", 1.0, work, width, self.now + 5, self.now + 2, key)
+        self.specs[self.number], self.true_work[self.number] = spec, work
+        self.fair_queue.adopt(self.now, spec)
+        self.running.append((self.now + work * self.slowdown / width, self.number))
+
     def apply(self, actions):
         for action in actions:
             number = action.number
@@ -408,6 +416,15 @@
             team, work, "g", width, limit, value, key, work * cost_factor, limit / 2, retried, True
         )
 
+    @rule(
+        team=st.sampled_from("abcdef"),
+        work=st.floats(0.001, 2),
+        width=st.sampled_from([1.0, 2.0]),
+        key=st.integers(0, 3),
+    )
+    def adopt(self, team, work, width, key):
+        self.pool.adopt(team, work, width, key)
+
     @rule(seconds=st.floats(0.01, 1))
     def advance(self, seconds):
         self.pool.advance(self.pool.now + seconds, step=seconds / 4)
--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -56,6 +56,8 @@
 MAX_PROBES = 2
 # The highest of an engine's priorities, which are 0 to 3.
 HIGHEST_PRIORITY = 3
+# Number and engine of a run that another front began at an engine that is gone.
+ADOPTED_RUN, GONE_ENGINE = -1, -1
 # What the task of a batch requests beside a dispatch (an engine's index) or an action.
 ENQUEUE = "enqueue"
 WAIT = "wait"
@@ -141,7 +143,8 @@
         self.open_dispatches: dict[int, OpenDispatch] = {}
         # How many of its dispatches have ended while their engines may still run them.
         self.stopping_count = 0
-        # Number, engine and time of each dispatch that may have run, in dispatch order.
+        # Number, engine and time of each dispatch that may have run, in dispatch order. One of another front
+        # whose engine is gone has the number `ADOPTED_RUN` and the engine `GONE_ENGINE`.
         self.possible_runs: list[tuple[int, int, float]] = []
         self.queued = False
         self.answered = False
@@ -493,8 +496,8 @@
     def batch_received(self, received: it.BatchReceived) -> None:
         """Estimate the batch's cost, start its task, and queue it.
 
-        A batch that another front has dispatched to a known engine is dispatched there at once; an unknown
-        engine is ignored.
+        A batch that another front has dispatched to a known engine is dispatched there at once. Where that
+        engine is gone, the batch goes on only if another run of it does no harm.
         """
         class_index = received.query_class
         query_class = self.query_classes[class_index]
@@ -512,14 +515,21 @@
             batch.key_queue.append(batch)
         batch.task = self.run_batch(batch)
         engine = self.engine_index.get(received.running_on)
-        if engine is None:
+        began_at = self.now - received.running_for
+        if engine is None and (received.running_on or received.running_for):
+            batch.possible_runs.append((ADOPTED_RUN, GONE_ENGINE, began_at))
+            if not is_repeat_harmless(query_class):
+                # It is given up before it is queued.
+                next(batch.task)
+            self.advance(batch, None)
+        elif engine is None:
             self.advance(batch, None)
         else:
             # Another front has dispatched it to that engine: the first dispatch continues that one, and any
             # after it is a further dispatch.
             next(batch.task)
             self.advance(batch, engine)
-            batch.possible_runs[0] = (0, engine, self.now - received.running_for)
+            batch.possible_runs[0] = (0, engine, began_at)
 
     def dispatch_ended(self, ended: it.DispatchEnded) -> None:
         """Learn from a dispatch's outcome about the engine and the query class, and advance its batch."""
--- a/thistlelever/budgets/fair_queue.py
+++ b/thistlelever/budgets/fair_queue.py
@@ -102,6 +102,16 @@
         heappush(self.pending_aged, ((now + batch.release_deadline()) / 2, spec.number))
         return []
 
+    def adopt(self, now: float, spec: BatchSpec) -> None:
+        """Submit a batch that an engine may be running already: it is released at once, whatever its budget,
+        and counts against it."""
+        self.counts["submitted"] += 1
+        batch = self.prepare(now, spec, self.tree.leaf(spec.team, spec.query_class))
+        self.batches[spec.number] = batch
+        self.enqueue(batch)
+        self.mark_released(batch, now)
+        batch.dispatched = True
+
     def refuse(self, now: float, spec: BatchSpec, leaf: Node, after: float, why: str) -> list[Command]:
         """Refuse a batch that was not queued, with a retry delay of `after` seconds."""
         self.counts["refused"] += 1
@@ -258,24 +268,29 @@
         """Release batches in order while there is capacity."""
         commands: list[Command] = []
         while (batch := self.select_next(now)) is not None:
-            self.dequeue(batch)
-            batch.is_released, batch.released_at = True, now
-            self.running[batch.spec.number] = batch
             self.releases += 1
-            self.counts["released"] += 1
             uncorrected = batch.uncorrected_wait if batch.queued_at >= self.capacity_changed_at else 0.0
             self.wait_estimator.record(
                 batch.leaf.path(), batch.estimated_wait, uncorrected, batch.naive_wait, now - batch.queued_at
             )
-            for node in path_to_root(batch.leaf):
-                node.record_service(batch.charge, now)
-                node.threads_in_use += batch.spec.width
-            for node in path_to_root(batch.leaf):
-                node.reschedule(self.capacity)
+            self.mark_released(batch, now)
             commands.append(Release(batch.spec.number))
             self.advance_key(batch)
         return commands
 
+    def mark_released(self, batch: QueuedBatch, now: float) -> None:
+        """Move the batch from its leaf's queue to those released, with its threads and its charge at each of
+        its nodes."""
+        self.dequeue(batch)
+        batch.is_released, batch.released_at = True, now
+        self.running[batch.spec.number] = batch
+        self.counts["released"] += 1
+        for node in path_to_root(batch.leaf):
+            node.record_service(batch.charge, now)
+            node.threads_in_use += batch.spec.width
+        for node in path_to_root(batch.leaf):
+            node.reschedule(self.capacity)
+
     def select_next(self, now: float) -> QueuedBatch | None:
         """The next batch to release, or None: at each `AGED_RELEASE_INTERVAL`-th release the aged batch with
         the earliest release deadline, otherwise the first of the leaf that the tree selects."""
--- a/thistlelever/carrier/batch_tasks.py
+++ b/thistlelever/carrier/batch_tasks.py
@@ -132,12 +132,7 @@
         message that ended it. It is started and withheld like any other, so that its end is reported; the
         decisions would otherwise count it as running for good.
         """
-        if self.leases and not await self.claim(batch, answer):
-            return
-        if self.remembered and (message := self.remembered.look_up(batch)):
-            self.send_answer(batch, answer, message)
-            return
-        if self.gate and not await self.wait_for_admission(batch, answer):
+        if not await self.prepare(batch, answer):
             return
         self.decisions.add_event(batch.received)
         while batch.dispatch_tasks or not batch.answered or not batch.inbox.empty():
@@ -232,6 +227,20 @@
         owned = not batch.lease_guard or batch.lease_guard.is_held()
         return it.PushBack(batch.number, 0.0) if harmless and owned else it.Error(batch.number)
 
+    async def prepare(self, batch: Batch, answer: Answer) -> bool:
+        """Do what comes before the decisions hear of a batch; returns whether it goes on."""
+        if self.leases and not await self.claim(batch, answer):
+            return False
+        if self.remembered and (message := self.remembered.look_up(batch)):
+            self.send_answer(batch, answer, message)
+            return False
+        if self.gate and not await self.pass_gate(batch, answer):
+            return False
+        if self.leases or self.remembered or self.gate:
+            # What waiting took counts against the time limit and the window in which repeats are dropped.
+            batch.received = batch.received_event(clock.now())
+        return True
+
     async def claim(self, batch: Batch, answer: Answer) -> bool:
         """Acquire the lease of a batch before anything is sent for it; returns whether this front may run the
         batch and its client is still there."""
@@ -261,8 +270,6 @@
         if message:
             self.send_answer(batch, answer, message)
             return False
-        # The time that acquiring took counts against the time limit.
-        batch.received = batch.received._replace(time_limit=batch.deadline - clock.now())
         return True
 
     def unsent_answer(self, batch: Batch, after: float = 0.0) -> it.PushBack | it.Error:
@@ -281,6 +288,17 @@
             message = await batch.lease_guard.confirm_answer(message)
         self.send_answer(batch, answer, message)
 
+    async def pass_gate(self, batch: Batch, answer: Answer) -> bool:
+        """Pass the budgets; returns whether the batch goes on.
+
+        One that an engine may be running already is not held: the engine would drop a run that nobody asks
+        for, and its threads are taken whether the budgets allow it or not.
+        """
+        if 0 in batch.adopted_names:
+            self.gate.adopt(batch)
+            return True
+        return await self.wait_for_admission(batch, answer)
+
     async def wait_for_admission(self, batch: Batch, answer: Answer) -> bool:
         """Wait until the budgets release the batch; returns False if it was refused, its client left or its
         time was up."""
@@ -289,22 +307,26 @@
             message = await batch.inbox.get()
             match message:
                 case Release():
-                    batch.received = batch.received._replace(time_limit=batch.deadline - clock.now())
                     return True
                 case Refuse():
-                    self.send_answer(batch, answer, it.PushBack(batch.number, message.after))
+                    self.send_answer(batch, answer, self.held_answer(batch, message.after))
                     return False
                 case _ if message is CLIENT_LEFT:
                     batch.answered = True
                     self.gate.client_left(batch)
                     return False
                 case _ if message is OVERDUE:
-                    # Nothing was sent, so a retry is harmless.
                     self.metrics.add("held past the limit")
-                    self.send_answer(batch, answer, it.PushBack(batch.number, 0.0))
+                    self.send_answer(batch, answer, self.held_answer(batch, 0.0))
                     self.gate.client_left(batch)
                     return False
 
+    def held_answer(self, batch: Batch, after: float) -> it.PushBack | it.Error:
+        """Return the answer to a batch that the budgets did not release: nothing of it was sent from here,
+        but another front may have dispatched it before."""
+        harmless = batch.repeat_harmless or not batch.may_have_run()
+        return it.PushBack(batch.number, after) if harmless else it.Error(batch.number)
+
     def extend_limit(self, batch: Batch, number: int) -> None:
         """Extend the time limit of a dispatch whose result is streaming to that of the batch, as no other
         dispatch can replace it."""
--- a/thistlelever/carrier/budget_gate.py
+++ b/thistlelever/carrier/budget_gate.py
@@ -53,14 +53,24 @@
         self.is_tick_scheduled = False
 
     def submit(self, batch: Batch) -> None:
-        """Submit the batch to the fair queue. Where its client gives no estimate of its work, the typical
+        """Submit the batch to the fair queue."""
+        self.deliver(self.fair_queue.submit(clock.now(), self.spec(batch)))
+        self.schedule_tick()
+
+    def adopt(self, batch: Batch) -> None:
+        """Count a batch that an engine may be running already as released."""
+        self.metrics.add("budgets: adopted")
+        self.fair_queue.adopt(clock.now(), self.spec(batch))
+
+    def spec(self, batch: Batch) -> BatchSpec:
+        """Describe the batch for the fair queue. Where its client gives no estimate of its work, the typical
         work of its query class is used."""
         query_class, taken, now = self.query_classes[batch.class_name], batch.received, clock.now()
         if taken.work:
             self.typical_work[batch.class_name] += WORK_LEARNING_RATE * (
                 taken.work - self.typical_work[batch.class_name]
             )
-        spec = BatchSpec(
+        return BatchSpec(
             batch.number,
             batch.submission.tenant,
             batch.class_name,
@@ -72,8 +82,6 @@
             taken.key,
             batch.submission.is_retry,
         )
-        self.deliver(self.fair_queue.submit(now, spec))
-        self.schedule_tick()
 
     def dispatch_started(self, batch: Batch) -> None:
         """The batch has a dispatch."""
@@ -160,6 +168,7 @@
             query_class.repeat is it.Idempotency.DEDUPLICATED
             and query_class.scope is it.DeduplicationScope.ALL
         )
-        if not batch.dispatches or query_class.repeat is it.Idempotency.IDEMPOTENT or is_deduplicated:
+        may_have_run = batch.dispatches or batch.may_have_run()
+        if not may_have_run or query_class.repeat is it.Idempotency.IDEMPOTENT or is_deduplicated:
             return it.PushBack(batch.number, command.after)
         return it.Error(batch.number)
--- a/thistlelever/carrier/remembered_outcomes.py
+++ b/thistlelever/carrier/remembered_outcomes.py
@@ -6,6 +6,7 @@
 
 from thistlelever.admission.decide import NEVER_RAN
 from thistlelever.carrier.dispatch import End
+from thistlelever.ground import clock
 from thistlelever.ground import interface as it
 from thistlelever.ground.metrics import Metrics
 from thistlelever.store.batches import Batch, DispatchName
@@ -26,6 +27,7 @@
     the batch can go on. If the engine is not listed, it is dispatched anew, but only if it is idempotent or
     all engines still drop repeats of it.
     """
+    batch.begun_at = clock.now() - ran_for
     if registry.is_listed(engine):
         batch.adopted_names[0] = name
         batch.received = batch.received._replace(running_on=engine, running_for=ran_for)
@@ -79,8 +81,11 @@
         return None if resumable else it.Error(batch.number)
 
     def record_dispatch(self, batch: Batch, number: int, engine: it.EngineId) -> None:
-        """Store the batch's first dispatch before it is sent, without waiting for the disk."""
-        if not number and 0 not in batch.adopted_names and self.is_deduplicated(batch):
+        """Store the batch's first dispatch before it is sent, without waiting for the disk.
+
+        The window counts from the very first one: that of a batch that was begun before stays on record.
+        """
+        if not number and batch.begun_at is None and self.is_deduplicated(batch):
             key = bytes.fromhex(batch.submission.reference)
             query_class = self.query_classes[batch.class_name]
             self.remember(key, (engine, batch.dispatch_name(0), query_class.window))
@@ -90,7 +95,7 @@
         if (
             end.outcome in NEVER_RAN
             and not end.number
-            and 0 not in batch.adopted_names
+            and batch.begun_at is None
             and self.is_deduplicated(batch)
         ):
             self.remember(bytes.fromhex(batch.submission.reference), None)
--- a/thistlelever/ground/interface.py
+++ b/thistlelever/ground/interface.py
@@ -244,7 +244,8 @@
     # Whether the client says that it has submitted the batch before.
     repeat: bool
     # Where another front has dispatched it: the engine that may be running it, or have run it, and for how
-    # many seconds by now. The first dispatch continues that one.
+    # many seconds by now. The first dispatch continues that one. The engine is empty where it has left the
+    # list; `running_for` alone then tells of the run.
     running_on: EngineId = b""
     running_for: float = 0.0
 
--- a/thistlelever/store/batches.py
+++ b/thistlelever/store/batches.py
@@ -62,19 +62,28 @@
     # their engines of dispatches that another front has begun.
     lease_guard: Any = None
     adopted_names: dict[int, DispatchName] = field(default_factory=dict)
+    # When another front, or this one before its restart, first dispatched it; None if neither did.
+    begun_at: float | None = None
     backstop: asyncio.TimerHandle | None = None
 
     def dispatch_name(self, number: int) -> DispatchName:
         """Return the name under which the engine knows the dispatch."""
         return self.adopted_names.get(number) or DispatchName(self.submission.txn, number)
 
+    def received_event(self, now: float) -> it.BatchReceived:
+        """Return the event that tells the decisions of the batch at `now`, however long it has waited."""
+        running_for = 0.0 if self.begun_at is None else now - self.begun_at
+        return self.received._replace(time_limit=self.deadline - now, running_for=running_for)
+
     def size(self) -> int:
         """Return the bytes that the batch counts for while it is open."""
         return request_size(self.submission.statement)
 
     def may_have_run(self) -> bool:
         """Whether an engine may have run the batch, for this front or for one that dispatched it before."""
-        return bool(self.adopted_names) or any(progress.started for progress in self.progress.values())
+        if self.adopted_names or self.begun_at is not None:
+            return True
+        return any(progress.started for progress in self.progress.values())
 
 
 class Batches:
