Divide the memory for unfinished lines; who is past its part waits for room

Cause: one quota for the growth of all read buffers, first come first served; who came late was told that its own line is too long. A client that had sent one long line and then nothing kept the growth as well, as the read that is always in progress had been started into the grown buffer.

Why this works: each client has a guaranteed part, which usual lines fit into, and an eighth of what is free beside. Past that it is not read from until there is room, so what it sent is not lost; the first to wait can always go on, by room for one longest line that is set aside. A grown buffer is released as soon as its lines are handled.

--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,6 +1,8 @@
 """Codecs of HTTP, JSON-RPC, DNS and statements: complete input, input split at each byte, malformed input."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from stage import dns_answer
 
 from thistlelever.carrier.directory import SERVICE_NAME
@@ -179,6 +181,27 @@
         http.read_reply(buffer)
 
 
+@given(st.lists(st.integers(0, 400), max_size=12), st.lists(st.integers(1, 97), min_size=1), st.booleans())
+def test_lines_read_beside_a_grown_buffer_are_the_lines_sent(lengths, pieces, handles_at_once):
+    """Guards against bytes that are lost or doubled where a small buffer takes the place of a grown one."""
+    lines = [bytes(97 + (index + at) % 26 for at in range(length)) for index, length in enumerate(lengths)]
+    sent, found, at, turn = b"".join(line + b"\n" for line in lines), [], 0, 0
+    buffer = ReadBuffer(16, 512)
+    while at < len(sent):
+        target = buffer.writable_beside_lines()
+        if handles_at_once or turn % 3 == 0:
+            found += [bytes(line) for line in iter(buffer.next_line, None)]
+            buffer.release_behind_lines()
+        count = min(len(target), pieces[turn % len(pieces)], len(sent) - at)
+        target[:count] = sent[at : at + count]
+        buffer.advance(count)
+        at, turn = at + count, turn + 1
+        if buffer.end == len(buffer.data):
+            found += [bytes(line) for line in iter(buffer.next_line, None)]
+    found += [bytes(line) for line in iter(buffer.next_line, None)]
+    assert found == lines
+
+
 # A few hundred clients, each with a long unfinished line, would exhaust the memory of the front.
 def test_unfinished_lines_share_one_quota():
     quota = BufferQuota(10)
--- a/thistlelever/carrier/clients.py
+++ b/thistlelever/carrier/clients.py
@@ -18,10 +18,11 @@
 from thistlelever.ground.submission import InvalidFieldError
 from thistlelever.store.batches import Batch
 from thistlelever.store.connection_limits import ConnectionLimits
+from thistlelever.store.line_memory import LineAccount, LineMemory
 from thistlelever.store.stream import Stream
 from thistlelever.ground.metrics import Metrics
 from thistlelever.wire import jsonrpc
-from thistlelever.wire.read_buffer import BufferQuota, ReadBuffer, TooLong
+from thistlelever.wire.read_buffer import OutOfMemory, ReadBuffer, TooLong
 
 # Initial size of a read buffer, and the longest line: room for a statement of 190 KB. Most lines have a few
 # hundred bytes.
@@ -46,6 +47,8 @@
 # How long a connection is still read after its write side was shut down, in seconds. Data in flight arrives
 # within 50 ms.
 LINGER_S = 0.15
+# How long a line waits for memory, in all, before its connection is ended, in seconds.
+MEMORY_TIMEOUT_S = 2.0
 # Delay in seconds per consecutive malformed line before the next is handled, and how many end the connection.
 BAD_LINE_DELAY_S, MAX_BAD_LINES = 0.01, 16
 # Interval in seconds for retrying to accept, and for checking for unfinished work during shutdown.
@@ -55,8 +58,8 @@
 class ClientListener:
     """Accepts client connections within `limits` and makes batches of their calls.
 
-    `unsent_bytes` counts the answers of all sessions that are not written yet; `quota` limits the growth of
-    their read buffers.
+    `unsent_bytes` counts the answers of all sessions that are not written yet; `line_memory` limits the
+    growth of their read buffers.
     """
 
     def __init__(
@@ -71,7 +74,8 @@
         self.validator, self.batch_tasks, self.metrics = validator, batch_tasks, metrics
         self.log, self.limits = log, limits
         self.ready: Callable[[], bool] = lambda: False
-        self.unsent_bytes, self.quota = 0, BufferQuota(limits.unfinished_bytes)
+        self.unsent_bytes = 0
+        self.line_memory = LineMemory(limits.unfinished_bytes, limits.client_connections, MAX_LINE_BYTES)
         # An accepted connection that waits until a session ends, and since when the limit is reached; further
         # connections wait in the listen queue.
         self.pending_socket: socket.socket | None = None
@@ -215,7 +219,8 @@
         """Take over an accepted connection; `run` serves it."""
         self.stream, self.listener = stream, listener
         self.metrics = listener.metrics
-        self.buffer = ReadBuffer(READ_BYTES, MAX_LINE_BYTES, listener.quota)
+        self.line_account = LineAccount(listener.line_memory)
+        self.buffer = ReadBuffer(READ_BYTES, MAX_LINE_BYTES, self.line_account)
         self.open_batches: dict[int, Batch] = {}
         self.highest_number, self.bad_lines, self.paced_until = 0, 0, 0.0
         # The read in progress; number of writes in progress; whether this side has ended the connection.
@@ -225,8 +230,9 @@
         self.draining = False
         # When it connected, last had an open batch, or last sent a whole line; whether it has sent one.
         self.since, self.has_sent_line = clock.now(), False
-        # When the first bytes of the current partial line arrived.
-        self.line_since = self.since
+        # When the first bytes of the current partial line arrived, later by the time for which it has waited
+        # for memory; that time; and whether it waits.
+        self.line_since, self.waited, self.waiting_for_memory = self.since, 0.0, False
 
     async def run(self) -> None:
         """Serve the connection until the client closes it, or this side does, `LINGER_S` after `end`."""
@@ -234,12 +240,12 @@
             while True:
                 try:
                     self.read()
+                except OutOfMemory as why:
+                    if await self.wait_for_memory():
+                        continue
+                    self.end_line("lines that waited too long for memory", why)
                 except TooLong as why:
-                    self.metrics.add("lines too long")
-                    self.write(
-                        jsonrpc.encode_error(None, jsonrpc.NO_REQUEST, f"a line that is too long: {why}")
-                    )
-                    self.end_when_answered()
+                    self.end_line("lines too long", why)
                 self.handle_lines()
                 await self.wait_for_input()
         except StreamClosedError:
@@ -250,6 +256,26 @@
         finally:
             self.close()
 
+    async def wait_for_memory(self) -> bool:
+        """Wait before reading on, as there is no memory for a longer line; returns False after
+        `MEMORY_TIMEOUT_S` for one line. What the client has sent stays at the socket, so no request is lost,
+        and other clients read on within the part of the memory that each of them has for itself."""
+        self.metrics.add("lines that waited for memory")
+        began, self.waiting_for_memory = clock.now(), True
+        try:
+            return await self.line_account.wait(MEMORY_TIMEOUT_S - self.waited)
+        finally:
+            waited = clock.now() - began
+            self.waited, self.line_since = self.waited + waited, self.line_since + waited
+            self.waiting_for_memory = False
+
+    def end_line(self, counter: str, why: TooLong) -> None:
+        """End the connection, with an error, over a line that can't be read."""
+        self.line_account.stop_waiting()
+        self.metrics.add(counter)
+        self.write(jsonrpc.encode_error(None, jsonrpc.NO_REQUEST, f"a line that is too long: {why}"))
+        self.end_when_answered()
+
     def read(self) -> None:
         """Read what is there, as far as the buffer has room, before any line of it is handled.
 
@@ -261,12 +287,13 @@
                 full = self.buffer.end == len(self.buffer.data)
                 if full and self.buffer.has_line() and not self.may_read_ahead():
                     return
-                self.pending_read = self.stream.read_into(self.buffer.writable(), partial=True)
+                target = self.buffer.writable_beside_lines()
+                self.pending_read = self.stream.read_into(target, partial=True)
             if not self.pending_read.done():
                 return
             reading, self.pending_read = self.pending_read, None
             if self.buffer.start == self.buffer.end:
-                self.line_since = clock.now()
+                self.line_since, self.waited = clock.now(), 0.0
             self.buffer.advance(reading.result())
             if self.draining:
                 self.buffer.discard()
@@ -289,6 +316,7 @@
                 or clock.now() < self.paced_until
                 or (message := self.buffer.next_line()) is None
             ):
+                self.buffer.release_behind_lines()
                 return
             self.handle_line(message)
             if self.bad_lines:
@@ -345,6 +373,8 @@
         """
         if self.draining or not self.has_unread_input():
             return False
+        if self.waiting_for_memory:
+            return True
         deadline = max(self.since, self.line_since) + SILENT_TIMEOUT_S
         deadline = deadline if self.has_sent_line else min(deadline, self.since + FIRST_LINE_TIMEOUT_S)
         return self.buffer.start == self.buffer.end or clock.now() < deadline
@@ -470,6 +500,7 @@
     def close(self) -> None:
         """Release the session after its connection has ended; its open batches are cancelled."""
         self.listener.sessions.pop(self, None)
+        self.line_account.stop_waiting()
         self.buffer.release()
         self.abandon_batches()
         self.stream.close()
