Read no more calls from a client that leaves its answers unread

Cause: unread answers were counted in bytes of data, up to 2 MB for each connection. Each was a write of its own to the stream, with a future, a callback and a closure, so 2 MB of answers of 45 bytes held some 65 MB. And nothing asked the client to slow down: calls that open no batch were handled whatever lay unread.

Why this works: a connection has one write in progress, what waits is counted with its overhead, and past 64 KB the client's next calls are not read, so TCP slows it down; it loses nothing once it reads. The memory for unread answers is divided among clients like that for lines, so that it is a client that does not read that is closed, and not whoever is next.

--- a/tests/test_last_answers.py
+++ b/tests/test_last_answers.py
@@ -1,12 +1,16 @@
 """A request that was read gets its answer before the front ends the connection, whatever follows it."""
 
 import asyncio
-from contextlib import asynccontextmanager
+import json
+import socket
+from contextlib import asynccontextmanager, suppress
 
 import pytest
 from test_moments import served
 
 from thistlelever.carrier import clients
+from thistlelever.carrier.client_output import PAUSE_BYTES
+from thistlelever.store.divided_memory import DividedMemory
 
 # Input behind a request for which the front ends the connection.
 BAD_LINES = b"no json\n" * clients.MAX_BAD_LINES
@@ -109,16 +113,86 @@
     async def whole():
         async with served("engine a\nfront") as stage:
             client_listener = stage.server.client_listener
-            limits = client_listener.limits
-            client_listener.limits = limits._replace(unread_bytes=10)
-            stage.writer.write(stage.submission(1, "lookup"))
+            client_listener.unread_memory = DividedMemory(10, 1)
+            reading, left = await connect_reader_of_little(stage)
+            stage.engines["a"].text = rows_of(40_000)
+            for number in range(1, clients.MAX_OPEN_REQUESTS + 1):
+                left.write(stage.submission(number, "lookup"))
             await stage.do_counted("clients", "that", "do", "not", "read")
-            await stage.do_hung_up()
-            client_listener.limits = limits
-            await stage.do_crowd("1")
-            reader, writer = stage.extra_clients[0]
-            writer.write(stage.submission(2, "lookup"))
-            assert b'"result"' in await reader.readline()
+            # The others are not even short of memory, as they take their answers at once.
+            await stage.do_submit(2, "lookup")
+            await stage.until(lambda: stage.answers)
+            assert "result" in stage.answers[0]
+            # The end of the connection is behind what it had taken.
+            with suppress(ConnectionError):
+                while await asyncio.wait_for(reading.read(65_536), 3.0):
+                    pass
+
+    asyncio.run(whole())
+
+
+async def connect_reader_of_little(stage):
+    """Connect a client whose connection takes little while it does not read."""
+    raw = socket.socket()
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    raw.setblocking(False)
+    listener = stage.server.client_listener
+    before = set(listener.sessions)
+    await asyncio.get_running_loop().sock_connect(raw, stage.writer.get_extra_info("peername"))
+    await stage.poll_until(lambda: set(listener.sessions) - before)
+    (session,) = set(listener.sessions) - before
+    session.stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+    connection = await asyncio.open_connection(sock=raw, limit=1_024)
+    stage.extra_clients.append(connection)
+    return connection
+
+
+def rows_of(size: int) -> str:
+    return "".join(f"{number:06}\ta\tb\n" for number in range(size // 11))
+
+
+def status_calls(numbers: range) -> bytes:
+    """Calls that open no batch, under the given numbers."""
+    return b"".join(b'{"jsonrpc":"2.0","id":%d,"method":"status"}\n' % number for number in numbers)
+
+
+def test_a_client_that_does_not_read_is_not_read_from_and_loses_nothing():
+    """Guards against memory that grows with the unread answers to small calls until the process is killed."""
+
+    async def whole():
+        async with served("engine a\nfront") as stage:
+            reader, writer = await connect_reader_of_little(stage)
+            count, handled = 30_000, stage.server.metrics.counts
+            writer.write(status_calls(range(1, count + 1)))
+            await stage.do_counted("clients paused until they read")
+            memory = stage.server.client_listener.unread_memory
+            assert memory.held < 2 * PAUSE_BYTES
+            # Another client is served beside it.
+            await stage.do_submit(1, "lookup")
+            await stage.until(lambda: stage.answers)
+            assert "result" in stage.answers[0]
+            assert memory.held < 2 * PAUSE_BYTES
+            for number in range(1, count + 1):
+                answer = json.loads(await asyncio.wait_for(reader.readline(), 3.0))
+                assert answer == {"jsonrpc": "2.0", "id": number, "result": {"ready": True}}
+            assert not handled["clients that do not read"]
+            await stage.poll_until(lambda: not memory.held)
+
+    asyncio.run(whole())
+
+
+def test_what_a_client_leaves_unread_is_given_back_when_it_leaves():
+    """Guards against a share that stays taken, and against batches that begin for a client that has left."""
+
+    async def whole():
+        async with served("engine a\nfront") as stage:
+            reader, writer = await connect_reader_of_little(stage)
+            writer.write(status_calls(range(1, 30_001)) + stage.submission(40_000, "lookup"))
+            await stage.do_counted("clients paused until they read")
+            writer.transport.abort()
+            await stage.poll_until(lambda: len(stage.server.client_listener.sessions) == 1)
+            assert not stage.server.client_listener.unread_memory.held
+            assert not stage.server.metrics.counts["taken"]
 
     asyncio.run(whole())
 
--- a/thistlelever/carrier/clients.py
+++ b/thistlelever/carrier/clients.py
@@ -7,10 +7,11 @@
 from collections.abc import Callable
 from contextlib import suppress
 
-from tornado.iostream import StreamBufferFullError, StreamClosedError
+from tornado.iostream import StreamClosedError
 
 from thistlelever.ground import interface as it
 from thistlelever.carrier.batch_tasks import CLIENT_LEFT, BatchTasks
+from thistlelever.carrier.client_output import ClientOutput
 from thistlelever.carrier.dispatch import End
 from thistlelever.carrier.validation import RequestValidator
 from thistlelever.ground import clock
@@ -18,6 +19,7 @@
 from thistlelever.ground.submission import InvalidFieldError
 from thistlelever.store.batches import Batch
 from thistlelever.store.connection_limits import ConnectionLimits
+from thistlelever.store.divided_memory import DividedMemory
 from thistlelever.store.line_memory import LineAccount, LineMemory
 from thistlelever.store.stream import Stream
 from thistlelever.ground.metrics import Metrics
@@ -27,9 +29,10 @@
 # Initial size of a read buffer, and the longest line: room for a statement of 190 KB. Most lines have a few
 # hundred bytes.
 READ_BYTES, MAX_LINE_BYTES = 4_096, 262_144
-# Open requests per connection, and unsent bytes per connection: the answers to that many requests, with
-# 48,000 bytes in base64 each.
-MAX_OPEN_REQUESTS, MAX_UNSENT_BYTES = 32, 32 * 66_000
+# Open requests per connection.
+MAX_OPEN_REQUESTS = 32
+# Part of the free shared memory for unread answers that one client may hold.
+UNREAD_CLIENT_PART = 0.5
 # Seconds: until a connection without a whole line is closed, until the first line must be whole, until an
 # idle connection is closed. A client must get a reply or a close within 3 s of connecting; it closes its own
 # connections after 4 s idle.
@@ -58,8 +61,8 @@
 class ClientListener:
     """Accepts client connections within `limits` and makes batches of their calls.
 
-    `unsent_bytes` counts the answers of all sessions that are not written yet; `line_memory` limits the
-    growth of their read buffers.
+    `unread_memory` limits the answers of all sessions that are not written yet, `line_memory` the growth of
+    their read buffers.
     """
 
     def __init__(
@@ -74,8 +77,9 @@
         self.validator, self.batch_tasks, self.metrics = validator, batch_tasks, metrics
         self.log, self.limits = log, limits
         self.ready: Callable[[], bool] = lambda: False
-        self.unsent_bytes = 0
-        self.line_memory = LineMemory(limits.unfinished_bytes, limits.client_connections, MAX_LINE_BYTES)
+        connections = limits.client_connections
+        self.unread_memory = DividedMemory(limits.unread_bytes, connections, UNREAD_CLIENT_PART)
+        self.line_memory = LineMemory(limits.unfinished_bytes, connections, MAX_LINE_BYTES)
         # An accepted connection that waits until a session ends, and since when the limit is reached; further
         # connections wait in the listen queue.
         self.pending_socket: socket.socket | None = None
@@ -141,12 +145,7 @@
             except OSError:
                 # The connection has already ended, or Nagle's algorithm delays its answers slightly.
                 self.metrics.add("connections without TCP_NODELAY")
-            stream = Stream(
-                raw,
-                max_buffer_size=MAX_LINE_BYTES,
-                max_write_buffer_size=MAX_UNSENT_BYTES,
-                read_chunk_size=READ_BYTES,
-            )
+            stream = Stream(raw, max_buffer_size=MAX_LINE_BYTES, read_chunk_size=READ_BYTES)
             session = ClientSession(stream, self)
             self.sessions[session] = asyncio.get_running_loop().create_task(session.run())
 
@@ -223,9 +222,10 @@
         self.buffer = ReadBuffer(READ_BYTES, MAX_LINE_BYTES, self.line_account)
         self.open_batches: dict[int, Batch] = {}
         self.highest_number, self.bad_lines, self.paced_until = 0, 0, 0.0
-        # The read in progress; number of writes in progress; whether this side has ended the connection.
+        self.output = ClientOutput(stream, lambda: listener.unread_memory, self.on_output)
+        # The read in progress; whether this side has ended the connection.
         self.pending_read: asyncio.Future | None = None
-        self.pending_writes, self.shutting_down = 0, False
+        self.shutting_down = False
         # Whether input is ignored and the connection ends once the open batches are answered.
         self.draining = False
         # When it connected, last had an open batch, or last sent a whole line; whether it has sent one.
@@ -237,7 +237,7 @@
     async def run(self) -> None:
         """Serve the connection until the client closes it, or this side does, `LINGER_S` after `end`."""
         try:
-            while True:
+            while not self.stream.closed():
                 try:
                     self.read()
                 except OutOfMemory as why:
@@ -313,6 +313,7 @@
         for _ in range(LINES_PER_TURN):
             if (
                 self.draining
+                or self.output.is_full()
                 or clock.now() < self.paced_until
                 or (message := self.buffer.next_line()) is None
             ):
@@ -323,15 +324,31 @@
                 self.paced_until = clock.now() + BAD_LINE_DELAY_S * self.bad_lines
 
     async def wait_for_input(self) -> None:
-        """Wait for input, or until the delay after malformed lines is over; yields at least once."""
+        """Wait for input, until the delay after malformed lines is over, or until the client has read some of
+        its answers; yields at least once."""
         slow = self.paced_until - clock.now()
-        if not self.buffer.has_line() and self.pending_read is not None:
+        if self.output.is_full() and not self.draining:
+            await self.wait_for_output()
+        elif not self.buffer.has_line() and self.pending_read is not None:
             await self.pending_read
         elif slow > 0 and self.pending_read is not None:
             await asyncio.wait((self.pending_read,), timeout=slow)
         else:
             await asyncio.sleep(max(slow, 0.0))
 
+    async def wait_for_output(self) -> None:
+        """Wait until the client has read some of its answers, or has sent more or left."""
+        self.metrics.add("clients paused until they read")
+        awaited = {self.output.when_below_pause()}
+        if self.pending_read is not None:
+            awaited.add(self.pending_read)
+        await asyncio.wait(awaited, return_when=asyncio.FIRST_COMPLETED)
+
+    def on_output(self) -> None:
+        """Note that the client reads, and end the write side if nothing else is to be written."""
+        self.since = clock.now()
+        self.shut_write_side()
+
     def end_when_answered(self) -> None:
         """Ignore further input, and end the connection once its open batches are answered, so that bad input
         does not lose requests that came before it."""
@@ -361,7 +378,7 @@
 
     def shut_write_side(self) -> None:
         """Shut down the write side once the session is ending and all answers are written."""
-        if self.shutting_down and not self.pending_writes and not self.stream.closed():
+        if self.shutting_down and not self.output.has_unsent() and not self.stream.closed():
             with suppress(OSError):
                 self.stream.socket.shutdown(socket.SHUT_WR)
 
@@ -375,6 +392,8 @@
             return False
         if self.waiting_for_memory:
             return True
+        if self.output.is_full():
+            return clock.now() < self.since + IDLE_TIMEOUT_S
         deadline = max(self.since, self.line_since) + SILENT_TIMEOUT_S
         deadline = deadline if self.has_sent_line else min(deadline, self.since + FIRST_LINE_TIMEOUT_S)
         return self.buffer.start == self.buffer.end or clock.now() < deadline
@@ -474,34 +493,16 @@
         unsent answers pass a limit."""
         if self.shutting_down or self.stream.closed():
             return
-        if self.listener.unsent_bytes + len(data) > self.listener.limits.unread_bytes:
-            self.metrics.add("clients that do not read")
-            self.stream.close()
-            return
-        try:
-            written = self.stream.write(data)
-        except StreamBufferFullError:
+        if not self.output.write(data):
             self.metrics.add("clients that do not read")
             self.stream.close()
-            return
-        self.listener.unsent_bytes += len(data)
-        self.pending_writes += 1
-
-        def done(future: asyncio.Future) -> None:
-            self.listener.unsent_bytes -= len(data)
-            self.pending_writes -= 1
-            self.shut_write_side()
-            # Retrieves the exception of a failed write; the session ends through its read.
-            if not future.cancelled():
-                future.exception()
-
-        written.add_done_callback(done)
 
     def close(self) -> None:
         """Release the session after its connection has ended; its open batches are cancelled."""
         self.listener.sessions.pop(self, None)
         self.line_account.stop_waiting()
         self.buffer.release()
+        self.output.clear()
         self.abandon_batches()
         self.stream.close()
 
--- a/thistlelever/store/divided_memory.py
+++ b/thistlelever/store/divided_memory.py
@@ -10,16 +10,18 @@
 from collections import Counter
 from collections.abc import Hashable
 
-# Part of the limit that is guaranteed to clients; part of the free shared memory that one client may hold.
+# Part of the limit that is guaranteed to clients; part of the free shared memory that one client may hold,
+# unless another one is asked for.
 GUARANTEED_PART, CLIENT_PART = 0.4, 0.125
 
 
 class DividedMemory:
     """The bytes that clients hold, in all and by client."""
 
-    def __init__(self, limit: int, clients: int) -> None:
-        """Take the limit in bytes, and the number of clients at most."""
-        self.limit, self.held, self.held_shared = limit, 0, 0
+    def __init__(self, limit: int, clients: int, client_part: float = CLIENT_PART) -> None:
+        """Take the limit in bytes, the number of clients at most, and the part of the free shared memory that
+        one client may hold."""
+        self.limit, self.held, self.held_shared, self.client_part = limit, 0, 0, client_part
         self.guaranteed = int(limit * GUARANTEED_PART) // max(clients, 1)
         self.shared_limit = limit - int(limit * GUARANTEED_PART)
         self.held_by_client: Counter[Hashable] = Counter()
@@ -35,7 +37,7 @@
         """Return whether a client may hold `size` bytes more."""
         before = self.held_by_client.get(client, 0)
         free = self.shared_limit - self.held_shared + self.shared_part(before)
-        return self.held + size <= self.limit and self.shared_part(before + size) <= CLIENT_PART * free
+        return self.held + size <= self.limit and self.shared_part(before + size) <= self.client_part * free
 
     def release(self, client: Hashable, size: int) -> None:
         """Return bytes that a client holds no longer."""
