--- a/thistlelever/carrier/batch_tasks.py
+++ b/thistlelever/carrier/batch_tasks.py
@@ -95,6 +95,8 @@
             if batch.lease_guard:
                 batch.lease_guard.close()
             batch.backstop.cancel()
+            if batch.may_have_run() and not batch.repeat_harmless:
+                self.batches.used_ids.add(batch.submission.txn)
             # Breaks the reference cycle of batch and progress, which would be left to the garbage collector.
             batch.progress.clear()
             self.batches.drop(batch)
--- a/thistlelever/carrier/validation.py
+++ b/thistlelever/carrier/validation.py
@@ -38,6 +38,9 @@
         asked = parse_submission(fields, statement)
         if asked.txn in self.batches.by_txn:
             raise InvalidFieldError("id", "still open", still_open=True)
+        if asked.txn in self.batches.used_ids:
+            # The client has left, or takes no notice of its answers: an id is new with every request.
+            raise InvalidFieldError("id", "of a request that may have run")
         # An absurd value would distort averages and timers for as long as the front runs.
         if asked.wait > 2 * query_class.time_limit:
             raise InvalidFieldError("wait", "past the service group's time limit")
--- a/thistlelever/store/batches.py
+++ b/thistlelever/store/batches.py
@@ -10,6 +10,7 @@
 from thistlelever.ground import interface as it
 from thistlelever.ground.submission import Submission
 from thistlelever.store.request_memory import request_size
+from thistlelever.store.used_ids import UsedIds
 
 
 class DispatchName(NamedTuple):
@@ -93,6 +94,8 @@
         """Start without batches."""
         self.by_number: dict[int, Batch] = {}
         self.by_txn: dict[str, Batch] = {}
+        # Of batches that are over, may have run and must not run again.
+        self.used_ids = UsedIds()
         self.last_number = 0
 
     def next_number(self) -> int:
