Bound the requests to a distributor in size, memory, time and number

Cause: nothing bounded a request but the defaults of the HTTP server, 100 MB of body for any route on any number of connections.

Why this works: a body is refused by its stated length or once it has become too long for its route (413), when all bodies together would pass their memory (503), and when it is not whole in 10 s (408); connections past their number are closed. The limits are configured, refusals counted.

--- a/thistlelever/distributor/config.py
+++ b/thistlelever/distributor/config.py
@@ -51,6 +51,11 @@
     election_after_s: Seconds | None = None
     # Maximum rate of answers with a whole subset and of requests that list all held records.
     snapshots_per_s: Annotated[float, Meta(ge=1, le=10_000)] = 50.0
+    # Maximum number of connections, maximum size of a published change, and maximum memory for the bodies of
+    # all present requests.
+    connections: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
+    publish_body_mb: Annotated[float, Meta(gt=0, le=1_024)] = 32.0
+    request_memory_mb: Annotated[float, Meta(gt=0, le=16_384)] = 96.0
     # Number of changes kept, so that followers can catch up with a delta instead of a snapshot.
     history: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
 
@@ -73,6 +78,9 @@
         raise ConfigError(describe_error(error)) from None
     except msgspec.DecodeError as error:
         raise ConfigError(f"no JSON: {error}") from None
+    # Besides the body itself its copy is held while the change is carried out.
+    if config.request_memory_mb < 2 * config.publish_body_mb:
+        raise ConfigError("request_memory_mb: at least twice publish_body_mb expected")
     if config.index >= len(config.distributors):
         raise ConfigError(f"index: a place among {len(config.distributors)} distributors expected")
     minimum = MIN_ELECTION_HEARTBEATS * config.heartbeat_s
--- a/thistlelever/distributor/handlers.py
+++ b/thistlelever/distributor/handlers.py
@@ -23,6 +23,8 @@
 from thistlelever.distributor.sessions import BehindError, BusyError, Session
 from thistlelever.distributor.store import StoreError
 
+PUBLISH_PATH = "/v1/publish"
+
 VersionText = Annotated[str, Meta(pattern=r"^[0-9]{1,12}\.[0-9]{1,12}$")]
 
 
@@ -310,7 +312,7 @@
         ANNOUNCE_PATH: AnnounceHandler,
         HIGHEST_PATH: HighestHandler,
         PROMISE_PATH: PromiseHandler,
-        "/v1/publish": PublishHandler,
+        PUBLISH_PATH: PublishHandler,
         "/v1/promote": PromoteHandler,
         "/v1/status": StatusHandler,
         "/v1/catalog": CatalogHandler,
--- a/thistlelever/distributor/service.py
+++ b/thistlelever/distributor/service.py
@@ -10,11 +10,10 @@
 from time import process_time
 from types import MappingProxyType
 
-from tornado.httpserver import HTTPServer
-
 from thistlelever.distribution.election import Election
 from thistlelever.distribution.versions import NO_VERSION
 from thistlelever.distributor.admission import SnapshotAdmission
+from thistlelever.distributor.bounded_server import BoundedServer, RequestLimits
 from thistlelever.distributor.catalog import Catalog, Change
 from thistlelever.distributor.config import DistributorConfig
 from thistlelever.distributor.content_writer import ContentWriter
@@ -68,7 +67,7 @@
         self.catalog.on_change.append(self.on_catalog_change)
         self.stop_requested = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
-        self.server: HTTPServer | None = None
+        self.server: BoundedServer | None = None
 
     def restore(self, path: str) -> bool:
         """Loads the stored content and returns whether there was any. Raises `StoreError` if the file is
@@ -97,7 +96,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop_requested.set)
         host, port = parse_address(self.config.listen)
-        self.server = HTTPServer(build_application(self), no_keep_alive=False)
+        self.server = BoundedServer(build_application(self), self.request_limits(), self.counts)
         self.server.listen(port, host, backlog=LISTEN_BACKLOG)
         jobs = [
             recover_promises(self.follower, self.promises, self.log),
@@ -113,6 +112,14 @@
         self.tasks = [loop.create_task(self.supervise(job)) for job in jobs]
         self.log("ready", listen=self.config.listen, version=str(self.catalog.version))
 
+    def request_limits(self) -> RequestLimits:
+        """Returns the limits on requests."""
+        from thistlelever.distributor.handlers import PUBLISH_PATH
+
+        config = self.config
+        by_path = {PUBLISH_PATH: int(config.publish_body_mb * 1e6)}
+        return RequestLimits(config.connections, int(config.request_memory_mb * 1e6), by_path)
+
     def election(self) -> Election | None:
         """Returns the rules by which this distributor claims the role by itself, or None if only an operator
         makes it claim."""
