Ask and cancel at an address that another engine has taken over

Cause: once the list gives an address to another engine, every call under the old id was refused. A poll took that for the end of the process, a cancel for nothing to cancel. But what was sent there since the new process came runs there.

Why this works: what starts nothing goes on to the address; the process there answers for what it runs, or says that it does not know it. What starts something is refused as before. A cancel is left out where another dispatch of the batch is out at the same address, as it names the batch.

--- a/tests/test_engine_registry.py
+++ b/tests/test_engine_registry.py
@@ -1,4 +1,4 @@
-"""The engine registry: nothing is sent to an address that now belongs to another engine."""
+"""The engine registry: nothing new is sent to an address that now belongs to another engine."""
 
 import asyncio
 from types import SimpleNamespace
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -256,7 +256,7 @@
         while unusable < MAX_UNUSABLE_REPLIES:
             try:
                 connection = await self.connections.acquire(
-                    entry, urgent=False, patient=not page, unused=unused
+                    entry, urgent=False, patient=not page, unused=unused, starts_nothing=True
                 )
             except Refused:
                 progress.engine_dead = True
@@ -376,8 +376,12 @@
     async def cancel_dispatch(self, batch: Batch, entry: Entry, progress: DispatchProgress) -> None:
         """Send DELETE until the engine has confirmed it, is dead, or must have dropped the batch.
 
-        If the batch's client has left, the call yields connections to batches that clients wait for.
+        If the batch's client has left, the call yields connections to batches that clients wait for. Nothing
+        is sent where another dispatch of the batch is out at the same address, as it has the same name there.
         """
+        if self.has_other_dispatch_at(batch, entry.address, progress.number):
+            self.metrics.add("DELETE left to another dispatch")
+            return
         await self.delete(
             entry,
             dispatch_path(batch, progress.number)[:-1],
@@ -385,6 +389,15 @@
             lambda: not batch.answered,
         )
 
+    def has_other_dispatch_at(self, batch: Batch, address: tuple[str, int], number: int) -> bool:
+        """Return whether the batch has another dispatch at an address that two engines may have had."""
+        for other, task in batch.dispatch_tasks.items():
+            entry = self.registry.entries.get(batch.engines[other])
+            is_out = other != number and not task.done() and not task.cancelling()
+            if is_out and entry and entry.address == address:
+                return True
+        return False
+
     async def wait_until_stopped(self, progress: DispatchProgress) -> None:
         """Wait until the engine has dropped the batch: `DROP_AFTER_S` after the last poll, which may be held
         there for `POLL_TIMEOUT_S`."""
@@ -398,7 +411,7 @@
     async def query_status(self, entry: Entry, name: DispatchName) -> str:
         """Implement `EngineProtocol.query_status`."""
         try:
-            connection = await self.connections.acquire(entry, urgent=False)
+            connection = await self.connections.acquire(entry, urgent=False, starts_nothing=True)
             try:
                 request = http.encode_request("GET", f"/fetch/{name.txn}/0", entry.address, {})
                 reply = await connection.call(request, POLL_TIMEOUT_S)
@@ -414,7 +427,7 @@
         """Send DELETE until it is answered, the engine refuses connections, or `deadline` has passed."""
         while clock.now() < deadline:
             try:
-                connection = await self.connections.acquire(entry, urgent=urgent())
+                connection = await self.connections.acquire(entry, urgent=urgent(), starts_nothing=True)
                 try:
                     self.count_call("DELETE", entry)
                     await connection.call(
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -93,6 +93,7 @@
         )
         self.connections.is_listed = self.registry.is_listed
         self.connections.is_reachable = self.registry.is_reachable
+        self.connections.is_taken_over = self.registry.is_taken_over
         over_http = HttpEngines(settings, self.registry, self.connections, self.decisions, self.metrics)
         self.dispatcher = Dispatcher(
             settings, self.registry, lambda entry: over_http, self.decisions, self.metrics, log
--- a/thistlelever/store/connections.py
+++ b/thistlelever/store/connections.py
@@ -186,24 +186,32 @@
         # Whether an engine is still listed: a connection that is released after its engine has gone is
         # closed, or it would be kept without use.
         self.is_listed: Callable[[EngineId], bool] = lambda engine: True
-        # Whether an entry's address still belongs to its engine; nothing is sent to an address that belongs
-        # to another engine by now.
+        # Whether an entry's address still belongs to its engine; nothing new is sent to an address that
+        # belongs to another engine by now.
         self.is_reachable: Callable[[Entry], bool] = lambda entry: True
+        # Whether it belongs to another engine by now, which may run what was sent there before it was listed.
+        self.is_taken_over: Callable[[Entry], bool] = lambda entry: False
         # Waiters for urgent calls and for polls: the engine and the future that wakes the waiter.
         self.waiters: tuple[deque[tuple[EngineId, asyncio.Future]], ...] = (deque(), deque())
 
     async def acquire(
-        self, entry: Entry, urgent: bool, patient: bool = False, unused: bool = False
+        self,
+        entry: Entry,
+        urgent: bool,
+        patient: bool = False,
+        unused: bool = False,
+        starts_nothing: bool = False,
     ) -> Connection:
         """Return a connection without a pending call, either idle or new.
 
         A `patient` caller waits for an idle connection that has not reached `MIN_IDLE` yet instead of opening
-        another one. With `unused` the connection has never carried a call. Raises `Refused` when the engine
-        has left its address, and the errors of `connect`.
+        another one. With `unused` the connection has never carried a call. A call that `starts_nothing`, such
+        as a poll or a cancel, also goes to the engine that has the address now. Raises `Refused` when the
+        engine has left its address, and the errors of `connect`.
         """
         engine = entry.engine.id
         while True:
-            if not self.is_reachable(entry):
+            if not (self.is_reachable(entry) or starts_nothing and self.is_taken_over(entry)):
                 self.metrics.add("links to an address that is another engine's")
                 raise Refused("the engine has left its address")
             connection = None if unused else self.take_idle(engine)
--- a/thistlelever/store/engine_registry.py
+++ b/thistlelever/store/engine_registry.py
@@ -104,10 +104,11 @@
 
     def is_reachable(self, entry: Entry) -> bool:
         """Return whether the entry's address still belongs to its engine, as far as is known."""
-        return (
-            entry.engine.id not in self.ended_engines
-            and self.address_owners.get(entry.address, entry.engine.id) == entry.engine.id
-        )
+        return entry.engine.id not in self.ended_engines and not self.is_taken_over(entry)
+
+    def is_taken_over(self, entry: Entry) -> bool:
+        """Return whether the entry's address belongs to another engine now."""
+        return self.address_owners.get(entry.address, entry.engine.id) != entry.engine.id
 
     def engine_list(self) -> tuple[it.Engine, ...]:
         """Return the list for the decisions.
