--- a/rigs/flight_sabotage.py
+++ b/rigs/flight_sabotage.py
@@ -1,6 +1,6 @@
 """Ways to break the front on purpose: with each, the rig `flight` must report a broken rule."""
 
-from thistlelever.carrier.clients import ClientSession
+from thistlelever.carrier.client_session import ClientSession
 from thistlelever.carrier.flight_engines import FlightEngines
 from thistlelever.carrier.http_engines import HttpEngines
 from thistlelever.carrier.result_stream import ResultStream
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -12,7 +12,7 @@
 from contextlib import asynccontextmanager, contextmanager, suppress
 from pathlib import Path
 
-from thistlelever.carrier import clients, directory
+from thistlelever.carrier import client_session, directory
 from thistlelever.standins.directory import Directory, dns_answer
 from thistlelever.standins.http_engine import Engine, rows, unescaped
 from thistlelever.standins.configuration import SETTINGS, configuration
@@ -72,7 +72,7 @@
         self.changed, self.engines, self.answers, self.events = asyncio.Event(), {}, [], []
         self.settings, self.server, self.running = json.loads(json.dumps(SETTINGS)), None, None
         self.extra_clients, self.config, self.operator_sections = [], {}, {}
-        self.connection_reset, self.saved_delay = False, clients.BAD_LINE_DELAY_S
+        self.connection_reset, self.saved_delay = False, client_session.BAD_LINE_DELAY_S
         # Arrow Flight SQL: the section `flight`, calls in progress and ended, relays in front of engines.
         self.flight_section, self.channels, self.calls, self.infos, self.relays = None, {}, {}, {}, {}
 
@@ -382,7 +382,7 @@
 
     async def end(self):
         """Stop everything, and check that no part of the front failed."""
-        clients.BAD_LINE_DELAY_S = self.saved_delay
+        client_session.BAD_LINE_DELAY_S = self.saved_delay
         for call in self.calls.values():
             call.cancel()
         if self.calls:
@@ -457,7 +457,7 @@
 
     async def do_paced(self, seconds):
         """Set the delay in seconds after each malformed line."""
-        self.saved_delay, clients.BAD_LINE_DELAY_S = clients.BAD_LINE_DELAY_S, float(seconds)
+        self.saved_delay, client_session.BAD_LINE_DELAY_S = client_session.BAD_LINE_DELAY_S, float(seconds)
 
     async def do_echoes(self, name):
         """On a connection that carried a call before, run each POST and answer it with what looks like a late
--- a/tests/test_last_answers.py
+++ b/tests/test_last_answers.py
@@ -8,14 +8,14 @@
 import pytest
 from test_moments import served
 
-from thistlelever.carrier import clients
+from thistlelever.carrier import client_session
 from thistlelever.carrier.client_output import PAUSE_BYTES
 from thistlelever.store.divided_memory import DividedMemory
 
 # Input behind a request for which the front ends the connection.
-BAD_LINES = b"no json\n" * clients.MAX_BAD_LINES
-LONG_LINE = b"x" * (clients.MAX_LINE_BYTES + 100_000)
-FLOOD = b"no json\n" + b"x" * 100 + b"\n" + b"{}\n" * clients.READ_AHEAD_BYTES
+BAD_LINES = b"no json\n" * client_session.MAX_BAD_LINES
+LONG_LINE = b"x" * (client_session.MAX_LINE_BYTES + 100_000)
+FLOOD = b"no json\n" + b"x" * 100 + b"\n" + b"{}\n" * client_session.READ_AHEAD_BYTES
 
 
 @asynccontextmanager
@@ -34,7 +34,7 @@
 def test_what_is_open_is_answered_before_a_connection_ends_for_what_came_behind_it(
     behind, parts, monkeypatch
 ):
-    monkeypatch.setattr(clients, "BAD_LINE_DELAY_S", 0.001)
+    monkeypatch.setattr(client_session, "BAD_LINE_DELAY_S", 0.001)
 
     async def whole():
         async with held(*range(1, parts + 1)) as stage:
@@ -81,11 +81,13 @@
     async def whole():
         async with served("engine a\nfront") as stage:
             await stage.do_holds("a")
-            for number in range(1, clients.MAX_OPEN_REQUESTS + 2):
+            for number in range(1, client_session.MAX_OPEN_REQUESTS + 2):
                 stage.writer.write(stage.submission(number, "lookup"))
-            await stage.do_answer(str(clients.MAX_OPEN_REQUESTS + 1), "error", "-32600", "open requests")
+            await stage.do_answer(
+                str(client_session.MAX_OPEN_REQUESTS + 1), "error", "-32600", "open requests"
+            )
             stage.engines["a"].released.set()
-            for number in range(1, clients.MAX_OPEN_REQUESTS + 1):
+            for number in range(1, client_session.MAX_OPEN_REQUESTS + 1):
                 await stage.do_answer(str(number), "result", "rows")
 
     asyncio.run(whole())
@@ -116,7 +118,7 @@
             client_listener.unread_memory = DividedMemory(10, 1)
             reading, left = await connect_reader_of_little(stage)
             stage.engines["a"].text = rows_of(40_000)
-            for number in range(1, clients.MAX_OPEN_REQUESTS + 1):
+            for number in range(1, client_session.MAX_OPEN_REQUESTS + 1):
                 left.write(stage.submission(number, "lookup"))
             await stage.do_counted("clients", "that", "do", "not", "read")
             # The others are not even short of memory, as they take their answers at once.
--- a/tests/test_line_memory.py
+++ b/tests/test_line_memory.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from stage import prepared_stage, short_delays
 
-from thistlelever.carrier import clients
+from thistlelever.carrier import client_session
 from thistlelever.store.connection_limits import connection_limits
 from thistlelever.store.line_memory import LineAccount, LineMemory
 from thistlelever.wire.read_buffer import OutOfMemory, ReadBuffer
@@ -25,7 +25,7 @@
     with short_delays():
         async with prepared_stage([("setup", ["engine", "a"]), ("setup", ["front"])]) as stage:
             listener = stage.server.client_listener
-            listener.line_memory = LineMemory(limit, connections, clients.MAX_LINE_BYTES)
+            listener.line_memory = LineMemory(limit, connections, client_session.MAX_LINE_BYTES)
             yield stage
 
 
--- a/tests/test_moments.py
+++ b/tests/test_moments.py
@@ -15,7 +15,7 @@
 import pytest
 from stage import LONGEST_WAIT, short_delays, prepared_stage
 
-from thistlelever.carrier import clients, directory
+from thistlelever.carrier import client_session, clients, directory
 from thistlelever.ground import config as front_config
 from thistlelever.lifecycle import run
 from thistlelever.standins.http_engine import rows
@@ -238,7 +238,7 @@
 
 @moment("engine a\nfront")
 async def test_half_a_line_does_not_hold_up_the_end_for_good(stage, monkeypatch):
-    monkeypatch.setattr(clients, "SILENT_TIMEOUT_S", 60.0)
+    monkeypatch.setattr(client_session, "SILENT_TIMEOUT_S", 60.0)
     stage.writer.write(b'{"jsonrpc":"2.0",')
     begun = asyncio.get_running_loop().time()
     await play(stage, "sigterm\nhung_up_in_order\nstopped")
@@ -273,7 +273,7 @@
 @moment("engine a\nfront\nsubmit 1 lookup\nanswer 1 result rows")
 async def test_a_request_in_pieces_on_a_connection_that_rested(stage, monkeypatch):
     """A connection idle for longer than the partial-line timeout must not be closed over half a request."""
-    monkeypatch.setattr(clients, "SILENT_TIMEOUT_S", 0.3)
+    monkeypatch.setattr(client_session, "SILENT_TIMEOUT_S", 0.3)
     await asyncio.sleep(0.4)
     line = stage.submission(2, "lookup")
     stage.writer.write(line[:40])
@@ -287,7 +287,7 @@
 @moment("engine a\nfront\nsubmit 1 lookup\nanswer 1 result rows\nplaces 1")
 async def test_a_rested_connection_with_a_request_on_its_way_makes_no_place(stage, monkeypatch):
     """A new client must not replace a connection whose request is already in its socket."""
-    monkeypatch.setattr(clients, "SILENT_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(client_session, "SILENT_TIMEOUT_S", 0.1)
     await asyncio.sleep(0.2)
     line = stage.submission(2, "lookup")
     stage.writer.write(line[:40])
@@ -301,7 +301,7 @@
 
 @moment("engine a\nfront\nsubmit 1 lookup\nanswer 1 result rows")
 async def test_half_a_line_that_never_ends_is_closed_in_time(stage, monkeypatch):
-    monkeypatch.setattr(clients, "SILENT_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(client_session, "SILENT_TIMEOUT_S", 0.2)
     stage.writer.write(b'{"jsonrpc":"2.0",')
     await asyncio.sleep(0.3)
     stage.server.client_listener.sweep()
