Open no Flight channel once the front has closed its channels

A channel that a cancel or a probe asks for after FlightEngines.close is closed by nobody and dials its address on, whoever listens there later. Why this works: the channel is refused, as UNREACHABLE, where it would have been made.

--- a/thistlelever/carrier/flight_engines.py
+++ b/thistlelever/carrier/flight_engines.py
@@ -123,6 +123,8 @@
         self.stream_limit = stream_limit
         self.channels: dict[it.EngineId, aio.Channel] = {}
         self.closing: set[asyncio.Task] = set()
+        # Set when the front ends. A channel opened later would never be closed, and would dial on and on.
+        self.closed = False
 
     async def run_dispatch(
         self, batch: Batch, entry: Entry, end: End, progress: DispatchProgress, deadline: float
@@ -476,7 +478,7 @@
         earlier.
         """
         engine, due = entry.engine.id, asyncio.get_running_loop().time() + self.connect_limit
-        while True:
+        while not self.closed:
             channel, fresh = self.channels.get(engine), False
             if channel is None:
                 target = f"ipv4:{entry.address[0]}:{entry.address[1]}"
@@ -491,7 +493,8 @@
             if self.channels.get(engine) is channel:
                 self.forget(engine)
             if fresh:
-                raise NoResultError(it.DispatchOutcome.UNREACHABLE)
+                break
+        raise NoResultError(it.DispatchOutcome.UNREACHABLE)
 
     async def wait_connected(self, channel: aio.Channel) -> bool:
         """Wait until the channel is connected or has failed; returns whether it is connected."""
@@ -513,7 +516,8 @@
             task.add_done_callback(self.closing.discard)
 
     async def close(self) -> None:
-        """Close all channels."""
+        """Close all channels, and open none from now on."""
+        self.closed = True
         for engine in list(self.channels):
             self.forget(engine)
         if self.closing:
--- a/thistlelever/standins/http_engine.py
+++ b/thistlelever/standins/http_engine.py
@@ -63,7 +63,9 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-                verb, path, _ = head[0].split()
+                verb, path, version = head[0].split()
+                if version != "HTTP/1.1":
+                    raise ValueError(f"a request of another protocol: {head[0]!r}")
                 fields = dict(line.lower().split(": ", 1) for line in head[1:] if line)
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 self.calls.append((verb + path.rpartition("/")[2] if verb == "GET" else verb, fields, body))
