State: store the first dispatch that may have run, not the first one alone

Cause: record_dispatch stored dispatch 0 only and record_end removed it when it never ran; what was sent next was on no record. Why this works: the batch knows which dispatch is stored; where none is, the next is stored before it is sent, and only the stored one's own end as never run removes it.

--- a/tests/test_adopted_batches.py
+++ b/tests/test_adopted_batches.py
@@ -11,6 +11,7 @@
 from thistlelever.admission.decide import Front
 from thistlelever.budgets.queued_batch import BatchSpec
 from thistlelever.carrier.batch_tasks import CLIENT_LEFT, OVERDUE, BatchTasks
+from thistlelever.carrier.dispatch import End
 from thistlelever.carrier.remembered_outcomes import RememberedOutcomes
 from thistlelever.ground import clock
 from thistlelever.ground import interface as it
@@ -140,3 +141,35 @@
     pool.advance(10.0)
     assert len(pool.released) == 4
     assert not queue.root.threads_in_use
+
+
+def test_the_first_dispatch_that_may_have_run_is_stored_whatever_its_number():
+    """Guards against a second run after a restart, where an engine refused the first dispatch (review/9)."""
+    stored = {}
+
+    def remember(key, what):
+        if what is None:
+            del stored[key]
+        else:
+            stored[key] = what
+
+    memory = RememberedOutcomes(
+        SimpleNamespace(tariffs=(load_class(),)), None, Metrics(), remember, stored.get
+    )
+    submission = SimpleNamespace(txn="b" * 16, reference=KEY)
+    batch = Batch(1, submission, it.BatchReceived(1, 0, 0, 0, 4.0, None, 0.0, 17.0, True), "load", 1e9)
+    key = bytes.fromhex(KEY)
+    # Two engines refuse it, the third may have run it, and so may the one after that.
+    ends = [
+        it.DispatchOutcome.FULL,
+        it.DispatchOutcome.UNSENT,
+        it.DispatchOutcome.ASTRAY,
+        it.DispatchOutcome.RETURNED,
+    ]
+    found = []
+    for number, outcome in enumerate(ends):
+        memory.record_dispatch(batch, number, b"e-%d" % number)
+        sent = stored[key]
+        memory.record_end(batch, End(number, b"e-%d" % number, outcome))
+        found.append((sent[0], sent[1].number, key in stored))
+    assert found == [(b"e-0", 0, False), (b"e-1", 1, False), (b"e-2", 2, True), (b"e-2", 2, True)]
--- a/thistlelever/carrier/remembered_outcomes.py
+++ b/thistlelever/carrier/remembered_outcomes.py
@@ -81,21 +81,18 @@
         return None if resumable else it.Error(batch.number)
 
     def record_dispatch(self, batch: Batch, number: int, engine: it.EngineId) -> None:
-        """Store the batch's first dispatch before it is sent, without waiting for the disk.
+        """Store a dispatch before it is sent, unless an earlier one may have run; does not wait for the disk.
 
-        The window counts from the very first one: that of a batch that was begun before stays on record.
+        The window counts from the first that may have run: one from before a restart stays on record.
         """
-        if not number and batch.begun_at is None and self.is_deduplicated(batch):
+        if batch.recorded_dispatch is None and batch.begun_at is None and self.is_deduplicated(batch):
             key = bytes.fromhex(batch.submission.reference)
             query_class = self.query_classes[batch.class_name]
-            self.remember(key, (engine, batch.dispatch_name(0), query_class.window))
+            self.remember(key, (engine, batch.dispatch_name(number), query_class.window))
+            batch.recorded_dispatch = number
 
     def record_end(self, batch: Batch, end: End) -> None:
-        """Remove the record if the first dispatch certainly never ran, as no engine would drop a repeat."""
-        if (
-            end.outcome in NEVER_RAN
-            and not end.number
-            and batch.begun_at is None
-            and self.is_deduplicated(batch)
-        ):
+        """Remove the stored dispatch if it certainly never ran, as no engine would drop a repeat."""
+        if end.outcome in NEVER_RAN and end.number == batch.recorded_dispatch:
             self.remember(bytes.fromhex(batch.submission.reference), None)
+            batch.recorded_dispatch = None
--- a/thistlelever/store/batches.py
+++ b/thistlelever/store/batches.py
@@ -65,6 +65,8 @@
     adopted_names: dict[int, DispatchName] = field(default_factory=dict)
     # When another front, or this one before its restart, first dispatched it; None if neither did.
     begun_at: float | None = None
+    # With state on: the dispatch that is stored as the first one that may have run.
+    recorded_dispatch: int | None = None
     backstop: asyncio.TimerHandle | None = None
 
     def dispatch_name(self, number: int) -> DispatchName:
