Flight SQL: a bound value joins nothing that stands beside its place

Callers: -5 bound in '10-?' was sent as '10--5', a comment that swallows the rest of the line. Cause: literals were written right behind and before their neighbours; strings behind e, x, u& or another string and numbers behind digits and names joined them in the same way. Why this works: a blank stands wherever the neighbour does not end a token by itself.

--- a/thistlelever/wire/binding.py
+++ b/thistlelever/wire/binding.py
@@ -18,6 +18,8 @@
 )
 # The value list of an insert, which is repeated for each row of parameters.
 VALUES = re.compile(rb"\bvalues\s*(\([^()]*\))\s*;?\s*\Z", re.IGNORECASE)
+# What ends a token, whatever stands next to it; the empty one is the statement's end.
+SEPARATORS = frozenset((b"", b" ", b"\t", b"\r", b"\n", b"(", b")", b",", b";", b"="))
 # The limit that also holds for statements without parameters.
 MAX_STATEMENT_BYTES = 190_000
 
@@ -69,11 +71,25 @@
     values = iter(row)
 
     def fill(match: re.Match) -> bytes:
-        return literal(next(values)) if match["placeholder"] else match[0]
+        return separated(literal(next(values)), match) if match["placeholder"] else match[0]
 
     return TOKEN.sub(fill, statement)
 
 
+def separated(text: bytes, place: re.Match) -> bytes:
+    """Return a literal with a blank on each side on which it would join its neighbour to another token.
+
+    Without it -5 in `10-?` would begin a comment, and a string behind `e` or another string be part of it.
+    """
+    start, end = place.span()
+    before, after = place.string[max(start - 1, 0) : start], place.string[end : end + 1]
+    if before not in SEPARATORS:
+        text = b" " + text
+    if after not in SEPARATORS:
+        text += b" "
+    return text
+
+
 def literal(value) -> bytes:
     """Return a value as an SQL literal; raises `Unbindable`.
 
@@ -85,9 +101,9 @@
         return b"true" if value else b"false"
     if isinstance(value, int):
         return b"%d" % value
+    if isinstance(value, float | Decimal) and not isfinite(value):
+        raise Unbindable(f"{value}: no figure that a statement can hold")
     if isinstance(value, float):
-        if not isfinite(value):
-            raise Unbindable(f"{value}: no figure that a statement can hold")
         return repr(value).encode()
     if isinstance(value, Decimal):
         return format(value, "f").encode()
