Decisions: a step that fails costs its own batch alone, and a cost near 0 fails none

Cause: a third of the least float is 0, by which learn_slowdown divides; and handle applied all events in one go, and threw away what the turn had decided.

--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -28,6 +28,7 @@
 from thistlelever.admission.batch_ends import BatchEnds, Hold, Refusal
 from thistlelever.admission.retry_budget import RetryBudgetWindow
 from thistlelever.admission.sent_work import SentWork
+from thistlelever.admission.turn_failures import TurnFailures
 from thistlelever.ground import interface as it
 
 # At this utilization of an engine (1: all cores busy) its concurrency limit is halved.
@@ -38,6 +39,8 @@
 HISTORY_LENGTH = 20
 # Weight of a new sample in an exponentially weighted moving average: eight samples outweigh all before them.
 EWMA_WEIGHT = 0.125
+# The least work that a client's estimate can stand for, as a part of its class's typical work.
+LEAST_WORK_SHARE = 1e-4
 # The time constant of the work sent to engines that report no load, in decay times: long enough for a front
 # with little traffic to have sent to most engines.
 SENT_WORK_DECAY_TIMES = 10.0
@@ -212,6 +215,7 @@
         self.list_requested_at = LONG_AGO
         # Of each table group its order of engines as (rank, index).
         self.affinity_orders: dict[float, list[tuple[int, int]]] = {}
+        self.failures = TurnFailures()
         # `TimerDue` and others without a handler only make the front look at its queues.
         self.handlers = {
             it.BatchReceived: self.batch_received,
@@ -256,6 +260,7 @@
         # Moving averages of the clients' estimates of work, corrected (thread-seconds). Without any estimate
         # a class keeps this first value.
         self.typical_work = [one.goal * one.width / (2 + 2 * one.goal_stretch) for one in classes]
+        self.least_work = [LEAST_WORK_SHARE * work for work in self.typical_work]
         # Threads of the largest kind of engine, and how many batches of mean width fill it.
         self.largest_engine_threads = max(settings.kind_cores, default=0) * THREADS_PER_CORE
         self.batches_to_fill = self.largest_engine_threads * len(classes) / sum(one.width for one in classes)
@@ -379,7 +384,10 @@
         )
 
     def handle(self, now: float, events: list[it.Event]) -> list[it.Action]:
-        """Take in all events of one moment, dispatch what can go, and return the actions in their order."""
+        """Take in all events of one moment, dispatch what can go, and return the actions in their order.
+
+        A step that fails costs the other ones nothing: `TurnFailedError` has the actions of those.
+        """
         self.now = now
         self.actions: list[it.Action] = []
         # Query class and table group of batches that a table load holds back at this moment.
@@ -388,12 +396,19 @@
         self.load_estimates: dict[int, float] = {}
         for event in events:
             handler: Any = self.handlers.get(type(event))
-            if handler:
-                handler(event)
-        self.release_queued()
-        self.request_wake_up()
+            if handler and not self.failures.attempt(handler, event):
+                self.failures.attempt(self.abandon, getattr(event, "batch", None))
+        self.failures.attempt(self.release_queued)
+        self.failures.attempt(self.request_wake_up)
+        self.failures.check(self.actions)
         return self.actions
 
+    def abandon(self, number: int | None) -> None:
+        """Answer the batch of an event that could not be applied with an error, and hold nothing for it."""
+        if number in self.open_batches:
+            self.client_left(it.ClientLeft(number))
+            self.actions.append(it.Error(number))
+
     # The life of a batch.
 
     def run_batch(self, batch: Batch) -> Generator[Any, Any, None]:
@@ -503,17 +518,17 @@
         query_class = self.query_classes[class_index]
         work = self.typical_work[class_index]
         if received.work:
-            work = received.work * self.work_corrections[class_index]
+            work = max(received.work * self.work_corrections[class_index], self.least_work[class_index])
         self.typical_work[class_index] += EWMA_WEIGHT * (work - self.typical_work[class_index])
         memory = received.memory * self.memory_corrections[class_index]
         batch = Batch(received, query_class, self.now, work, memory)
+        batch.task = self.run_batch(batch)
         self.open_batches[batch.id] = batch
         self.ends.received(class_index)
         self.retry_budget.batch_received(self.now)
         if query_class.in_order and batch.key:
             batch.key_queue = self.key_queues.setdefault(batch.key, batch.key_queue)
             batch.key_queue.append(batch)
-        batch.task = self.run_batch(batch)
         engine = self.engine_index.get(received.running_on)
         began_at = self.now - received.running_for
         if engine is None and (received.running_on or received.running_for):
@@ -532,25 +547,17 @@
             batch.possible_runs[0] = (0, engine, began_at)
 
     def dispatch_ended(self, ended: it.DispatchEnded) -> None:
-        """Learn from a dispatch's outcome about the engine and the query class, and advance its batch."""
+        """Close a dispatch, learn from its outcome, and advance its batch."""
         dispatch = self.open_dispatches.pop((ended.batch, ended.number))
         batch = dispatch.batch
         batch.last_outcome = ended.outcome
         self.ends.dispatch_ended(batch.class_index, ended.outcome)
-        engine = dispatch.engine
         batch.open_dispatches.pop(dispatch.number, None)
-        self.engine_dispatches[engine].pop((ended.batch, ended.number), None)
-        self.open_widths[engine] -= dispatch.width
-        self.apply_report(engine, ended.report, dispatch.width)
+        self.engine_dispatches[dispatch.engine].pop((ended.batch, ended.number), None)
+        self.open_widths[dispatch.engine] -= dispatch.width
         if ended.outcome in NEVER_RAN:
             batch.possible_runs = [run for run in batch.possible_runs if run[0] != dispatch.number]
-        if ended.outcome is it.DispatchOutcome.FULL:
-            self.halve_concurrency_limit(engine)
-            self.utilizations[engine] = max(self.utilizations[engine], 1.0)
-        elif ended.outcome is not it.DispatchOutcome.TIMED_OUT:
-            self.apply_outcome(engine, ended.outcome)
-        self.learn_slowdown(dispatch, ended)
-        self.learn_cost(dispatch, ended)
+        self.failures.attempt(self.learn_from_end, dispatch, ended)
         if batch.key_queue and (ended.outcome in COOL_DOWN_AFTER or ended.engine_forgot):
             self.key_cooldowns[batch.key] = self.now + self.key_cooldown
         if batch.key_queue and ended.still_stopping:
@@ -561,6 +568,18 @@
         else:
             self.release_key(batch)
 
+    def learn_from_end(self, dispatch: OpenDispatch, ended: it.DispatchEnded) -> None:
+        """Learn from a dispatch's outcome about its engine and its query class."""
+        engine = dispatch.engine
+        self.apply_report(engine, ended.report, dispatch.width)
+        if ended.outcome is it.DispatchOutcome.FULL:
+            self.halve_concurrency_limit(engine)
+            self.utilizations[engine] = max(self.utilizations[engine], 1.0)
+        elif ended.outcome is not it.DispatchOutcome.TIMED_OUT:
+            self.apply_outcome(engine, ended.outcome)
+        self.learn_slowdown(dispatch, ended)
+        self.learn_cost(dispatch, ended)
+
     def dispatch_stopped(self, stopped: it.DispatchStopped) -> None:
         """Start the cool-down of a key whose dispatch has stopped at its engine."""
         batch = self.stopping_dispatches.pop((stopped.batch, stopped.number), None)
--- a/thistlelever/carrier/decision_loop.py
+++ b/thistlelever/carrier/decision_loop.py
@@ -9,6 +9,7 @@
 
 from thistlelever.ground import interface as it
 from thistlelever.admission.decide import Front
+from thistlelever.admission.turn_failures import TurnFailedError
 from thistlelever.ground import clock
 from thistlelever.ground.log import Log
 from thistlelever.store.batches import Batches
@@ -51,21 +52,33 @@
         """
         events, self.events = self.events, []
         started = perf_counter()
-        try:
-            actions = self.front.handle(clock.now(), events)
-        except Exception as why:
-            # Open batches are still answered, by their backstop timers at the time limit.
-            self.metrics.add("decisions failed")
-            self.log("decisions failed", why=repr(why), trace=traceback.format_exc())
-            if __debug__:
-                raise
-            return
+        actions, failures = self.decide(events)
         for action in actions:
             self.execute(action)
         elapsed = perf_counter() - started
         self.turns += 1
         self.busy_seconds += elapsed
         self.next_turn_at = asyncio.get_running_loop().time() + max(self.tick - elapsed, elapsed)
+        self.report_failures(failures)
+
+    def decide(self, events: list[it.Event]) -> tuple[list[it.Action], list[Exception]]:
+        """Return the actions of a turn, and what has failed in it."""
+        try:
+            return self.front.handle(clock.now(), events), []
+        except TurnFailedError as turn:
+            return turn.actions, turn.failures
+        except Exception as failure:
+            # Open batches are still answered, by their backstop timers at the time limit.
+            return [], [failure]
+
+    def report_failures(self, failures: list[Exception]) -> None:
+        """Log and count what has failed in a turn, each failure by itself."""
+        for failure in failures:
+            self.metrics.add("decisions failed")
+            trace = "".join(traceback.format_exception(failure))
+            self.log("decisions failed", why=repr(failure), trace=trace)
+        if __debug__ and failures:
+            raise failures[0]
 
     def execute(self, action: it.Action) -> None:
         """Carry out one action, or put it into the inbox of its batch."""
--- a/thistlelever/wirehost/host.py
+++ b/thistlelever/wirehost/host.py
@@ -6,6 +6,7 @@
 from typing import BinaryIO, TextIO
 
 from thistlelever.admission.decide import Front
+from thistlelever.admission.turn_failures import TurnFailedError
 from thistlelever.wirehost import codec
 from thistlelever.ground.settings import ConfigError, parse_settings
 
@@ -47,7 +48,8 @@
         """Return the encoded actions of a front, or a fault record when its decisions raise an exception."""
         try:
             return [codec.encode_action(front, action) for action in self.fronts[front].handle(now, events)]
-        except Exception as why:
+        except Exception as failed:
+            why = failed.failures[0] if isinstance(failed, TurnFailedError) else failed
             where = traceback.extract_tb(why.__traceback__)[-1]
             line = f"{type(why).__name__}: {why} ({where.filename.rsplit('/', 1)[-1]}:{where.lineno})"
             return [codec.encode_fault(front, line)]
