HTTP engines: no late copy of a page, a refusal or a cancel answers the next call

Cause: a reply names no request, and a connection is used again 10 ms after its last one; the watch behind a page sees a copy only if the true answer follows within 10 ms.

--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -57,6 +57,10 @@
     """
 
 
+class Repeated(Spoilt):
+    """A reply that equals the last one on its connection, and may be a late copy of it."""
+
+
 class HttpEngines:
     """The platform's own protocol for engines; implements `EngineProtocol` of `dispatch.py`."""
 
@@ -289,6 +293,8 @@
             except (Broken, Spoilt, http.Unreadable) as why:
                 self.count_unusable(why)
                 unusable += 1
+                # On a connection that has carried nothing, no reply is a copy of an earlier one.
+                unused = unused or isinstance(why, Repeated)
             finally:
                 self.connections.release(connection)
             await asyncio.sleep(RETRY_DELAY_S * (unusable - 1))
@@ -322,6 +328,9 @@
                 rows = self.rows(reply, page, connection, progress)
             elif reply.status not in ((202, 500, 503, 504) if not page else (500,)):
                 raise Spoilt(f"status {reply.status}")
+            elif reply.status in NEVER_RAN:
+                # A copy of it would tell of the next batch that it never ran.
+                connection.keeps_alive = False
         except (Spoilt, http.Unreadable):
             connection.stream.close()
             raise
@@ -349,8 +358,10 @@
         ):
             raise Spoilt("no number of pages, or not the page asked for")
         rows = http.check_page(reply.body)
-        if connection.is_repeated(reply):
-            raise Spoilt("the same answer twice on one connection")
+        # First pages tell the work, which differs between any two queries, except where engines do not report
+        # it: results are often equal there.
+        if (page or b"elapsed-work" in reply.fields) and connection.is_repeated(reply):
+            raise Repeated("the same answer twice on one connection")
         if connection.has_surplus:
             # The surplus may be the rest of these rows, cut off by a length that is too small.
             raise Spoilt("more than one answer")
@@ -433,6 +444,8 @@
                     await connection.call(
                         http.encode_request("DELETE", path, entry.address, {}), CALL_TIMEOUT_S
                     )
+                    # A copy of the reply would confirm the next cancel before its engine has got it.
+                    connection.keeps_alive = False
                     return
                 finally:
                     self.connections.release(connection)
--- a/thistlelever/store/connections.py
+++ b/thistlelever/store/connections.py
@@ -66,7 +66,7 @@
 
     `calls` counts the calls made, `idle_since` is in seconds of the monotonic clock. `request_sent` tells
     whether the whole request of the last call was written, `has_surplus` whether data followed its reply at
-    once, `keeps_alive` whether the engine takes another call after it.
+    once, `keeps_alive` whether it may carry another call after it.
     """
 
     def __init__(self, stream: Stream, engine: EngineId) -> None:
@@ -116,13 +116,10 @@
         return reply
 
     def is_repeated(self, reply: http.Reply) -> bool:
-        """Return whether a good reply equals the previous one on this connection in all fields and the body.
+        """Return whether a page equals the previous one on this connection in all fields and the body.
 
-        This includes the measured work, which differs between any two queries; a reply without that field is
-        never a duplicate.
+        It may be a late copy of that one, as replies name no request. Two true ones can be equal too.
         """
-        if b"elapsed-work" not in reply.fields:
-            return False
         parts = (b"%b:%b" % (name, value) for name, value in sorted(reply.fields.items()))
         previous, self.last_digest = self.last_digest, crc32(b"\n".join((*parts, reply.body))) or 1
         return previous == self.last_digest
