Retry budget: a batch counts from when it was received, not from its release

Behind the budgets' queue a batch counted for rule 7's window when it was released, so that a retry could be allowed that the rule's own window does not allow. Cause: the event that the decisions get had no age. Evidence: the new test, which failed before, as the window still held a batch ten seconds after it was received. Why this works: the event tells how long the batch has waited, and the window takes its true time in order.

--- a/tests/test_adopted_batches.py
+++ b/tests/test_adopted_batches.py
@@ -173,3 +173,23 @@
         memory.record_end(batch, End(number, b"e-%d" % number, outcome))
         found.append((sent[0], sent[1].number, key in stored))
     assert found == [(b"e-0", 0, False), (b"e-1", 1, False), (b"e-2", 2, True), (b"e-2", 2, True)]
+
+
+def test_a_batch_counts_for_the_retry_budget_from_when_it_was_received():
+    """Guards against a retry that rule 7 does not allow: a batch counted when the budgets let it go."""
+    window_s, held_s = 10.0, 8.0
+    submission = SimpleNamespace(txn="b" * 16, reference="", is_retry=False, statement=b"")
+    event = it.BatchReceived(1, 0, 0, 0, 20.0, None, 0.0, 17.0, False)
+    batch = Batch(1, submission, event, "load", deadline=120.0)
+    released = batch.received_event(100.0 + held_s)
+    assert released.waited_for == pytest.approx(held_s)
+
+    front = Front(SETTINGS._replace(tariffs=(load_class(),), allowance=it.RetryBudget(0.0, 1.0, window_s)), 7)
+    front.handle(100.0 + held_s, [released])
+    front.handle(100.0 + held_s, [event._replace(batch=2)])
+    assert front.retry_budget.permits_retry()
+    front.retry_budget.retried(100.0 + held_s)
+    assert front.retry_budget.permits_retry()
+    # Ten seconds after it was received the first batch counts no more, whenever it was released.
+    front.retry_budget.drop_expired(100.0 + window_s)
+    assert not front.retry_budget.permits_retry()
--- a/thistlelever/admission/decide.py
+++ b/thistlelever/admission/decide.py
@@ -525,7 +525,7 @@
         batch.task = self.run_batch(batch)
         self.open_batches[batch.id] = batch
         self.ends.received(class_index)
-        self.retry_budget.batch_received(self.now)
+        self.retry_budget.batch_received(self.now - received.waited_for)
         if query_class.in_order and batch.key:
             batch.key_queue = self.key_queues.setdefault(batch.key, batch.key_queue)
             batch.key_queue.append(batch)
--- a/thistlelever/admission/retry_budget.py
+++ b/thistlelever/admission/retry_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from bisect import insort
 from collections import deque
 from collections.abc import Iterable
 
@@ -23,10 +24,10 @@
         self.received_times: deque[float] = deque()
         self.retry_times: deque[float] = deque()
 
-    def batch_received(self, now: float) -> None:
-        """Count a received batch."""
+    def batch_received(self, at: float) -> None:
+        """Count a batch that was received at a time, which may lie before that of the last one."""
         if self.allowance:
-            self.received_times.append(now)
+            insort(self.received_times, at)
 
     def retried(self, now: float) -> None:
         """Count a further dispatch."""
--- a/thistlelever/ground/interface.py
+++ b/thistlelever/ground/interface.py
@@ -248,6 +248,8 @@
     # list; `running_for` alone then tells of the run.
     running_on: EngineId = b""
     running_for: float = 0.0
+    # For how many seconds it has waited in this front before the decisions hear of it.
+    waited_for: float = 0.0
 
 
 class DispatchEnded(NamedTuple):
--- a/thistlelever/store/batches.py
+++ b/thistlelever/store/batches.py
@@ -76,7 +76,9 @@
     def received_event(self, now: float) -> it.BatchReceived:
         """Return the event that tells the decisions of the batch at `now`, however long it has waited."""
         running_for = 0.0 if self.begun_at is None else now - self.begun_at
-        return self.received._replace(time_limit=self.deadline - now, running_for=running_for)
+        time_left = self.deadline - now
+        waited_for = max(self.received.time_limit - time_left, 0.0)
+        return self.received._replace(time_limit=time_left, running_for=running_for, waited_for=waited_for)
 
     def size(self) -> int:
         """Return the bytes that the batch counts for while it is open."""
