Takeover: the status of another front's run is asked on a connection that carried nothing

Callers: none seen. Evidence: the new test, which failed before. Why this works: a copy can't come first there.

--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -6,6 +6,8 @@
 import pytest
 from test_moments import play, served
 
+from thistlelever.store.batches import DispatchName
+
 # In seconds: how long the true answer takes behind a copy, longer than a page is watched for what follows it.
 TRUE_ANSWER_AFTER_S = 0.05
 # Two engine connections, so that calls share them.
@@ -113,3 +115,29 @@
     made = asyncio.run(whole())
     place = next(place for place, (call, _) in enumerate(made) if call == proven_call)
     assert made[place][1] not in [writer for _, writer in made[place + 1 :]]
+
+
+def test_the_status_of_a_run_is_asked_on_a_connection_that_carried_nothing():
+    """Guards against a copy of a page by which another front's run counts as over."""
+
+    async def whole():
+        made: list[tuple[str, object]] = []
+        async with served(FEW_CONNECTIONS) as stage:
+            engine = stage.engines["a"]
+            act = engine.act
+
+            async def noting(writer, call, *request):
+                made.append((call, writer))
+                return await act(writer, call, *request)
+
+            engine.act = noting
+            await play(stage, "submit 1 lookup\nanswer 1 result rows\npasses 0.02")
+            (entry,) = stage.server.registry.entries.values()
+            protocol = stage.server.dispatcher.protocol(entry)
+            # The stand-in answers 500 for what it does not know.
+            assert await protocol.query_status(entry, DispatchName("a" * 16, 0)) == "unknown"
+            return made
+
+    (first_call, first), (second_call, second) = asyncio.run(whole())
+    assert (first_call, second_call) == ("POST", "GET0")
+    assert first is not second
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -420,9 +420,9 @@
         await self.delete(entry, f"/fetch/{name.txn}", clock.now() + DROP_AFTER_S, lambda: False)
 
     async def query_status(self, entry: Entry, name: DispatchName) -> str:
-        """Implement `EngineProtocol.query_status`."""
+        """Implement `EngineProtocol.query_status`; a late copy of another reply is not taken for it."""
         try:
-            connection = await self.connections.acquire(entry, urgent=False, starts_nothing=True)
+            connection = await self.connections.acquire(entry, urgent=False, unused=True, starts_nothing=True)
             try:
                 request = http.encode_request("GET", f"/fetch/{name.txn}/0", entry.address, {})
                 reply = await connection.call(request, POLL_TIMEOUT_S)
