HTTP engines: a call that was given up is not delivered later

Cause: its connection was closed in order, behind which the system delivers for minutes. Why this works: a connection whose call has no reply is closed with a reset, and what is not delivered is dropped.

--- a/thistlelever/store/connections.py
+++ b/thistlelever/store/connections.py
@@ -365,8 +365,14 @@
         self.idle.setdefault(connection.engine, deque()).append(connection)
 
     def close(self, connection: Connection) -> None:
-        """Close a connection and wake the next waiter."""
-        connection.stream.close()
+        """Close a connection and wake the next waiter.
+
+        A call without a reply must not reach its engine any more: the batch may be sent again by then.
+        """
+        if connection.call_pending:
+            connection.stream.close_with_reset()
+        else:
+            connection.stream.close()
         self.slot_freed()
 
     def slot_freed(self) -> None:
--- a/thistlelever/store/stream.py
+++ b/thistlelever/store/stream.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import errno
+import socket
+import struct
 from contextlib import suppress
 
 from tornado.iostream import IOStream
@@ -16,6 +18,8 @@
 TRANSIENT_ERRNOS = frozenset((errno.ENOMEM, errno.ENOBUFS, errno.EINTR))
 # Consecutive transient failures, each in its own iteration of the event loop, that close the stream.
 MAX_TRANSIENT_FAILURES = 100
+# The socket option `SO_LINGER`, on and with no time to linger.
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class Stream(IOStream):
@@ -53,6 +57,16 @@
         self.transient_failures += 1
         return True
 
+    def close_with_reset(self) -> None:
+        """Close the connection, and let the system drop what it has not delivered yet.
+
+        After an orderly close it would go on delivering for minutes, also behind a network that was cut.
+        """
+        with suppress(OSError):
+            if not self.closed():
+                self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.close()
+
     def close_fd(self) -> None:
         """Close the descriptor. It is released even when `close` fails, so it must not be closed again."""
         with suppress(OSError):
