Decisions: the record of a batch and what outcomes prove are modules of their own

One method of the store's batch says whether its client may submit it again; the budgets' answer asks what the class says through it, not by a rule of its own.

--- a/thistlelever/carrier/batch_tasks.py
+++ b/thistlelever/carrier/batch_tasks.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from thistlelever.ground import interface as it
-from thistlelever.admission.decide import NEVER_RAN
+from thistlelever.admission.outcomes import NEVER_RAN
 from thistlelever.carrier.decision_loop import DecisionLoop
 from thistlelever.carrier.dispatch import Dispatcher, End
 from thistlelever.carrier.result_stream import Begun
@@ -225,9 +225,8 @@
         together, and the decisions have not heard yet how the dispatches ended. With a lease, a batch that
         another front may own gets an error; the replicas are not asked, as time is up.
         """
-        harmless = batch.repeat_harmless or not batch.may_have_run()
         owned = not batch.lease_guard or batch.lease_guard.is_held()
-        return it.PushBack(batch.number, 0.0) if harmless and owned else it.Error(batch.number)
+        return it.PushBack(batch.number, 0.0) if batch.may_be_repeated() and owned else it.Error(batch.number)
 
     async def prepare(self, batch: Batch, answer: Answer) -> bool:
         """Do what comes before the decisions hear of a batch; returns whether it goes on."""
@@ -326,8 +325,7 @@
     def held_answer(self, batch: Batch, after: float) -> it.PushBack | it.Error:
         """Return the answer to a batch that the budgets did not release: nothing of it was sent from here,
         but another front may have dispatched it before."""
-        harmless = batch.repeat_harmless or not batch.may_have_run()
-        return it.PushBack(batch.number, after) if harmless else it.Error(batch.number)
+        return it.PushBack(batch.number, after) if batch.may_be_repeated() else it.Error(batch.number)
 
     def extend_limit(self, batch: Batch, number: int) -> None:
         """Extend the time limit of a dispatch whose result is streaming to that of the batch, as no other
--- a/thistlelever/carrier/budget_gate.py
+++ b/thistlelever/carrier/budget_gate.py
@@ -163,12 +163,6 @@
         """The answer to the client of a pre-empted batch: a push-back where a retry is harmless, because the
         batch had no dispatch, is idempotent, or is deduplicated by all engines; otherwise an error, as it may
         have run."""
-        query_class = self.query_classes[batch.class_name]
-        is_deduplicated = (
-            query_class.repeat is it.Idempotency.DEDUPLICATED
-            and query_class.scope is it.DeduplicationScope.ALL
-        )
-        may_have_run = batch.dispatches or batch.may_have_run()
-        if not may_have_run or query_class.repeat is it.Idempotency.IDEMPOTENT or is_deduplicated:
+        if batch.repeat_harmless or not batch.dispatches and not batch.may_have_run():
             return it.PushBack(batch.number, command.after)
         return it.Error(batch.number)
--- a/thistlelever/carrier/dispatch.py
+++ b/thistlelever/carrier/dispatch.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from thistlelever.admission.decide import MAY_RUN_ON
+from thistlelever.admission.outcomes import MAY_RUN_ON
 from thistlelever.carrier.decision_loop import DecisionLoop
 from thistlelever.carrier.result_stream import ResultStream, ReaderLeftError
 from thistlelever.ground import clock
--- a/thistlelever/carrier/leases.py
+++ b/thistlelever/carrier/leases.py
@@ -8,7 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 
-from thistlelever.admission.decide import NEVER_RAN
+from thistlelever.admission.outcomes import NEVER_RAN
 from thistlelever.carrier.dispatch import End, NoResultError, DispatchProgress, EngineProtocol
 from thistlelever.carrier.peers import PeerSocket
 from thistlelever.carrier.remembered_outcomes import resume_from
--- a/thistlelever/carrier/remembered_outcomes.py
+++ b/thistlelever/carrier/remembered_outcomes.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from thistlelever.admission.decide import NEVER_RAN
+from thistlelever.admission.outcomes import NEVER_RAN
 from thistlelever.carrier.dispatch import End
 from thistlelever.ground import clock
 from thistlelever.ground import interface as it
--- a/thistlelever/carrier/validation.py
+++ b/thistlelever/carrier/validation.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping
 
-from thistlelever.admission.decide import is_repeat_harmless
+from thistlelever.admission.outcomes import is_repeat_harmless
 from thistlelever.carrier.loop_lag import LoopLagMonitor
 from thistlelever.ground import clock
 from thistlelever.ground import interface as it
--- a/thistlelever/store/batches.py
+++ b/thistlelever/store/batches.py
@@ -90,6 +90,10 @@
             return True
         return any(progress.started for progress in self.progress.values())
 
+    def may_be_repeated(self) -> bool:
+        """Return whether its client may submit it again: no harm is done by it, or no engine has run it."""
+        return self.repeat_harmless or not self.may_have_run()
+
 
 class Batches:
     """All open batches, indexed by number (used by the decision loop) and by the client's id."""
