--- a/tests/test_late_copies.py
+++ b/tests/test_late_copies.py
@@ -48,6 +48,18 @@
     return crossed
 
 
+def note_calls(engine) -> list[tuple[str, object]]:
+    """Note the calls that an engine gets from now on, each with its connection."""
+    act, noted = engine.act, []
+
+    async def noting(writer, call, *request):
+        noted.append((call, writer))
+        return await act(writer, call, *request)
+
+    engine.act = noting
+    return noted
+
+
 def rows_of(statement: bytes) -> str:
     """Two pages of rows that are the statement's own."""
     table = statement.decode().split()[3]
@@ -94,16 +106,9 @@
     script, proven_call = PROOFS[kind]
 
     async def whole():
-        made: list[tuple[str, object]] = []
         async with served(FEW_CONNECTIONS) as stage:
             engine = stage.engines["a"]
-            act = engine.act
-
-            async def noting(writer, call, *request):
-                made.append((call, writer))
-                return await act(writer, call, *request)
-
-            engine.act = noting
+            made = note_calls(engine)
             await play(stage, script)
             await stage.until(lambda: any(call == proven_call for call, _ in made))
             engine.released.set()
@@ -121,16 +126,8 @@
     """Guards against a copy of a page by which another front's run counts as over."""
 
     async def whole():
-        made: list[tuple[str, object]] = []
         async with served(FEW_CONNECTIONS) as stage:
-            engine = stage.engines["a"]
-            act = engine.act
-
-            async def noting(writer, call, *request):
-                made.append((call, writer))
-                return await act(writer, call, *request)
-
-            engine.act = noting
+            made = note_calls(stage.engines["a"])
             await play(stage, "submit 1 lookup\nanswer 1 result rows\npasses 0.02")
             (entry,) = stage.server.registry.entries.values()
             protocol = stage.server.dispatcher.protocol(entry)
