Log the process's memory with what the limits account for

A front that passes its memory limit is killed, and its log told nothing about it: no line had the memory, nor how many clients, connections, lines, answers and requests were held.

--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -24,6 +24,7 @@
 from thistlelever.ground.log import Log
 from thistlelever.ground.settings import ConfigError
 from thistlelever.ground.config import Config, load
+from thistlelever.lifecycle.memory_monitor import MemoryMonitor
 from thistlelever.lifecycle.start_times import StartTimes
 from thistlelever.store.batches import Batches
 from thistlelever.store.connection_limits import connection_limits
@@ -102,11 +103,15 @@
         self.membership: MembershipComponent | None = None
         self.state: StateComponent | None = None
         self.batch_tasks = BatchTasks(self.decisions, self.dispatcher, self.batches, self.metrics, log)
-        self.batch_tasks.request_memory = RequestMemory(limits.request_bytes, limits.client_connections)
+        request_memory = RequestMemory(limits.request_bytes, limits.client_connections)
+        self.batch_tasks.request_memory = request_memory
         self.batch_tasks.retry_after = settings.longest_return if settings.names_return else 0.0
         self.loop_lag = LoopLagMonitor()
         self.validator = RequestValidator(settings, self.loop_lag, self.batches)
         self.client_listener = ClientListener(self.validator, self.batch_tasks, self.metrics, log, limits)
+        self.memory = MemoryMonitor(
+            config.memory_mb, self.client_listener, request_memory, self.connections, log
+        )
         self.discovery = self.build_discovery(operator)
         self.decisions.on_probe = self.dispatcher.probe
         self.decisions.on_ask_list = lambda: self.discovery.poll(requested=True)
@@ -344,11 +349,13 @@
             self.connections.close_expired()
             self.client_listener.sweep()
             self.decisions.check_lost_dispatches()
+            self.memory.sample()
             if clock.now() >= next_log_at and self.metrics.counts != logged:
                 logged = self.metrics.counts.copy()
                 self.log(
                     "counts",
                     links=self.connections.count,
+                    memory=self.memory.report(),
                     counts=logged,
                     turns=self.decisions.turns,
                     deciding=round(self.decisions.busy_seconds, 3),
