--- a/rigs/front_process.py
+++ b/rigs/front_process.py
@@ -26,23 +26,26 @@
         fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
 
-    def memory_mb(self):
-        """Returns the resident memory in MiB."""
+    def memory_mb(self, measure="VmRSS"):
+        """Returns the resident memory in MiB, or with VmHWM its highest value so far."""
         status = Path(f"/proc/{self.process.pid}/status").read_text()
-        return int(status.partition("VmRSS:")[2].split()[0]) / 1024
+        return int(status.partition(f"{measure}:")[2].split()[0]) / 1024
 
 
 @asynccontextmanager
-async def front(engines, settings, operator=None):
+async def front(engines, settings, operator=None, limits=None):
     """Starts a front that knows the given engines (name -> fake engine) and yields it as a `Front`.
 
-    `operator` is the content of an operator file. On exit the front gets SIGTERM and the engines are stopped.
+    `operator` is the content of an operator file, `limits` replaces that section of the
+    configuration. On exit the front gets SIGTERM and the engines are stopped.
     Raises TimeoutError when the front is not ready within 20 s.
     """
     directory, known = await start_directory(asyncio.Event(), engines)
     with tempfile.TemporaryDirectory() as folder:
         config = Path(folder) / "config.json"
-        config.write_text(json.dumps(configuration(known, f"127.0.0.1:{directory.port}", settings)))
+        content = configuration(known, f"127.0.0.1:{directory.port}", settings)
+        content["limits"] = limits or content["limits"]
+        config.write_text(json.dumps(content))
         command = [sys.executable, "-O", "-m", "thistlelever", "serve"]
         if operator:
             extra = Path(folder) / "operator.json"
