Clients: a line of very many short values is refused before it is decoded

Callers saw a front past its memory limit when clients sent lines of very many short fields, and usual look-ups beside them waited 1.2 s or were pushed back. A line is bounded in bytes (256 KB), but decoded it takes up to fifty times as much (24,000 fields or 72,000 empty lists: some 6 MB), and each cost milliseconds of the one core.

A call has a dozen values. A line that may hold more than 1,024 (by its commas and brackets, counted before it is decoded) is answered as a bad one.

--- a/thistlelever/store/stream.py
+++ b/thistlelever/store/stream.py
@@ -68,7 +68,7 @@
         self.close()
 
     def _signal_closed(self) -> None:
-        """Drop the buffers as well; Tornado keeps the read buffer for as long as the closed stream is held."""
+        """Drop the buffers as well; Tornado keeps the read buffer while the closed stream is referred to."""
         super()._signal_closed()
         self._read_buffer, self._after_user_read_buffer = bytearray(), None
 
--- a/thistlelever/wire/jsonrpc.py
+++ b/thistlelever/wire/jsonrpc.py
@@ -10,6 +10,8 @@
 
 from thistlelever.ground.submission import InvalidFieldError
 
+# Values in one call; a request has about a dozen. A line that cannot have more is not counted.
+MAX_VALUES, COUNTED_LINE_BYTES = 1_024, 2_048
 # Error codes: of the JSON-RPC specification, and of this program.
 NOT_JSON, NO_REQUEST, NO_METHOD, BAD_FIELD = -32700, -32600, -32601, -32602
 ERRORED, PUSHED_BACK = -32000, -32001
@@ -34,6 +36,8 @@
 
 def parse_call(line: memoryview) -> Call:
     """Decode the call on a line; raises `InvalidCall`."""
+    if has_too_many_values(line):
+        raise InvalidCall(NO_REQUEST, f"more than {MAX_VALUES} values")
     try:
         message = orjson.loads(line)
     except orjson.JSONDecodeError as why:
@@ -53,6 +57,18 @@
     return Call(number, message["method"], params)
 
 
+def has_too_many_values(line: memoryview) -> bool:
+    """Return whether a line may hold more than `MAX_VALUES` JSON values.
+
+    Decoded, a value of two bytes takes up to fifty times as much, so they are counted before. Commas within
+    strings count as well; statements are in base64, which has none.
+    """
+    if len(line) <= COUNTED_LINE_BYTES:
+        return False
+    text = bytes(line)
+    return text.count(b",") + text.count(b"[") + text.count(b"{") > MAX_VALUES
+
+
 def submitted_statement(call: Call) -> bytes:
     """Return the statement in the parameters of a call; raises `InvalidFieldError`."""
     body = call.params.get("bytes")
