Serve: a front without an operator file loads neither TLS nor doc strings

It needed 28.0 MiB before its first client, and its limits assumed 24 MB. 3.9 MB of that is OpenSSL, which asyncio and Tornado import whether or not it is used; a front opens no TLS connection. 'serve' puts an empty module in its place, unless an operator file switches components on, which may use it. 0.5 MB are doc strings, which -OO leaves out (the assertions were out by -O).

--- a/Makefile
+++ b/Makefile
@@ -25,7 +25,7 @@
 
 # BALANCER_CONFIG names the configuration of the front.
 run: build
-	$(PYTHON) -O -m thistlelever serve
+	$(PYTHON) -OO -m thistlelever serve
 
 check: build
 	$(PYTHON) -m thistlelever check
--- a/rigs/front_process.py
+++ b/rigs/front_process.py
@@ -46,7 +46,7 @@
         content = configuration(known, f"127.0.0.1:{directory.port}", settings)
         content["limits"] = limits or content["limits"]
         config.write_text(json.dumps(content))
-        command = [sys.executable, "-O", "-m", "thistlelever", "serve"]
+        command = [sys.executable, "-OO", "-m", "thistlelever", "serve"]
         if operator:
             extra = Path(folder) / "operator.json"
             extra.write_text(json.dumps(operator))
--- a/thistlelever/cli/common.py
+++ b/thistlelever/cli/common.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import sys
 from importlib.util import find_spec
 from typing import TYPE_CHECKING, NoReturn
@@ -90,6 +89,8 @@
 
 def call_front(operator_path: str | None, method: str, /, **arguments: object) -> dict:
     """The answer of a running front over its admin socket; exit 2 where it can't be reached or refuses."""
+    import asyncio
+
     from thistlelever.lifecycle import admin
 
     operator = load_operator_file(operator_path)
--- a/thistlelever/cli/serve.py
+++ b/thistlelever/cli/serve.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import signal
 import sys
@@ -18,6 +17,7 @@
     read_operator_file,
 )
 from thistlelever.ground.log import LibraryLogHandler, Log
+from thistlelever.ground.without_tls import leave_out_tls
 
 
 @click.command()
@@ -27,6 +27,11 @@
     # A SIGHUP before its handler is set would end the process, and one after the configuration was read would
     # be lost. Blocked from here on, it becomes a reload once the front is up.
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})
+    if not operator:
+        # Components of the operator file may use it.
+        leave_out_tls()
+    import asyncio
+
     from thistlelever.lifecycle.run import serve as run
     from thistlelever.lifecycle.start_times import StartTimes
 
