Limits: what connections hold is counted against the memory

Callers saw a front with 32 MB and 1,024 descriptors killed while hundreds of clients were only connected. 409 places for clients and 591 for connections to engines followed from the descriptors alone, and the bounds on lines, answers and requests shared out all memory beside the base, as if connections held none: 380 silent clients took 3.8 MB (10 KB each: read buffer, session, stream, task).

Connections take their part first now, and their number follows from the memory as well; requests, answers and lines share what they leave, and a request keeps room for the longest statement (test_request_memory.py holds unchanged).

--- a/thistlelever/carrier/client_output.py
+++ b/thistlelever/carrier/client_output.py
@@ -26,12 +26,23 @@
     connection has taken answers that it did not take at once.
     """
 
+    __slots__ = (
+        "waiting",
+        "below_pause",
+        "held",
+        "writing",
+        "on_progress",
+        "stream",
+        "memory",
+    )
+
     def __init__(
         self, stream: Stream, memory: Callable[[], DividedMemory], on_progress: Callable[[], None]
     ) -> None:
         """Write to a connected stream."""
         self.stream, self.memory, self.on_progress = stream, memory, on_progress
-        self.waiting: deque[bytes] = deque()
+        # None while none waits, as an empty deque takes as much memory as all else here.
+        self.waiting: deque[bytes] | None = None
         # What counts against the memory: the write in progress, and the answers that wait.
         self.writing, self.held = 0, 0
         self.below_pause: asyncio.Future[None] | None = None
@@ -58,6 +69,7 @@
         if self.held + size > MAX_UNSENT_BYTES or not self.memory().reserve(self, size):
             return False
         self.held += size
+        self.waiting = self.waiting or deque()
         self.waiting.append(data)
         return True
 
@@ -99,6 +111,8 @@
             if self.stream.closed() or not self.start_write(b"".join(answers)):
                 self.stream.close()
                 self.clear()
+        if not self.waiting:
+            self.waiting = None
 
     def release(self, size: int) -> None:
         """Return memory of answers that are sent or dropped."""
@@ -117,8 +131,7 @@
 
     def clear(self) -> None:
         """Drop all answers that are not sent, as the connection has ended."""
-        self.waiting.clear()
-        self.writing = 0
+        self.waiting, self.writing = None, 0
         if self.held:
             self.release(self.held)
         self.wake()
--- a/thistlelever/carrier/client_session.py
+++ b/thistlelever/carrier/client_session.py
@@ -23,9 +23,8 @@
 if TYPE_CHECKING:
     from thistlelever.carrier.clients import ClientListener
 
-# Initial size of a read buffer, and the longest line: room for a statement of 190 KB. Most lines have a few
-# hundred bytes.
-READ_BYTES, MAX_LINE_BYTES = 4_096, 262_144
+# The longest line: room for a statement of 190 KB.
+MAX_LINE_BYTES = 262_144
 # Open requests per connection.
 MAX_OPEN_REQUESTS = 32
 # Seconds: until a connection without a whole line is closed, until the first line must be whole, until an
@@ -49,12 +48,33 @@
 class ClientSession:
     """One client's connection: reads calls, one a line, and writes each answer as one line."""
 
+    __slots__ = (
+        "metrics",
+        "line_account",
+        "buffer",
+        "open_batches",
+        "output",
+        "pending_read",
+        "shutting_down",
+        "draining",
+        "since",
+        "highest_number",
+        "stream",
+        "listener",
+        "bad_lines",
+        "paced_until",
+        "has_sent_line",
+        "line_since",
+        "waited",
+        "waiting_for_memory",
+    )
+
     def __init__(self, stream: Stream, listener: ClientListener) -> None:
         """Take over an accepted connection; `run` serves it."""
         self.stream, self.listener = stream, listener
         self.metrics = listener.metrics
         self.line_account = LineAccount(listener.line_memory)
-        self.buffer = ReadBuffer(READ_BYTES, MAX_LINE_BYTES, self.line_account)
+        self.buffer = ReadBuffer(listener.limits.read_bytes, MAX_LINE_BYTES, self.line_account)
         self.open_batches: dict[int, Batch] = {}
         self.highest_number, self.bad_lines, self.paced_until = 0, 0, 0.0
         self.output = ClientOutput(stream, lambda: listener.unread_memory, self.on_output)
--- a/thistlelever/carrier/clients.py
+++ b/thistlelever/carrier/clients.py
@@ -8,7 +8,7 @@
 from contextlib import suppress
 
 from thistlelever.carrier.batch_tasks import BatchTasks
-from thistlelever.carrier.client_session import MAX_LINE_BYTES, READ_BYTES, ClientSession
+from thistlelever.carrier.client_session import MAX_LINE_BYTES, ClientSession
 from thistlelever.carrier.validation import RequestValidator
 from thistlelever.ground import clock
 from thistlelever.ground.log import Log
@@ -121,7 +121,7 @@
             except OSError:
                 # The connection has already ended, or Nagle's algorithm delays its answers slightly.
                 self.metrics.add("connections without TCP_NODELAY")
-            stream = Stream(raw, max_buffer_size=MAX_LINE_BYTES, read_chunk_size=READ_BYTES)
+            stream = Stream(raw, max_buffer_size=MAX_LINE_BYTES, read_chunk_size=self.limits.read_bytes)
             session = ClientSession(stream, self)
             self.sessions[session] = asyncio.get_running_loop().create_task(session.run())
 
--- a/thistlelever/store/connection_limits.py
+++ b/thistlelever/store/connection_limits.py
@@ -8,20 +8,31 @@
 # OWN_DESCRIPTORS covers the listening ports, the log, the event loop, the second directory socket during a
 # change of address, and one connection that is accepted only to be closed.
 CLIENTS_SHARE, OWN_DESCRIPTORS = 0.4, 24
-# Memory of the process with its libraries and a usual number of batches, and the minimum that is assumed to
-# be left for buffers, both in MB.
-BASE_MEMORY_MB, MIN_BUFFER_MEMORY_MB = 24.0, 4.0
-# Shares of the buffer memory: answers that clients have not read yet, incomplete lines from clients, and open
-# requests. The rest is for pages on their way and for what the allocator does not return.
-UNREAD_SHARE, UNFINISHED_SHARE, REQUEST_SHARE = 0.4, 0.15, 0.35
+# Memory of the process with its libraries, before it has connections, and the minimum that is assumed to be
+# left for all else, both in MB.
+BASE_MEMORY_MB, MIN_BUFFER_MEMORY_MB = 24.5, 4.0
+# What a connection holds in bytes: one of a client beside its read buffer, and one to an engine with its own,
+# grown for the longest reply.
+CLIENT_CONNECTION_BYTES, ENGINE_CONNECTION_BYTES = 5_632, 22_528
+# Size in bytes of a client's read buffer while no line is longer; most lines have a few hundred bytes.
+MAX_READ_BYTES, MIN_READ_BYTES = 4_096, 512
+# Shares of the memory beside the base: connections of clients and their read buffers, connections to engines.
+CLIENT_MEMORY_SHARE, READ_MEMORY_SHARE, ENGINE_MEMORY_SHARE = 0.4, 0.1, 0.12
+# Share of what the connections leave that is for open requests; the bytes that they get even if that is less,
+# so that a client alone can have its longest statement open, but no more than the second share.
+REQUEST_SHARE, LEAST_REQUEST_BYTES, MAX_REQUEST_SHARE = 0.4, 2_650_000, 0.7
+# Shares of what remains then: answers that clients have not read yet, and incomplete lines from clients. The
+# rest is for pages on their way and for what the allocator does not return.
+UNREAD_SHARE, UNFINISHED_SHARE = 0.5, 0.4
 
 
 class ConnectionLimits(NamedTuple):
-    """Maximum connections of clients and to engines; maximum bytes of unread answers, of incomplete lines and
-    of open requests, each summed over all clients."""
+    """Maximum connections of clients and to engines; the size of a client's read buffer in bytes; maximum
+    bytes of unread answers, of incomplete lines and of open requests, each summed over all clients."""
 
     client_connections: int
     engine_connections: int
+    read_bytes: int
     unread_bytes: int
     unfinished_bytes: int
     request_bytes: int
@@ -33,12 +44,30 @@
     `reserved` descriptors are set aside for other servers and engine protocols.
     """
     sockets -= reserved
-    client_connections = int(sockets * CLIENTS_SHARE)
-    buffer_bytes = max(memory_mb - BASE_MEMORY_MB, MIN_BUFFER_MEMORY_MB) * 1e6
+    memory = max(memory_mb - BASE_MEMORY_MB, MIN_BUFFER_MEMORY_MB) * 1e6
+    clients = min(int(sockets * CLIENTS_SHARE), int(memory * CLIENT_MEMORY_SHARE / CLIENT_CONNECTION_BYTES))
+    engines = min(
+        sockets - clients - OWN_DESCRIPTORS, int(memory * ENGINE_MEMORY_SHARE / ENGINE_CONNECTION_BYTES)
+    )
+    engines = max(engines, 1)
+    read_bytes = read_buffer_size(memory * READ_MEMORY_SHARE / max(clients, 1))
+    connections = clients * (CLIENT_CONNECTION_BYTES + read_bytes) + engines * ENGINE_CONNECTION_BYTES
+    buffers = max(memory - connections, 0.0)
+    requests = min(max(buffers * REQUEST_SHARE, LEAST_REQUEST_BYTES), buffers * MAX_REQUEST_SHARE)
+    buffers -= requests
     return ConnectionLimits(
-        client_connections,
-        max(sockets - client_connections - OWN_DESCRIPTORS, 1),
-        int(buffer_bytes * UNREAD_SHARE),
-        int(buffer_bytes * UNFINISHED_SHARE),
-        int(buffer_bytes * REQUEST_SHARE),
+        clients,
+        engines,
+        read_bytes,
+        int(buffers * UNREAD_SHARE),
+        int(buffers * UNFINISHED_SHARE),
+        int(requests),
     )
+
+
+def read_buffer_size(most: float) -> int:
+    """Return the largest power of two up to `most` bytes, within the limits for a read buffer."""
+    size = MAX_READ_BYTES
+    while size > max(most, MIN_READ_BYTES):
+        size //= 2
+    return size
--- a/thistlelever/store/line_memory.py
+++ b/thistlelever/store/line_memory.py
@@ -36,6 +36,11 @@
 class LineAccount:
     """What one connection holds of the memory for lines; limits the growth of its `ReadBuffer`."""
 
+    __slots__ = (
+        "borrowed",
+        "memory",
+    )
+
     def __init__(self, memory: LineMemory) -> None:
         """Hold nothing yet."""
         self.memory, self.borrowed = memory, 0
--- a/thistlelever/wire/read_buffer.py
+++ b/thistlelever/wire/read_buffer.py
@@ -44,6 +44,17 @@
 class ReadBuffer:
     """A growing buffer whose unread bytes lie between `start` and `end`."""
 
+    __slots__ = (
+        "side",
+        "start",
+        "size",
+        "max_message",
+        "quota",
+        "data",
+        "end",
+        "interim_replies",
+    )
+
     def __init__(self, size: int, max_message: int, quota: GrowthLimit | None = None) -> None:
         """Take the initial size and the longest message, both in bytes, and a limit on growth."""
         self.size, self.max_message, self.quota = size, max_message, quota or BufferQuota(max_message)
