Results: pages are fetched only where there is memory for the whole result

Every open dispatch kept the pages that it had, hundreds at a time, bounded by the engines' widths alone.

A dispatch now reserves the room for all its pages before it fetches the second one (store/result_memory.py; a fifth of what requests leave). Who finds none drops its first page, which the engine gives again, waits its turn and polls each second, as the engine would drop the result after two.

--- a/rigs/crowds.py
+++ b/rigs/crowds.py
@@ -21,6 +21,7 @@
 from thistlelever.standins.configuration import SETTINGS
 from thistlelever.standins.http_engine import Engine, rows
 
+ENGINES = 8
 # Bad clients: hundreds, and together with the usual one no more than the front has places for.
 CLIENTS, SOCKETS = 380, 1_024
 # What the pages name as the least and the most memory of a front, in MB.
@@ -57,6 +58,7 @@
 
     def __init__(self, address, chance):
         self.address, self.chance, self.ends, self.slowest = address, chance, {}, 0.0
+        self.lost = []
         # By number: when the request was sent, and whether for the second time.
         self.waiting, self.writer, self.asked = {}, None, 0
 
@@ -100,11 +102,16 @@
             crossed = {n: sent for n, sent in crossed.items() if sent[0] < ended_at - CROSSING_S}
         for number, (since, again) in crossed.items():
             if again or since < ended_at - CROSSING_S:
-                self.count("lost")
+                self.lose(since, ended_at)
             else:
                 self.count("repeated")
                 self.send(number, True)
 
+    def lose(self, since, ended_at):
+        """Counts a request without an answer, and notes its times in seconds on the clock of the loop."""
+        self.count("lost")
+        self.lost.append((round(since, 3), round(ended_at, 3)))
+
     def count(self, end):
         self.ends[end] = self.ends.get(end, 0) + 1
 
@@ -114,8 +121,8 @@
             async with asyncio.timeout(WAIT_S + LATE_S):
                 while self.waiting:
                     await asyncio.sleep(0.01)
-        for _ in self.waiting:
-            self.count("lost")
+        for since, _ in self.waiting.values():
+            self.lose(since, asyncio.get_running_loop().time())
         self.reading.cancel()
         self.writer.close()
 
@@ -138,12 +145,13 @@
 
 async def run_play(play, seed, clients=CLIENTS):
     """Returns the broken rules and the figures of one play."""
-    engine, chance = Engine(asyncio.Event()), Chance(seed)
-    engine.result = lambda statement: WIDE_RESULT if WIDE_TABLE.encode() in statement else rows("rows")
-    await engine.start()
+    chance, engines = Chance(seed), {f"engine{number}": Engine(asyncio.Event()) for number in range(ENGINES)}
+    for engine in engines.values():
+        engine.result = lambda statement: WIDE_RESULT if WIDE_TABLE.encode() in statement else rows("rows")
+        await engine.start()
     loop, broken = asyncio.get_running_loop(), []
     limits = {"cores": 1.0, "memory_mb": play.memory_mb, "sockets": SOCKETS}
-    async with front({"a": engine}, SETTINGS, limits=limits) as running:
+    async with front(engines, SETTINGS, limits=limits) as running:
         process, port = running.process, running.listen[1]
         at_rest_mb, peak_mb = running.memory_mb(), 0.0
         usual = UsualClient(running.listen, chance)
@@ -175,7 +183,11 @@
             broken.append(f"crash: exit code {process.returncode}")
         output, _ = await crowd.communicate()
     figures = json.loads(output) | {"at_rest_mb": round(at_rest_mb, 1), "peak_mb": round(peak_mb, 1)}
-    figures |= {"usual": usual.ends, "slowest_s": round(usual.slowest, 2)} | play._asdict()
+    figures |= {
+        "lost_at": [(s - begin, e - begin) for s, e in usual.lost],
+        "usual": usual.ends,
+        "slowest_s": round(usual.slowest, 2),
+    } | play._asdict()
     if peak_mb > play.memory_mb:
         broken.append(f"memory: {peak_mb:.1f} MB of {play.memory_mb}")
     if lost := usual.ends.get("lost", 0) + usual.ends.get("late", 0):
--- a/tests/test_connection_limits.py
+++ b/tests/test_connection_limits.py
@@ -19,6 +19,7 @@
     connections = limits.client_connections * (CLIENT_CONNECTION_BYTES + limits.read_bytes)
     connections += limits.engine_connections * ENGINE_CONNECTION_BYTES
     buffers = limits.unread_bytes + limits.unfinished_bytes + limits.request_bytes
+    buffers += limits.result_bytes
     assert BASE_MEMORY_MB * MEGABYTE + connections + buffers <= memory_mb * MEGABYTE
     assert limits.client_connections + limits.engine_connections <= sockets
 
--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
-from math import ceil
+from math import ceil, inf
 
 from thistlelever.carrier.decision_loop import DecisionLoop
 from thistlelever.carrier.dispatch import End, NoResultError, DispatchProgress
@@ -23,6 +23,7 @@
     Unreached,
 )
 from thistlelever.store.engine_registry import EngineRegistry
+from thistlelever.store.result_memory import ResultMemory
 from thistlelever.wire import http
 
 # Time-outs in seconds: of polls and of the call that starts a batch, and of other calls. Engines answer the
@@ -90,6 +91,7 @@
             decisions,
             metrics,
         )
+        self.result_memory = ResultMemory(inf)
 
     async def run_dispatch(
         self, batch: Batch, entry: Entry, end: End, progress: DispatchProgress, deadline: float
@@ -98,10 +100,7 @@
         path = dispatch_path(batch, end.number)
         end.outcome = it.DispatchOutcome.ASTRAY
         while end.outcome is it.DispatchOutcome.ASTRAY:
-            reply = await self.post(batch, entry, end, progress, deadline)
-            if reply is None or reply.status == 202:
-                reply = await self.poll_until_over(path, 0, entry, end, progress, batch)
-            end.outcome = self.outcome(reply, progress)
+            end.outcome = await self.post_until_over(path, batch, entry, end, progress, deadline)
             # The engine does not know the batch, so it is sent there again; not if it is not idempotent: the
             # engine may have had it and dropped it meanwhile, and it would run twice.
             if (
@@ -112,17 +111,71 @@
                 break
         await self.fetch_pages(path, batch, entry, end, progress)
 
+    async def post_until_over(
+        self,
+        path: str,
+        batch: Batch,
+        entry: Entry,
+        end: End,
+        progress: DispatchProgress,
+        deadline: float,
+    ) -> it.DispatchOutcome:
+        """Send the call that starts the batch, and poll until the batch is over; returns the outcome."""
+        reply = await self.post(batch, entry, end, progress, deadline)
+        if reply is None or reply.status == 202:
+            reply = await self.poll_until_over(path, 0, entry, end, progress, batch)
+        return self.outcome(reply, progress)
+
     async def resume(
         self, batch: Batch, entry: Entry, end: End, progress: DispatchProgress, deadline: float
     ) -> None:
         """Implement `EngineProtocol.resume`."""
         path, progress.started = dispatch_path(batch, end.number), True
-        reply = await self.poll_until_over(path, 0, entry, end, progress, batch)
-        end.outcome = self.outcome(reply, progress)
+        end.outcome = self.outcome(await self.poll_until_over(path, 0, entry, end, progress, batch), progress)
         await self.fetch_pages(path, batch, entry, end, progress)
 
     async def fetch_pages(
         self, path: str, batch: Batch, entry: Entry, end: End, progress: DispatchProgress
+    ) -> None:
+        """Fetch the pages after the first once there is memory for them.
+
+        Raises `NoResultError` if one of the pages is never whole.
+        """
+        size = (progress.pages - 1) * http.MAX_PAGE_BYTES
+        if size <= 0 or end.outcome is not it.DispatchOutcome.RETURNED:
+            return await self.fetch_missing_pages(path, batch, entry, end, progress)
+        had_room = self.result_memory.reserve_now(size)
+        if not had_room:
+            await self.wait_for_memory(size, path, batch, entry, end, progress)
+        try:
+            if not had_room:
+                reply = await self.poll_until_over(path, 0, entry, end, progress, batch)
+                end.outcome = self.outcome(reply, progress)
+                del reply
+            return await self.fetch_missing_pages(path, batch, entry, end, progress)
+        finally:
+            self.result_memory.release(size)
+
+    async def wait_for_memory(
+        self, size: int, path: str, batch: Batch, entry: Entry, end: End, progress: DispatchProgress
+    ) -> None:
+        """Drop the first page, which its engine gives again, and wait for memory for the whole result.
+
+        Meanwhile the engine is polled, as it would drop the result otherwise.
+        """
+        self.metrics.add("results that waited for memory")
+        while True:
+            end.pages.clear()
+            progress.page_watches.clear()
+            try:
+                async with asyncio.timeout(DROP_AFTER_S / 2):
+                    await self.result_memory.reserve(size)
+                return
+            except TimeoutError:
+                await self.poll_until_over(path, 0, entry, end, progress, batch)
+
+    async def fetch_missing_pages(
+        self, path: str, batch: Batch, entry: Entry, end: End, progress: DispatchProgress
     ) -> None:
         """Fetch the pages after the first, and once more each page that data has followed.
 
--- a/thistlelever/lifecycle/run.py
+++ b/thistlelever/lifecycle/run.py
@@ -32,6 +32,7 @@
 from thistlelever.store.engine_registry import EngineRegistry
 from thistlelever.ground.metrics import Metrics
 from thistlelever.store.request_memory import RequestMemory
+from thistlelever.store.result_memory import ResultMemory
 
 if TYPE_CHECKING:
     from thistlelever.ground.operator import Operator, Takeover
@@ -96,6 +97,7 @@
         self.connections.is_reachable = self.registry.is_reachable
         self.connections.is_taken_over = self.registry.is_taken_over
         over_http = HttpEngines(settings, self.registry, self.connections, self.decisions, self.metrics)
+        over_http.result_memory = ResultMemory(limits.result_bytes)
         self.dispatcher = Dispatcher(
             settings, self.registry, lambda entry: over_http, self.decisions, self.metrics, log
         )
--- a/thistlelever/store/connection_limits.py
+++ b/thistlelever/store/connection_limits.py
@@ -21,14 +21,15 @@
 # Share of what the connections leave that is for open requests; the bytes that they get even if that is less,
 # so that a client alone can have its longest statement open, but no more than the second share.
 REQUEST_SHARE, LEAST_REQUEST_BYTES, MAX_REQUEST_SHARE = 0.4, 2_650_000, 0.7
-# Shares of what remains then: answers that clients have not read yet, and incomplete lines from clients. The
-# rest is for pages on their way and for what the allocator does not return.
-UNREAD_SHARE, UNFINISHED_SHARE = 0.5, 0.4
+# Shares of what remains then: answers that clients have not read yet, incomplete lines from clients, and
+# results whose pages are being fetched. The rest is for what the allocator does not return.
+UNREAD_SHARE, UNFINISHED_SHARE, RESULT_SHARE = 0.4, 0.3, 0.2
 
 
 class ConnectionLimits(NamedTuple):
     """Maximum connections of clients and to engines; the size of a client's read buffer in bytes; maximum
-    bytes of unread answers, of incomplete lines and of open requests, each summed over all clients."""
+    bytes of unread answers, of incomplete lines, of open requests and of results that are being fetched, each
+    summed over all clients."""
 
     client_connections: int
     engine_connections: int
@@ -36,6 +37,7 @@
     unread_bytes: int
     unfinished_bytes: int
     request_bytes: int
+    result_bytes: int
 
 
 def connection_limits(sockets: int, memory_mb: float, reserved: int = 0) -> ConnectionLimits:
@@ -62,6 +64,7 @@
         int(buffers * UNREAD_SHARE),
         int(buffers * UNFINISHED_SHARE),
         int(requests),
+        int(buffers * RESULT_SHARE),
     )
 
 
