HTTP engines: a reply of very many short header fields is refused

Same mistake in related code: a header is bounded in bytes (8 KB), but parsed, 1,300 short fields take some fifty times as much, a name, a slice and a place each, for each connection whose reply is at hand. A reply has a handful of fields; past 100 it counts as unreadable, its connection is closed and the call put again. The test failed before: all fields were taken.

--- a/thistlelever/wire/http.py
+++ b/thistlelever/wire/http.py
@@ -12,6 +12,8 @@
 from thistlelever.wire.read_buffer import ReadBuffer
 
 MAX_HEAD_BYTES = 8_192
+# A header of so many short fields would take fifty times its length once parsed.
+MAX_FIELDS = 100
 MAX_INTERIM_REPLIES = 100
 # Status codes of replies without a body.
 NO_BODY = (204, 304)
@@ -108,6 +110,8 @@
         colon = data.find(b":", at, line_end)
         if colon <= at:
             raise Unreadable("header field without a name")
+        if len(fields) >= MAX_FIELDS:
+            raise Unreadable(f"more than {MAX_FIELDS} header fields")
         name = bytes(view[at:colon]).lower()
         if name in fields:
             raise Unreadable(f"duplicate header field {name.decode('latin-1')}")
