--- a/tests/test_freed_at_close.py
+++ b/tests/test_freed_at_close.py
@@ -112,3 +112,39 @@
             await assert_all_freed(stage, before)
 
     asyncio.run(whole())
+
+
+def test_a_dispatch_to_an_engine_that_is_gone_is_freed_without_the_garbage_collector():
+    async def whole() -> None:
+        async with front_without_collector() as stage:
+            before = held()
+            await stage.do_dead("a")
+            reader, writer = await connect(stage)
+            writer.write(stage.submission(1, "lookup", "wait=600"))
+            await asyncio.wait_for(reader.readline(), 6.0)
+            writer.close()
+            await assert_all_freed(stage, before)
+
+    asyncio.run(whole())
+
+
+def test_withdrawn_batches_are_freed_without_the_garbage_collector():
+    async def whole() -> None:
+        async with front_without_collector() as stage:
+            before = held()
+            stage.engines["a"].holds_posts = True
+            _, writer = await connect(stage)
+            for number in range(1, 33):
+                writer.write(stage.submission(number, "lookup"))
+            await stage.do_posted("a", 5)
+            for number in range(1, 33):
+                params = b'"params":{"id":"%016x"}' % number
+                writer.write(b'{"jsonrpc":"2.0","method":"withdraw",%b}\n' % params)
+            await stage.poll_until(lambda: not stage.server.batch_tasks.tasks)
+            writer.close()
+            stage.engines["a"].released.set()
+            await asyncio.sleep(0.5)
+            stage.server.forget(b"a")
+            await assert_all_freed(stage, before)
+
+    asyncio.run(whole())
