Crowds: the usual client sends nothing while it connects anew

An answer to no open request is now counted and breaks the rule on answers; it would have ended the client's reading without a word.

--- a/rigs/crowds.py
+++ b/rigs/crowds.py
@@ -60,15 +60,16 @@
         self.address, self.chance, self.ends, self.slowest = address, chance, {}, 0.0
         self.lost = []
         # By number: when the request was sent, and whether for the second time.
-        self.waiting, self.writer, self.asked = {}, None, 0
+        self.waiting, self.writer, self.asked, self.connected = {}, None, 0, False
 
     async def connect(self):
         reader, self.writer = await asyncio.open_connection(*self.address)
+        self.connected = True
         self.reading = asyncio.create_task(self.read(reader))
 
     def ask(self):
-        """Sends a request unless too many are open; its end is counted once it is known."""
-        if len(self.waiting) < MAX_OPEN_REQUESTS and not self.reading.done():
+        """Sends a request unless too many are open or it connects; its end is counted once it is known."""
+        if len(self.waiting) < MAX_OPEN_REQUESTS and self.connected:
             self.asked += 1
             self.send(self.asked, False)
 
@@ -84,11 +85,15 @@
         with suppress(OSError):
             while line := await reader.readline():
                 answer = json.loads(line)
+                if answer["id"] not in self.waiting:
+                    self.count("stray")
+                    continue
                 since, _ = self.waiting.pop(answer["id"])
                 took = asyncio.get_running_loop().time() - since
                 self.slowest = max(self.slowest, took)
                 end = "result" if "result" in answer else f"error {answer['error']['code']}"
                 self.count(end if took <= WAIT_S + LATE_S else "late")
+        self.connected = False
         self.writer.close()
         await self.connect_again(asyncio.get_running_loop().time())
 
@@ -192,6 +197,8 @@
         broken.append(f"memory: {peak_mb:.1f} MB of {play.memory_mb}")
     if lost := usual.ends.get("lost", 0) + usual.ends.get("late", 0):
         broken.append(f"lost: {lost} requests of the usual client")
+    if strays := usual.ends.get("stray", 0):
+        broken.append(f"answers: {strays} to no open request")
     if play.kind not in COMPETING_KINDS and usual.ends.get("result", 0) < SERVED_SHARE * usual.asked:
         broken.append(f"served: {usual.ends.get('result', 0)} of {usual.asked}")
     return broken, figures
