--- a/tests/test_list_agreement.py
+++ b/tests/test_list_agreement.py
@@ -130,3 +130,10 @@
     view = FrontView().receive(*[answer(2, "a-", "b", "c")] * 5)
     assert not view.is_open(b"a")
     assert view.receive(CURRENT).is_open(b"a") and view.decision.settled
+
+
+def test_the_log_names_the_fields_in_which_two_lists_differ():
+    entry = CURRENT.entries[b"b"]
+    other = Entry(entry.engine._replace(size=2.0, kind=1), ("127.0.0.1", 2))
+    differing = list_agreement.differing_fields(Answer(3, CURRENT.entries | {b"b": other}), CURRENT)
+    assert differing == {"b": ["kind", "size", "address"]}
--- a/thistlelever/carrier/directory.py
+++ b/thistlelever/carrier/directory.py
@@ -14,7 +14,7 @@
 from thistlelever.ground.config import Entry
 from thistlelever.ground.metrics import Metrics
 from thistlelever.store.engine_registry import EngineRegistry, transitions
-from thistlelever.store.list_agreement import Answer, ListAgreement
+from thistlelever.store.list_agreement import Answer, ListAgreement, differing_fields
 from thistlelever.wire import dns
 
 if TYPE_CHECKING:
@@ -224,7 +224,7 @@
             return True
         decision = self.agreement.receive(answer, current, clock.now())
         if self.agreement.contradiction is answer:
-            self.report_contradiction(answer)
+            self.report_contradiction(answer, current)
         if decision.adopt:
             self.registry.closed_engines = decision.closed
             self.adopt(listing.serial, entries)
@@ -244,14 +244,17 @@
             self.registry.closed_engines = closed
             self.notify()
 
-    def report_contradiction(self, answer: Answer) -> None:
+    def report_contradiction(self, answer: Answer, current: Answer) -> None:
         """Count and log an answer that is older than the list in force, or differs under the same serial."""
         listed = {engine: entry.engine.state for engine, entry in answer.entries.items()}
         differing = transitions(self.registry.states(), listed)
         serial, held = answer.serial, self.registry.serial
         what = "older than the list" if serial < held else "that differ under one serial"
         self.metrics.add(f"directory answers {what}")
-        self.decisions.log(f"directory answers {what}", serial=serial, held=held, differing=differing)
+        fields = differing_fields(answer, current)
+        self.decisions.log(
+            f"directory answers {what}", serial=serial, held=held, differing=differing, fields=fields
+        )
 
     def adopt_configured(self, serial: int, entries: list[Entry]) -> None:
         """Adopt the list of a reloaded configuration if it is newer than the one in force."""
--- a/thistlelever/store/list_agreement.py
+++ b/thistlelever/store/list_agreement.py
@@ -51,6 +51,21 @@
         return (own.address, own.engine.started) == (entry.address, entry.engine.started)
 
 
+def differing_fields(answer: Answer, current: Answer) -> dict[str, list[str]]:
+    """Return by engine which fields differ between two lists, of the engines that both have."""
+    differing = {}
+    for engine in answer.entries.keys() & current.entries.keys():
+        one, other = answer.entries[engine], current.entries[engine]
+        fields = [
+            name for name in one.engine._fields if getattr(one.engine, name) != getattr(other.engine, name)
+        ]
+        if one.address != other.address:
+            fields.append("address")
+        if fields:
+            differing[engine.decode("latin-1")] = fields
+    return differing
+
+
 class Decision(NamedTuple):
     """The result of an answer.
 
