HTTP engines: the fetch of a result's pages is a module of its own

What fetches the pages after the first, waits for memory and asks for cut pages again is carrier/result_fetch.py now, with one function for how a page is fetched; nothing of its behaviour changes. A reply and the buffer that it refers to are no longer held while the pages after it are fetched.

--- a/thistlelever/carrier/http_engines.py
+++ b/thistlelever/carrier/http_engines.py
@@ -8,6 +8,7 @@
 
 from thistlelever.carrier.decision_loop import DecisionLoop
 from thistlelever.carrier.dispatch import End, NoResultError, DispatchProgress
+from thistlelever.carrier.result_fetch import ResultFetch
 from thistlelever.ground import clock
 from thistlelever.ground import interface as it
 from thistlelever.ground.config import Entry
@@ -137,69 +138,13 @@
     async def fetch_pages(
         self, path: str, batch: Batch, entry: Entry, end: End, progress: DispatchProgress
     ) -> None:
-        """Fetch the pages after the first once there is memory for them.
+        """Fetch the pages after the first; raises `NoResultError` if one of them is never whole."""
 
-        Raises `NoResultError` if one of the pages is never whole.
-        """
-        size = (progress.pages - 1) * http.MAX_PAGE_BYTES
-        if size <= 0 or end.outcome is not it.DispatchOutcome.RETURNED:
-            return await self.fetch_missing_pages(path, batch, entry, end, progress)
-        had_room = self.result_memory.reserve_now(size)
-        if not had_room:
-            await self.wait_for_memory(size, path, batch, entry, end, progress)
-        try:
-            if not had_room:
-                reply = await self.poll_until_over(path, 0, entry, end, progress, batch)
-                end.outcome = self.outcome(reply, progress)
-                del reply
-            return await self.fetch_missing_pages(path, batch, entry, end, progress)
-        finally:
-            self.result_memory.release(size)
-
-    async def wait_for_memory(
-        self, size: int, path: str, batch: Batch, entry: Entry, end: End, progress: DispatchProgress
-    ) -> None:
-        """Drop the first page, which its engine gives again, and wait for memory for the whole result.
-
-        Meanwhile the engine is polled, as it would drop the result otherwise.
-        """
-        self.metrics.add("results that waited for memory")
-        while True:
-            end.pages.clear()
-            progress.page_watches.clear()
-            try:
-                async with asyncio.timeout(DROP_AFTER_S / 2):
-                    await self.result_memory.reserve(size)
-                return
-            except TimeoutError:
-                await self.poll_until_over(path, 0, entry, end, progress, batch)
-
-    async def fetch_missing_pages(
-        self, path: str, batch: Batch, entry: Entry, end: End, progress: DispatchProgress
-    ) -> None:
-        """Fetch the pages after the first, and once more each page that data has followed.
-
-        Raises `NoResultError` if one of them is never whole.
-        """
-        missing = range(1, progress.pages)
-        for _ in range(MAX_UNUSABLE_REPLIES):
-            for page in missing:
-                if end.outcome is not it.DispatchOutcome.RETURNED:
-                    return
-                reply = await self.poll_until_over(path, page, entry, end, progress, batch)
-                end.outcome = self.outcome(reply, progress)
-            missing = await self.cut_pages(progress)
-            if not missing:
-                return
-        raise NoResultError(it.DispatchOutcome.RESET)
+        async def fetch_page(page: int) -> it.DispatchOutcome:
+            reply = await self.poll_until_over(path, page, entry, end, progress, batch)
+            return self.outcome(reply, progress)
 
-    async def cut_pages(self, progress: DispatchProgress) -> list[int]:
-        """Wait until each page is known to be whole or not; returns those that are not."""
-        watches, progress.page_watches = progress.page_watches, {}
-        cut = [page for page, watch in watches.items() if not await watch]
-        for _ in cut:
-            self.metrics.add("pages followed by data")
-        return cut
+        await ResultFetch(end, progress, fetch_page, self.result_memory, self.metrics).run()
 
     async def post(
         self,
--- a/thistlelever/store/connection_limits.py
+++ b/thistlelever/store/connection_limits.py
@@ -11,8 +11,8 @@
 # Memory of the process with its libraries, before it has connections, and the minimum that is assumed to be
 # left for all else, both in MB.
 BASE_MEMORY_MB, MIN_BUFFER_MEMORY_MB = 24.5, 4.0
-# What a connection holds in bytes: one of a client beside its read buffer, and one to an engine with its own and
-# the reply at hand.
+# What a connection holds in bytes: one of a client beside its read buffer, and one to an engine with its
+# buffer and the reply at hand.
 CLIENT_CONNECTION_BYTES, ENGINE_CONNECTION_BYTES = 5_632, 16_384
 # Size in bytes of a client's read buffer while no line is longer; most lines have a few hundred bytes.
 MAX_READ_BYTES, MIN_READ_BYTES = 4_096, 512
