Memory samples: an unreadable figure ends no housekeeping

The sampling of the process's memory ran in the task that closes idle connections; a file of another form than Linux documents would have ended that task. It counts as 0 now. Found by reading.

--- a/thistlelever/lifecycle/memory_monitor.py
+++ b/thistlelever/lifecycle/memory_monitor.py
@@ -20,7 +20,7 @@
     """Return the resident memory of the process in MiB, or 0 where the system does not tell it."""
     try:
         return int(STATM.read_bytes().split()[1]) * PAGE_BYTES / 2**20
-    except OSError:
+    except (OSError, ValueError, IndexError):
         return 0.0
 
 
